--- /dev/null
+++ b/crates/core/src/connection.rs
@@ -0,0 +1,13 @@
+//! Messages between nodes.
+//!
+//! Each message is a hint or a promise between two incarnations; none of them orders anything.
+//! An [`Envelope`] names the incarnations at both ends, so a message meant for an earlier
+//! process in the same slot is dropped.
+
+mod peer_message;
+
+pub use peer_message::{
+    Envelope, HandoverMemory, HeldRequest, LapseAnswer, LapseQuery, LapseReply, MoveReply,
+    MoveRequest, MoveVerdict, PeerMessage, PeerRecord, ReleaseAsk, ReleaseNotice, RenewReply,
+    RenewRequest, RenewVerdict, RunState, SuspectRow,
+};
--- /dev/null
+++ b/crates/core/src/process.rs
@@ -0,0 +1,32 @@
+//! What one incarnation of a node keeps in memory.
+//!
+//! [`NodeMachine`] joins the parts: the lease that the node holds ([`LeaseTable`]), the grants
+//! that it gives as a witness ([`WitnessTable`]), proofs that others lapsed ([`LapseTable`]) and
+//! the partitions that it serves ([`TenureTable`]). Nothing here survives the process, and no
+//! promise relies on it surviving.
+
+mod fence_token;
+mod lapse_table;
+mod lease_table;
+mod lease_timing;
+mod life_cycle;
+mod node_action;
+mod node_machine;
+mod peer_log;
+mod planner_desk;
+mod safety_guards;
+mod tenure_table;
+mod witness_table;
+
+pub use fence_token::FenceToken;
+pub use lapse_table::{LapseCheck, LapseTable};
+pub use lease_table::LeaseTable;
+pub use lease_timing::LeaseTiming;
+pub use life_cycle::{Draining, Gone, Joining, Life, LifeCycle, Serving};
+pub use node_action::NodeAction;
+pub use node_machine::{NodeMachine, OwnedRow};
+pub use peer_log::PeerLog;
+pub use planner_desk::PlannerDesk;
+pub use safety_guards::SafetyGuards;
+pub use tenure_table::{HeldGrant, PendingGrant, ReleasedGrant, ReleasingGrant, Tenure, TenureTable};
+pub use witness_table::WitnessTable;
--- /dev/null
+++ b/crates/core/src/process/life_cycle.rs
@@ -0,0 +1,107 @@
+//! Life of one incarnation, as types.
+
+use crate::NodeId;
+
+/// Its join record is not folded yet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Joining {
+    /// Random id of the incarnation, which finds the join record again.
+    pub boot_id: u128,
+}
+
+/// A member that may own partitions.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Serving {
+    /// Incarnation.
+    pub id: NodeId,
+}
+
+/// A member that releases what it owns.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Draining {
+    /// Incarnation.
+    pub id: NodeId,
+}
+
+/// An incarnation that ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Gone {
+    /// Incarnation.
+    pub id: NodeId,
+}
+
+/// An incarnation in state `S`; each step consumes the state before it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Life<S> {
+    /// State.
+    pub state: S,
+}
+
+impl Life<Joining> {
+    /// Begins an incarnation.
+    pub const fn begin(boot_id: u128) -> Self {
+        Self { state: Joining { boot_id } }
+    }
+
+    /// Its join record was folded at `id`.
+    #[must_use]
+    pub const fn joined(self, id: NodeId) -> Life<Serving> {
+        Life { state: Serving { id } }
+    }
+}
+
+impl Life<Serving> {
+    /// Starts to release.
+    #[must_use]
+    pub const fn drain(self) -> Life<Draining> {
+        Life { state: Draining { id: self.state.id } }
+    }
+
+    /// Was declared ended by others.
+    #[must_use]
+    pub const fn end(self) -> Life<Gone> {
+        Life { state: Gone { id: self.state.id } }
+    }
+}
+
+impl Life<Draining> {
+    /// Everything is released.
+    #[must_use]
+    pub const fn end(self) -> Life<Gone> {
+        Life { state: Gone { id: self.state.id } }
+    }
+}
+
+/// The state of an incarnation, where it must be stored.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LifeCycle {
+    /// Joining.
+    Joining(Life<Joining>),
+    /// Serving.
+    Serving(Life<Serving>),
+    /// Draining.
+    Draining(Life<Draining>),
+    /// Gone.
+    Gone(Life<Gone>),
+}
+
+impl LifeCycle {
+    /// Incarnation, once joined and until gone.
+    pub const fn id(&self) -> Option<NodeId> {
+        match self {
+            Self::Serving(life) => Some(life.state.id),
+            Self::Draining(life) => Some(life.state.id),
+            Self::Joining(_) | Self::Gone(_) => None,
+        }
+    }
+
+    /// Short name for logs and status.
+    pub const fn name(&self) -> &'static str {
+        match self {
+            Self::Joining(_) => "joining",
+            Self::Serving(_) => "serving",
+            Self::Draining(_) => "draining",
+            Self::Gone(_) => "gone",
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/process/node_machine/message_step.rs
@@ -0,0 +1,179 @@
+//! Takes messages of other nodes.
+
+use std::time::{Duration, Instant};
+
+use super::{AheadRow, NodeMachine, RELEASE_MEMORY, ReleaseRow, SILENCE_MEMORY, SilentRow};
+use crate::connection::{
+    Envelope, LapseQuery, LapseReply, MoveReply, PeerMessage, ReleaseAsk, ReleaseNotice,
+    RenewReply, RenewRequest,
+};
+use crate::process::{NodeAction, tenure_table};
+use crate::{LogOffset, NodeId};
+
+/// Time that the log reader has before a lagging node asks a peer.
+const FETCH_PATIENCE: Duration = Duration::from_millis(150);
+
+impl NodeMachine {
+    /// Takes a message; one for another incarnation is dropped.
+    pub fn take_message(&mut self, envelope: Envelope, now: Instant) {
+        let me = self.life.id().unwrap_or(0);
+        if envelope.to != 0 && envelope.to != me {
+            return;
+        }
+        let from = envelope.from;
+        self.note_ahead(from, envelope.next_offset, now);
+        match envelope.message {
+            PeerMessage::Renew(request) => self.answer_renewal(from, &request, now),
+            PeerMessage::Renewed(reply) => self.take_renewal(from, &reply, now),
+            PeerMessage::Move(request) => {
+                let verdict = self.witness.move_set(&self.state, from, request.set);
+                let reply = MoveReply { set: request.set, verdict };
+                self.send(from, PeerMessage::Moved(reply));
+            }
+            PeerMessage::Moved(reply) => self.lease.moved(from, reply),
+            PeerMessage::Lapse(query) => self.answer_lapse(from, query, now),
+            PeerMessage::Lapsed(reply) => self.take_lapse(from, &reply, now),
+            PeerMessage::Silent { node } => self.note_silent(node, now),
+            PeerMessage::AskRelease(ask) => self.answer_release(from, &ask),
+            PeerMessage::Release(notice) => self.take_release(from, notice, now),
+            PeerMessage::ReleaseSeen { partition, before } => {
+                self.release_seen(from, partition, before);
+            }
+            PeerMessage::Heartbeat { acked } => self.desk.acked(from, acked),
+            PeerMessage::Fetch { from: offset, reply_to } => {
+                self.answer_fetch(from, offset, reply_to);
+            }
+            PeerMessage::Records(records) => self.take_records(&records, now),
+            PeerMessage::Snapshot(state) => {
+                self.adopt(*state, now);
+            }
+        }
+        self.deliver_local(now);
+        self.note_lease(now);
+    }
+
+    fn note_ahead(&mut self, from: NodeId, offset: LogOffset, now: Instant) {
+        if offset <= self.state.next_offset {
+            return;
+        }
+        let Some(row) = self.state.member(from) else { return };
+        let address = row.info.peer_address.clone();
+        match &mut self.ahead {
+            Some(ahead) if ahead.offset >= offset => {}
+            Some(ahead) => {
+                ahead.offset = offset;
+                ahead.address = address;
+            }
+            None => {
+                let fetch_at = now + FETCH_PATIENCE;
+                self.ahead = Some(AheadRow { offset, fetch_at, address });
+            }
+        }
+    }
+
+    fn answer_renewal(&mut self, holder: NodeId, request: &RenewRequest, now: Instant) {
+        let Some(me) = self.life.id() else { return };
+        self.merge_suspects(&request.suspects);
+        let verdict = self.witness.renew(&self.state, me, holder, request, now);
+        self.silent.retain(|row| row.node != holder);
+        let reply = RenewReply {
+            set: request.set,
+            sequence: request.sequence,
+            verdict,
+            suspects: self.suspects.clone(),
+        };
+        self.send(holder, PeerMessage::Renewed(reply));
+    }
+
+    fn take_renewal(&mut self, witness: NodeId, reply: &RenewReply, now: Instant) {
+        self.merge_suspects(&reply.suspects);
+        let before = self.lease.line_majority();
+        let was_valid = self.lease.is_valid(now);
+        self.lease.renewed(witness, reply);
+        if self.lease.line_majority() != before || !was_valid {
+            self.settle(now);
+        }
+    }
+
+    fn answer_lapse(&mut self, taker: NodeId, query: LapseQuery, now: Instant) {
+        let Some(me) = self.life.id() else { return };
+        let (answer, line_offset) = self.witness.lapse(&self.state, me, query, now);
+        log::info!(target = query.target, taker, answer:? = answer; "answered a lapse query");
+        let newest_set = query.newest_set;
+        let reply = LapseReply { target: query.target, newest_set, answer, line_offset };
+        self.send(taker, PeerMessage::Lapsed(reply));
+    }
+
+    fn take_lapse(&mut self, witness: NodeId, reply: &LapseReply, now: Instant) {
+        let alive = self.lapses.answered(witness, reply);
+        if alive {
+            self.lapses.give_up(reply.target);
+            self.silent.retain(|row| row.node != reply.target);
+            return;
+        }
+        self.advance_pursuit(reply.target, now);
+    }
+
+    pub(super) fn note_silent(&mut self, node: NodeId, now: Instant) {
+        if self.state.member(node).is_none() || self.life.id() == Some(node) {
+            return;
+        }
+        let until = now + SILENCE_MEMORY;
+        match self.silent.binary_search_by_key(&node, |row| row.node) {
+            Ok(index) => self.silent[index].until = until,
+            Err(index) => {
+                self.silent.insert(index, SilentRow { node, until });
+                log::info!(node; "holder is silent");
+            }
+        }
+        self.settle(now);
+    }
+
+    fn answer_release(&mut self, asker: NodeId, ask: &ReleaseAsk) {
+        let partition = ask.partition;
+        if self.tenures.is_active(partition) || self.state.next_offset <= ask.before {
+            return;
+        }
+        let released = tenure_table::find(&self.tenures.released, partition).ok();
+        let memory = released.map(|index| self.tenures.released[index].state.memory.clone());
+        let memory = memory.unwrap_or_default();
+        let notice = ReleaseNotice { partition, before: ask.before, memory };
+        self.send(asker, PeerMessage::Release(notice));
+    }
+
+    fn take_release(&mut self, from: NodeId, notice: ReleaseNotice, now: Instant) {
+        let ReleaseNotice { partition, before, memory } = notice;
+        let row = ReleaseRow { partition, node: from, before, memory, until: now + RELEASE_MEMORY };
+        let key = (partition, from);
+        match self.releases.binary_search_by_key(&key, |row| (row.partition, row.node)) {
+            Ok(index) if self.releases[index].before > before => {}
+            Ok(index) => self.releases[index] = row,
+            Err(index) => self.releases.insert(index, row),
+        }
+        self.send(from, PeerMessage::ReleaseSeen { partition, before });
+        self.settle_partition(partition, now);
+    }
+
+    fn release_seen(&mut self, from: NodeId, partition: crate::PartitionId, before: LogOffset) {
+        if let Ok(index) = tenure_table::find(&self.tenures.released, partition) {
+            let released = &mut self.tenures.released[index].state;
+            if released.before <= before {
+                released.unseen.retain(|node| *node != from);
+            }
+        }
+    }
+
+    fn answer_fetch(&mut self, asker: NodeId, offset: LogOffset, reply_to: Box<str>) {
+        if offset >= self.state.next_offset {
+            return;
+        }
+        let message = match self.log.read(offset) {
+            Some(records) => PeerMessage::Records(records),
+            None => PeerMessage::Snapshot(Box::new(self.state.clone())),
+        };
+        let from = self.life.id().unwrap_or(0);
+        let next_offset = self.state.next_offset;
+        let envelope = Envelope { from, to: asker, next_offset, message };
+        self.actions.push(NodeAction::Send { address: reply_to, envelope });
+    }
+}
--- /dev/null
+++ b/crates/core/src/process/node_machine/tenure_step.rs
@@ -0,0 +1,362 @@
+//! Opens and closes partitions.
+
+use std::time::{Duration, Instant};
+
+use super::{NodeMachine, RELEASE_MEMORY};
+use crate::connection::{HandoverMemory, PeerMessage, ReleaseAsk, ReleaseNotice};
+use crate::process::tenure_table::{self, insert, take};
+use crate::process::{FenceToken, LapseCheck, LifeCycle, NodeAction, Tenure};
+use crate::version::{DepartReason, LineRow, PartitionRow};
+use crate::{LogOffset, NodeId, PartitionId};
+
+/// Time after which an earlier holder that does not release is pursued.
+const RELEASE_PATIENCE: Duration = Duration::from_millis(600);
+
+/// Time between two requests for the same release.
+const ASK_GAP: Duration = Duration::from_millis(150);
+
+/// Partitions that a draining node closes in one step.
+const DRAIN_STEP: usize = 8;
+
+/// Time between two steps of a drain.
+const DRAIN_GAP: Duration = Duration::from_millis(50);
+
+/// A node whose right must end before this one serves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Blocker {
+    node: NodeId,
+    /// The node must release all rights below this offset.
+    before: LogOffset,
+}
+
+impl NodeMachine {
+    /// Opens, closes or waits, for every partition that names this node.
+    pub(super) fn settle(&mut self, now: Instant) {
+        let mut partitions = self.involved.clone();
+        partitions.extend(self.tenures.held.iter().map(|tenure| tenure.partition));
+        partitions.sort_unstable();
+        partitions.dedup();
+        for partition in partitions {
+            self.settle_partition(partition, now);
+        }
+    }
+
+    pub(super) fn settle_partition(&mut self, partition: PartitionId, now: Instant) {
+        let Some(me) = self.life.id() else { return };
+        if tenure_table::find(&self.tenures.releasing, partition).is_ok() {
+            return;
+        }
+        if self.tenures.held(partition).is_some() {
+            self.settle_held(me, partition, now);
+        } else if matches!(self.life, LifeCycle::Serving(_)) {
+            self.settle_waiting(me, partition, now);
+        }
+    }
+
+    fn settle_held(&mut self, me: NodeId, partition: PartitionId, now: Instant) {
+        if matches!(self.life, LifeCycle::Draining(_)) {
+            return;
+        }
+        let line = self.state.partition(partition).and_then(PartitionRow::current).cloned();
+        let step = line.as_ref().and_then(|line| self.continued_step(me, line, now));
+        match (line, step) {
+            (Some(line), Some(step)) => self.refence(partition, &line, step),
+            _ => self.begin_release(partition, "another node owns it"),
+        }
+    }
+
+    /// Place at which a holder goes on serving: all before it in the line have ended.
+    fn continued_step(&self, me: NodeId, line: &LineRow, now: Instant) -> Option<usize> {
+        let step = line.nodes.iter().position(|node| *node == me)?;
+        line.nodes[..step].iter().all(|node| self.has_ended(*node, now)).then_some(step)
+    }
+
+    fn refence(&mut self, partition: PartitionId, line: &LineRow, step: usize) {
+        let fence = fence_of(line, step);
+        let known = self.lease.line_majority() >= line.offset || !self.guards.fence_order;
+        let Ok(index) = tenure_table::find(&self.tenures.held, partition) else { return };
+        let grant = &mut self.tenures.held[index].state;
+        if known && fence > grant.fence {
+            grant.fence = fence;
+            self.actions.push(NodeAction::Refence { partition, fence });
+        }
+    }
+
+    /// Closes a partition; it is released once no request is in flight.
+    fn begin_release(&mut self, partition: PartitionId, reason: &str) {
+        let Some(tenure) = take(&mut self.tenures.held, partition) else { return };
+        log::info!(partition, fence:% = tenure.state.fence, reason; "partition closes");
+        let tenure = tenure.release(0, Vec::new());
+        insert(&mut self.tenures.releasing, tenure);
+        self.actions.push(NodeAction::Close { partition });
+    }
+
+    /// No request of a closed partition is in flight; hands it over.
+    pub fn partition_idle(&mut self, partition: PartitionId, memory: HandoverMemory, now: Instant) {
+        let Some(me) = self.life.id() else { return };
+        let Some(mut tenure) = take(&mut self.tenures.releasing, partition) else { return };
+        if let Some(line) = self.state.partition(partition).and_then(PartitionRow::current) {
+            let drains = matches!(self.life, LifeCycle::Draining(_));
+            tenure.state.before = line.offset + LogOffset::from(drains);
+            tenure.state.to = line.nodes.iter().copied().filter(|node| *node != me).collect();
+        }
+        log::info!(partition, to:? = tenure.state.to, before = tenure.state.before; "partition released");
+        insert(&mut self.tenures.released, tenure.idle(memory, now, now + RELEASE_MEMORY));
+        self.send_releases(now);
+        self.settle_partition(partition, now);
+        self.deliver_local(now);
+        self.note_lease(now);
+    }
+
+    pub(super) fn send_releases(&mut self, now: Instant) {
+        let resend = self.timing.resend;
+        let mut notices = Vec::new();
+        for tenure in &mut self.tenures.released {
+            let released = &mut tenure.state;
+            if released.unseen.is_empty() || now < released.send_at {
+                continue;
+            }
+            released.send_at = now + resend;
+            released.unseen.retain(|node| self.state.member(*node).is_some());
+            let memory = &released.memory;
+            for node in &released.unseen {
+                let notice = ReleaseNotice {
+                    partition: tenure.partition,
+                    before: released.before,
+                    memory: memory.clone(),
+                };
+                notices.push((*node, notice));
+            }
+        }
+        for (node, notice) in notices {
+            self.send(node, PeerMessage::Release(notice));
+        }
+        self.tenures.released.retain(|tenure| tenure.state.keep_until > now);
+        self.releases.retain(|row| row.until > now);
+    }
+
+    fn settle_waiting(&mut self, me: NodeId, partition: PartitionId, now: Instant) {
+        let row = self.state.partition(partition);
+        let line = row.and_then(PartitionRow::current);
+        let step = line.and_then(|line| line.nodes.iter().position(|node| *node == me));
+        let (Some(row), Some(line), Some(step)) = (row, line, step) else {
+            take(&mut self.tenures.pending, partition);
+            return;
+        };
+        if !self.is_next(partition, line, step, now) {
+            take(&mut self.tenures.pending, partition);
+            return;
+        }
+        let blockers = self.blockers(me, row, step, now);
+        let offset = line.offset;
+        let fence = fence_of(line, step);
+        if tenure_table::find(&self.tenures.pending, partition).is_err() {
+            insert(&mut self.tenures.pending, Tenure::wait(partition, now));
+        }
+        if !blockers.is_empty() {
+            self.chase(partition, &blockers, offset, now);
+        } else if self.lease.is_valid(now) && self.knows_line(offset) {
+            self.open(partition, fence);
+        }
+    }
+
+    /// Whether a majority of witnesses knows that this node may act under the line.
+    fn knows_line(&self, offset: LogOffset) -> bool {
+        !self.guards.fence_order || self.lease.line_majority() >= offset
+    }
+
+    /// Whether every node before this one in the line is silent, has released or has ended.
+    fn is_next(&self, partition: PartitionId, line: &LineRow, step: usize, now: Instant) -> bool {
+        line.nodes[..step].iter().all(|node| {
+            self.has_ended(*node, now)
+                || self.has_released(partition, *node, line.offset)
+                || self.is_silent(*node, now)
+        })
+    }
+
+    fn is_silent(&self, node: NodeId, now: Instant) -> bool {
+        let index = self.silent.binary_search_by_key(&node, |row| row.node);
+        index.is_ok_and(|index| self.silent[index].until > now)
+            || self.lapses.proven_at(node).is_some()
+    }
+
+    /// Whether `node` released its rights by the line at `offset`.
+    fn has_released(&self, partition: PartitionId, node: NodeId, offset: LogOffset) -> bool {
+        let key = (partition, node);
+        let index = self.releases.binary_search_by_key(&key, |row| (row.partition, row.node));
+        index.is_ok_and(|index| self.releases[index].before > offset)
+    }
+
+    /// Nodes whose rights, by the present line or an earlier one, have not ended.
+    fn blockers(
+        &self,
+        me: NodeId,
+        row: &PartitionRow,
+        step: usize,
+        now: Instant,
+    ) -> Vec<Blocker> {
+        let mut blockers = Vec::new();
+        let Some((current, earlier)) = row.lines.split_last() else { return blockers };
+        let mut check = |node: NodeId, offset: LogOffset, before: LogOffset| {
+            if node != me && !self.has_ended(node, now) && !self.has_released(row.id, node, offset)
+            {
+                blockers.push(Blocker { node, before });
+            }
+        };
+        for node in &current.nodes[..step] {
+            check(*node, current.offset, current.offset + 1);
+        }
+        if !self.guards.earlier_holders {
+            return blockers;
+        }
+        for line in earlier {
+            // Whoever stands behind this node in an earlier line needs this node's lapse first.
+            let own = line.nodes.iter().position(|node| *node == me).unwrap_or(line.nodes.len());
+            for node in &line.nodes[..own] {
+                check(*node, line.offset, current.offset);
+            }
+        }
+        blockers.sort_unstable_by_key(|blocker| (blocker.node, blocker.before));
+        blockers.dedup();
+        blockers
+    }
+
+    /// Asks earlier holders to release and pursues those that stay silent.
+    fn chase(
+        &mut self,
+        partition: PartitionId,
+        blockers: &[Blocker],
+        offset: LogOffset,
+        now: Instant,
+    ) {
+        let Ok(index) = tenure_table::find(&self.tenures.pending, partition) else { return };
+        let pending = &mut self.tenures.pending[index].state;
+        if now < pending.ask_at {
+            return;
+        }
+        pending.ask_at = now + ASK_GAP;
+        let impatient = now.duration_since(pending.since) >= RELEASE_PATIENCE;
+        for blocker in blockers {
+            let earlier = blocker.before <= offset;
+            if earlier {
+                let ask = ReleaseAsk { partition, before: blocker.before };
+                self.send(blocker.node, PeerMessage::AskRelease(ask));
+            }
+            let pursue = !earlier || impatient || self.is_silent(blocker.node, now);
+            if pursue && self.state.member(blocker.node).is_some() {
+                self.lapses.pursue(blocker.node, now);
+                self.advance_pursuit(blocker.node, now);
+            }
+        }
+    }
+
+    pub(super) fn advance_pursuit(&mut self, target: NodeId, now: Instant) {
+        match self.lapses.check(&self.state, target, now) {
+            LapseCheck::Ask(newest_set, witnesses) => {
+                for witness in witnesses {
+                    let query = crate::connection::LapseQuery { target, newest_set };
+                    self.send(witness, PeerMessage::Lapse(query));
+                }
+            }
+            LapseCheck::Proven => {
+                log::info!(node = target; "lapse proven");
+                self.settle(now);
+            }
+            LapseCheck::Wait => {}
+        }
+    }
+
+    fn open(&mut self, partition: PartitionId, fence: FenceToken) {
+        let Some(tenure) = take(&mut self.tenures.pending, partition) else { return };
+        insert(&mut self.tenures.held, tenure.hold(fence));
+        let (memory, clean) = self.collect_memory(partition);
+        log::info!(partition, fence:%, clean; "partition opens");
+        self.actions.push(NodeAction::Open { partition, fence, memory, clean });
+    }
+
+    /// Memories of the earlier holders, and whether all of them handed theirs over.
+    fn collect_memory(&mut self, partition: PartitionId) -> (Vec<HandoverMemory>, bool) {
+        let me = self.life.id().unwrap_or(0);
+        let mut clean = true;
+        let mut memory = Vec::new();
+        let lines = self.state.partition(partition).map_or(&[][..], |row| &row.lines);
+        let last = lines.len().saturating_sub(1);
+        for (index, line) in lines.iter().enumerate() {
+            let own = line.nodes.iter().position(|node| *node == me);
+            let end = if index == last { own.unwrap_or(0) } else { line.nodes.len() };
+            for node in line.nodes[..end].iter().filter(|node| **node != me) {
+                clean &= self.has_released(partition, *node, line.offset);
+            }
+        }
+        for row in self.releases.iter_mut().filter(|row| row.partition == partition) {
+            memory.push(std::mem::take(&mut row.memory));
+        }
+        if let Some(tenure) = take(&mut self.tenures.released, partition) {
+            memory.push(tenure.state.memory);
+        }
+        (memory, clean)
+    }
+
+    /// Whether the rights of a node have provably ended.
+    ///
+    /// An upstream that checks grants stops at the grant's deadline. For one that does not, a
+    /// silent owner is no evidence: its last request may still run, until the service's run
+    /// bound has passed or the upstream's process has provably ended.
+    pub(super) fn has_ended(&self, node: NodeId, now: Instant) -> bool {
+        let departed = self.state.departed(node);
+        let info = match (departed, self.state.member(node)) {
+            (Some(row), _) => &row.info,
+            (None, Some(row)) => &row.info,
+            (None, None) => return node < self.state.next_offset,
+        };
+        let evidence = match departed.map(|row| row.reason) {
+            Some(DepartReason::Left) => return true,
+            Some(DepartReason::Lost) => return self.lapses.closed_since(node, now).is_some(),
+            Some(DepartReason::Replaced { upstream_ended: true }) => {
+                return self.lapses.closed_since(node, now).is_some();
+            }
+            Some(DepartReason::Replaced { upstream_ended: false }) => {
+                self.lapses.closed_since(node, now)
+            }
+            Some(DepartReason::Lapsed) => self.lapses.ended_at(node),
+            None => self.lapses.proven_at(node),
+        };
+        let Some(since) = evidence else { return false };
+        if info.upstream.checks_grants {
+            return true;
+        }
+        let service = self.spec.as_ref().and_then(|spec| spec.service(&info.upstream.service));
+        let bound = service.and_then(|service| service.run_bound);
+        bound.is_some_and(|bound| since + bound <= now)
+    }
+
+    /// Starts to release everything and to leave.
+    pub fn drain(&mut self, now: Instant) {
+        let LifeCycle::Serving(life) = self.life else { return };
+        let life = life.drain();
+        self.life = LifeCycle::Draining(life);
+        self.tenures.pending.clear();
+        self.drain_step_at = now;
+        log::info!(node = life.state.id; "draining");
+        self.append(super::AppendKind::Drain, crate::version::RecordBody::Drain {
+            node: life.state.id,
+        });
+        self.drain_step(now);
+    }
+
+    pub(super) fn drain_step(&mut self, now: Instant) {
+        if now < self.drain_step_at {
+            return;
+        }
+        self.drain_step_at = now + DRAIN_GAP;
+        let step: Vec<_> =
+            self.tenures.held.iter().take(DRAIN_STEP).map(|tenure| tenure.partition).collect();
+        for partition in step {
+            self.begin_release(partition, "this node drains");
+        }
+    }
+}
+
+fn fence_of(line: &LineRow, step: usize) -> FenceToken {
+    FenceToken { offset: line.offset, step: u16::try_from(step).unwrap_or(u16::MAX) }
+}
--- /dev/null
+++ b/crates/core/src/process/node_machine/tick_step.rs
@@ -0,0 +1,292 @@
+//! What falls due with time.
+
+use std::time::{Duration, Instant};
+
+use super::{AppendKind, NodeMachine};
+use crate::connection::{Envelope, MoveRequest, PeerMessage, RenewRequest};
+use crate::process::{LifeCycle, NodeAction, PlannerDesk};
+use crate::version::{CheckpointBody, PlanBuilder, PlanRecord, RecordBody};
+use crate::{LogOffset, NodeId};
+
+/// Time that a drained node stays as a witness while plans replace it.
+const DRAIN_GRACE: Duration = Duration::from_secs(2);
+
+/// Lease times without a lease after which a node starts over as a new incarnation.
+const RETIRE_LEASES: u32 = 3;
+
+/// Greatest delay before a proven lapse is written, which spares repeated records.
+const LAPSE_SPREAD_MS: u64 = 600;
+
+/// Time between two requests for records.
+const FETCH_GAP: Duration = Duration::from_millis(200);
+
+impl NodeMachine {
+    /// Does what is due at `now`.
+    pub fn tick(&mut self, now: Instant) {
+        match self.life {
+            LifeCycle::Joining(_) => {
+                let info = self.info.clone();
+                self.append(AppendKind::Join, RecordBody::Join(info));
+            }
+            LifeCycle::Serving(life) => {
+                self.tick_member(life.state.id, now);
+                self.tick_planner(life.state.id, now);
+                self.watch_lease(now);
+            }
+            LifeCycle::Draining(life) => {
+                self.tick_member(life.state.id, now);
+                self.drain_step(now);
+                self.finish_drain(life.state.id, now);
+            }
+            LifeCycle::Gone(_) => {}
+        }
+        self.fetch_missing(now);
+        self.deliver_local(now);
+        self.note_lease(now);
+    }
+
+    fn tick_member(&mut self, me: NodeId, now: Instant) {
+        self.renew(now);
+        self.tell_silences(now);
+        self.silent.retain(|row| row.until > now);
+        for target in self.lapses.targets() {
+            if self.state.member(target).is_some() {
+                self.advance_pursuit(target, now);
+            } else {
+                self.lapses.give_up(target);
+            }
+        }
+        self.settle_pending(now);
+        self.send_releases(now);
+        self.record_lapses(me, now);
+        if now >= self.heartbeat_at {
+            self.heartbeat_at = now + PlannerDesk::heartbeat_gap(&self.timing);
+            self.send_heartbeat();
+        }
+    }
+
+    fn settle_pending(&mut self, now: Instant) {
+        let waiting: Vec<_> =
+            self.tenures.pending.iter().map(|tenure| tenure.partition).collect();
+        for partition in waiting {
+            self.settle_partition(partition, now);
+        }
+    }
+
+    /// Highest offset of a line that names this node.
+    fn line_offset(&self) -> LogOffset {
+        let offset = |partition: &crate::PartitionId| {
+            self.state.partition(*partition).and_then(|row| row.current()).map(|line| line.offset)
+        };
+        self.involved.iter().filter_map(offset).max().unwrap_or(0)
+    }
+
+    fn renew(&mut self, now: Instant) {
+        let line_offset = self.line_offset();
+        if line_offset > self.lease.line_majority() && !self.tenures.pending.is_empty() {
+            self.hurry_once(line_offset);
+        }
+        let Some(round) = self.lease.round(line_offset, now) else { return };
+        for witness in round.witnesses {
+            let request = RenewRequest {
+                set: round.set,
+                sequence: round.sequence,
+                line_offset,
+                suspects: self.suspects.clone(),
+            };
+            self.send(witness, PeerMessage::Renew(request));
+        }
+        if let Some((set, witnesses)) = round.moves {
+            for witness in witnesses {
+                self.send(witness, PeerMessage::Move(MoveRequest { set }));
+            }
+        }
+    }
+
+    /// Renews at once when a new line waits for the witnesses to know it.
+    fn hurry_once(&mut self, line_offset: LogOffset) {
+        if self.hurried < line_offset {
+            self.hurried = line_offset;
+            self.lease.hurry();
+        }
+    }
+
+    /// Tells those who stand behind a silent holder, and the planner.
+    fn tell_silences(&mut self, now: Instant) {
+        for holder in self.witness.silent(now) {
+            if self.state.member(holder).is_none() {
+                continue;
+            }
+            let mut takers: Vec<NodeId> = Vec::new();
+            for row in &self.state.partitions {
+                let Some(line) = row.current() else { continue };
+                if let Some(place) = line.nodes.iter().position(|node| *node == holder) {
+                    takers.extend(&line.nodes[place + 1..]);
+                }
+            }
+            takers.extend(self.state.term.planner);
+            takers.sort_unstable();
+            takers.dedup();
+            log::info!(node = holder, takers = takers.len(); "lease ran out; telling takers");
+            for taker in takers {
+                self.send(taker, PeerMessage::Silent { node: holder });
+            }
+        }
+    }
+
+    /// Writes proven lapses; nodes wait differently long, so that one record is enough.
+    fn record_lapses(&mut self, me: NodeId, now: Instant) {
+        let planner = self.state.term.planner == Some(me);
+        let due: Vec<_> = self
+            .lapses
+            .unrecorded(&self.state)
+            .filter(|node| {
+                let spread = (me ^ node).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32;
+                let delay = if planner { 0 } else { 100 + spread % LAPSE_SPREAD_MS };
+                let proven = self.lapses.proven_at(*node);
+                proven.is_some_and(|at| now >= at + Duration::from_millis(delay))
+            })
+            .collect();
+        for node in due {
+            self.append(AppendKind::Lapse(node), RecordBody::Lapse { node, prover: me });
+        }
+    }
+
+    /// Offset below which this node relies on no superseded record.
+    pub(super) fn acked(&self) -> LogOffset {
+        let folded = self.state.next_offset - 1;
+        let releasing = self.tenures.releasing.iter().filter_map(|tenure| {
+            self.state.partition(tenure.partition).and_then(|row| row.current())
+        });
+        let held_back = releasing.map(|line| line.offset.saturating_sub(1)).min();
+        let set_back = match self.lease.active_set() {
+            Some(set) if !self.lease.is_settled() => set.saturating_sub(1),
+            _ => folded,
+        };
+        folded.min(held_back.unwrap_or(folded)).min(set_back)
+    }
+
+    fn send_heartbeat(&mut self) {
+        let acked = self.acked();
+        if let Some(planner) = self.state.term.planner {
+            self.send(planner, PeerMessage::Heartbeat { acked });
+        }
+    }
+
+    fn tick_planner(&mut self, me: NodeId, now: Instant) {
+        if self.state.term.planner == Some(me) {
+            self.pursue_silent(now);
+            self.write_checkpoint(now);
+            if self.desk.plan_due(now) {
+                self.write_plan(now);
+            }
+            return;
+        }
+        let state = &self.state;
+        let spec = self.spec.as_deref();
+        let needed = || {
+            spec.is_some_and(|spec| !PlanBuilder::new(state, spec).build().is_empty())
+                || spec.is_none() && state.members.iter().any(|row| state.witness_row(row.id).is_none())
+        };
+        if self.desk.claim_due(state, me, needed, now) {
+            let term = self.state.term.number + 1;
+            log::info!(term, node = me; "claiming the planner's term");
+            self.append(AppendKind::Claim, RecordBody::Claim { term, node: me });
+        }
+    }
+
+    /// The planner proves lapses as well, so that lines without a living successor are found.
+    fn pursue_silent(&mut self, now: Instant) {
+        let silent: Vec<_> = self.silent.iter().map(|row| row.node).collect();
+        for node in silent {
+            self.lapses.pursue(node, now);
+        }
+    }
+
+    fn write_checkpoint(&mut self, now: Instant) {
+        if self.desk.checkpoint_due(&self.state, now) {
+            let body = CheckpointBody { state: self.state.clone() };
+            self.append(AppendKind::Checkpoint, RecordBody::Checkpoint(Box::new(body)));
+        }
+    }
+
+    fn write_plan(&mut self, now: Instant) {
+        if self.outstanding.iter().any(|row| row.kind == AppendKind::Plan) {
+            return;
+        }
+        let floor = self.desk.floor(&self.state);
+        let Some(plan) = self.compute_plan(floor) else { return };
+        if plan.is_empty() {
+            self.planned = Some(self.state.revision);
+        }
+        if plan.is_empty() && !self.desk.floor_due(&self.state, floor, now) {
+            return;
+        }
+        log::info!(
+            term = plan.term, base = plan.base, floor, lines = plan.lines.len(),
+            sets = plan.sets.len();
+            "plan written"
+        );
+        self.append(AppendKind::Plan, RecordBody::Plan(plan));
+    }
+
+    fn compute_plan(&self, floor: LogOffset) -> Option<PlanRecord> {
+        if self.planned == Some(self.state.revision) && floor == self.state.floor {
+            return None;
+        }
+        let empty = crate::version::ManifestSpec {
+            replaces: 0,
+            lost_hosts: Vec::new(),
+            services: Vec::new(),
+        };
+        let spec = self.spec.as_deref().unwrap_or(&empty);
+        Some(PlanBuilder::new(&self.state, spec).floor(floor).build())
+    }
+
+    /// A node that cannot win its lease back starts over as a new incarnation.
+    fn watch_lease(&mut self, now: Instant) {
+        let has_set = self.lease.active_set().is_some();
+        if self.lease.is_valid(now) || !has_set {
+            self.lost_since = None;
+            return;
+        }
+        let since = *self.lost_since.get_or_insert(now);
+        let patience = self.timing.lease * RETIRE_LEASES;
+        if self.lease.is_lost() || now.duration_since(since) >= patience {
+            log::warn!("lease lost for good; starting over");
+            self.lost_since = None;
+            self.drain(now);
+        }
+    }
+
+    fn finish_drain(&mut self, me: NodeId, now: Instant) {
+        if !self.tenures.held.is_empty() || !self.tenures.releasing.is_empty() {
+            return;
+        }
+        let since = *self.drained_at.get_or_insert(now);
+        let late = now.duration_since(since) >= DRAIN_GRACE;
+        let seen = self.tenures.released.iter().all(|tenure| tenure.state.unseen.is_empty());
+        let named = self.state.witnesses.iter().any(|row| {
+            row.member != me && row.sets.iter().any(|set| set.contains(me))
+        });
+        if late || (seen && !named) {
+            self.append(AppendKind::Left, RecordBody::Left { node: me });
+        }
+        if now.duration_since(since) >= DRAIN_GRACE * 2 {
+            self.actions.push(NodeAction::Finished);
+        }
+    }
+
+    fn fetch_missing(&mut self, now: Instant) {
+        let Some(ahead) = &mut self.ahead else { return };
+        if now < ahead.fetch_at {
+            return;
+        }
+        ahead.fetch_at = now + FETCH_GAP;
+        let from = self.state.next_offset;
+        let message = PeerMessage::Fetch { from, reply_to: self.info.peer_address.clone() };
+        let me = self.life.id().unwrap_or(0);
+        let envelope = Envelope { from: me, to: 0, next_offset: from, message };
+        self.actions.push(NodeAction::Send { address: ahead.address.clone(), envelope });
+    }
+}
--- /dev/null
+++ b/crates/core/src/request.rs
@@ -0,0 +1,17 @@
+//! What lives for one request: verdict, identity, priority, route.
+
+mod admission_queue;
+mod id_memory;
+mod request_failure;
+mod request_verdict;
+mod retry_budget;
+mod route_table;
+mod suspect_table;
+
+pub use admission_queue::{Admission, AdmissionQueue, Departure};
+pub use id_memory::{IdDecision, IdMemory, id_unix_ms};
+pub use request_failure::RequestFailure;
+pub use request_verdict::RequestVerdict;
+pub use retry_budget::RetryBudget;
+pub use route_table::{RouteTable, ServiceRoute, TargetRow};
+pub use suspect_table::{SuspectTable, content_hash};
--- /dev/null
+++ b/crates/core/src/request/admission_queue.rs
@@ -0,0 +1,172 @@
+//! Which request runs next at an upstream.
+//!
+//! Requests run up to the announced slots. Others wait by priority, then by arrival. A full
+//! queue gives up the least urgent request: the newest of the lowest class that waits, or the
+//! arriving one. Who is given up hears it at once.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use crate::version::PriorityClass;
+
+/// Priority classes.
+const CLASSES: usize = 3;
+
+/// Weight of the newest service time in the average, as a divisor.
+const SMOOTHING: u32 = 16;
+
+/// Service time assumed before the first is known.
+const FIRST_SERVICE_TIME: Duration = Duration::from_millis(10);
+
+/// Requests that run and wait at one upstream.
+#[derive(Debug, Clone)]
+pub struct AdmissionQueue {
+    slots: usize,
+    limit: usize,
+    running: usize,
+    waiting: [VecDeque<WaitingRow>; CLASSES],
+    service_time: Duration,
+    next_ticket: u64,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct WaitingRow {
+    ticket: u64,
+    deadline: Instant,
+}
+
+/// Answer to an arriving request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Admission {
+    /// It runs now.
+    Start,
+    /// It waits; the ticket is called later.
+    Wait {
+        /// Ticket.
+        ticket: u64,
+        /// A less urgent request that is given up for it.
+        displaced: Option<u64>,
+    },
+    /// It is given up.
+    Shed {
+        /// When to come back.
+        retry_after: Duration,
+    },
+}
+
+/// What follows when a request ends.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Departure {
+    /// Ticket that runs now.
+    pub start: Option<u64>,
+    /// Tickets whose deadline passed while they waited.
+    pub expired: Vec<u64>,
+}
+
+impl AdmissionQueue {
+    /// A queue before an upstream of some slots.
+    pub fn new(slots: usize, limit: usize) -> Self {
+        Self {
+            slots: slots.max(1),
+            limit,
+            running: 0,
+            waiting: Default::default(),
+            service_time: FIRST_SERVICE_TIME,
+            next_ticket: 0,
+        }
+    }
+
+    /// Changes the number of slots and places.
+    pub fn resize(&mut self, slots: usize, limit: usize) {
+        self.slots = slots.max(1);
+        self.limit = limit;
+    }
+
+    /// Takes an arriving request.
+    pub fn offer(&mut self, class: PriorityClass, deadline: Instant, now: Instant) -> Admission {
+        if self.running < self.slots {
+            self.running += 1;
+            return Admission::Start;
+        }
+        let retry_after = self.wait_time(self.len());
+        // A request that cannot start before its deadline is given up while that still helps.
+        let ahead = self.waiting[..=class as usize].iter().map(VecDeque::len).sum();
+        if now + self.wait_time(ahead) > deadline {
+            return Admission::Shed { retry_after };
+        }
+        let mut displaced = None;
+        if self.len() >= self.limit {
+            displaced = self.displace(class);
+            if displaced.is_none() {
+                return Admission::Shed { retry_after };
+            }
+        }
+        self.next_ticket += 1;
+        let ticket = self.next_ticket;
+        self.waiting[class as usize].push_back(WaitingRow { ticket, deadline });
+        Admission::Wait { ticket, displaced }
+    }
+
+    /// Gives up the newest of the least urgent class below `class`.
+    fn displace(&mut self, class: PriorityClass) -> Option<u64> {
+        let lower = self.waiting[class as usize + 1..].iter_mut().rev();
+        lower.into_iter().find_map(VecDeque::pop_back).map(|row| row.ticket)
+    }
+
+    /// A running request ended after `took`; `None` if it says nothing of the upstream's speed.
+    pub fn finish(&mut self, took: Option<Duration>, now: Instant) -> Departure {
+        if let Some(took) = took {
+            self.service_time =
+                (self.service_time * (SMOOTHING - 1) + took) / SMOOTHING;
+        }
+        self.running = self.running.saturating_sub(1);
+        let mut departure = Departure::default();
+        if self.running >= self.slots {
+            return departure;
+        }
+        for queue in &mut self.waiting {
+            while let Some(row) = queue.pop_front() {
+                if row.deadline <= now {
+                    departure.expired.push(row.ticket);
+                    continue;
+                }
+                self.running += 1;
+                departure.start = Some(row.ticket);
+                return departure;
+            }
+        }
+        departure
+    }
+
+    /// A waiting request went away by itself; false if it does not wait.
+    pub fn cancel(&mut self, ticket: u64) -> bool {
+        for queue in &mut self.waiting {
+            if let Some(index) = queue.iter().position(|row| row.ticket == ticket) {
+                queue.remove(index);
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Time until a request behind `ahead` others would start.
+    fn wait_time(&self, ahead: usize) -> Duration {
+        let slots = u32::try_from(self.slots).unwrap_or(u32::MAX);
+        self.service_time * u32::try_from(ahead).unwrap_or(u32::MAX) / slots
+    }
+
+    /// Requests that wait.
+    pub fn len(&self) -> usize {
+        self.waiting.iter().map(VecDeque::len).sum()
+    }
+
+    /// Whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Requests that run.
+    pub const fn running(&self) -> usize {
+        self.running
+    }
+}
--- /dev/null
+++ b/crates/core/src/request/id_memory.rs
@@ -0,0 +1,148 @@
+//! Ids of non-idempotent requests that an owner saw.
+//!
+//! Ids are version 7 UUIDs, so they sort by age: new ones are appended, old ones leave at the
+//! front. An id that is older than what the memory covers gets the answer "may have run", never
+//! a second run. What the memory covers shrinks at an unclean takeover, when the memory of the
+//! owner before is lost.
+
+use uuid::Uuid;
+
+use crate::RequestId;
+use crate::connection::{HandoverMemory, HeldRequest, RunState};
+
+/// Age at which an id is forgotten and refused, in milliseconds.
+pub(super) const ID_WINDOW_MS: u64 = 120_000;
+
+/// Clock difference of two hosts that is allowed for, in milliseconds.
+pub(super) const CLOCK_SKEW_MS: u64 = 500;
+
+/// Ids by request.
+#[derive(Debug, Clone, Default)]
+pub struct IdMemory {
+    rows: Vec<HeldRequest>,
+    unknown_before_ms: u64,
+}
+
+/// What to do with a request.
+#[derive(Debug, Clone, PartialEq)]
+pub enum IdDecision {
+    /// Run it; the memory holds it as running.
+    Run,
+    /// It ran; this was its answer.
+    Replay(RunState),
+    /// It runs now.
+    StillRunning,
+    /// Whether it ran is unknown.
+    Unknown,
+}
+
+/// Unix time in milliseconds at which a version 7 id was made.
+pub fn id_unix_ms(id: RequestId) -> Option<u64> {
+    let uuid = Uuid::from_u128(id);
+    (uuid.get_version_num() == 7).then(|| u64::try_from(id >> 80).unwrap_or(u64::MAX))
+}
+
+impl IdMemory {
+    /// Memory of a new owner.
+    ///
+    /// After an unclean takeover at `now_ms`, ids made earlier may have run unremembered.
+    pub fn take_over(parts: &[HandoverMemory], clean: bool, now_ms: u64) -> Self {
+        let lost = if clean { 0 } else { now_ms + CLOCK_SKEW_MS };
+        let mut memory = Self { rows: Vec::new(), unknown_before_ms: lost };
+        for part in parts {
+            memory.merge(part);
+        }
+        memory
+    }
+
+    fn merge(&mut self, part: &HandoverMemory) {
+        self.unknown_before_ms = self.unknown_before_ms.max(part.unknown_before_ms);
+        for row in &part.requests {
+            match self.find(row.id) {
+                Ok(index) if matches!(row.state, RunState::Ran { .. }) => {
+                    self.rows[index] = row.clone();
+                }
+                Ok(_) => {}
+                Err(index) => self.rows.insert(index, row.clone()),
+            }
+        }
+    }
+
+    /// Decides about a request; `fresh` if this is surely its first sending.
+    pub fn begin(&mut self, id: RequestId, fresh: bool, now_ms: u64) -> IdDecision {
+        match self.find(id) {
+            Ok(index) => match &self.rows[index].state {
+                RunState::Running => IdDecision::StillRunning,
+                RunState::Unknown => IdDecision::Unknown,
+                state @ RunState::Ran { .. } => IdDecision::Replay(state.clone()),
+            },
+            Err(_) if !fresh && self.is_uncovered(id, now_ms) => IdDecision::Unknown,
+            Err(index) => {
+                self.rows.insert(index, HeldRequest { id, state: RunState::Running });
+                IdDecision::Run
+            }
+        }
+    }
+
+    fn is_uncovered(&self, id: RequestId, now_ms: u64) -> bool {
+        let Some(made_ms) = id_unix_ms(id) else { return true };
+        made_ms < self.unknown_before_ms || made_ms + ID_WINDOW_MS < now_ms
+    }
+
+    /// Notes what became of a request.
+    pub fn finish(&mut self, id: RequestId, state: RunState) {
+        if let Ok(index) = self.find(id) {
+            self.rows[index].state = state;
+        }
+    }
+
+    /// Forgets a request that provably did not run.
+    pub fn forget(&mut self, id: RequestId) {
+        if let Ok(index) = self.find(id) {
+            self.rows.remove(index);
+        }
+    }
+
+    /// Drops ids older than the window; the one in flight stays.
+    pub fn expire(&mut self, now_ms: u64) {
+        let oldest = u128::from(now_ms.saturating_sub(ID_WINDOW_MS)) << 80;
+        let end = self.rows.partition_point(|row| row.id < oldest);
+        if end == 0 {
+            return;
+        }
+        let mut index = 0;
+        self.rows.retain(|row| {
+            index += 1;
+            index > end || row.state == RunState::Running
+        });
+    }
+
+    /// Memory to hand over; what still runs is unknown to the next owner.
+    pub fn export(&self) -> HandoverMemory {
+        let mut requests = self.rows.clone();
+        for row in &mut requests {
+            if row.state == RunState::Running {
+                row.state = RunState::Unknown;
+            }
+        }
+        HandoverMemory { requests, unknown_before_ms: self.unknown_before_ms }
+    }
+
+    /// Number of ids held.
+    pub fn len(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// Whether no id is held.
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+
+    fn find(&self, id: RequestId) -> Result<usize, usize> {
+        // Most ids are the newest.
+        if self.rows.last().is_none_or(|row| row.id < id) {
+            return Err(self.rows.len());
+        }
+        self.rows.binary_search_by_key(&id, |row| row.id)
+    }
+}
--- /dev/null
+++ b/crates/core/src/request/request_failure.rs
@@ -0,0 +1,126 @@
+//! Why a request got no answer of its upstream.
+
+use std::time::Duration;
+
+use snafu::Snafu;
+
+use super::RequestVerdict;
+
+/// A request without an answer of its upstream, each kind with status and verdict.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+pub enum RequestFailure {
+    /// No such service.
+    #[snafu(display("no service of this name"))]
+    UnknownService,
+    /// The key is missing.
+    #[snafu(display("the Firspindle-Key header is missing"))]
+    MissingKey,
+    /// A header does not read.
+    #[snafu(display("bad {header}: {reason}"))]
+    BadHeader {
+        /// Header.
+        header: &'static str,
+        /// What is wrong.
+        reason: &'static str,
+    },
+    /// Only services inside may call it.
+    #[snafu(display("this operation is internal"))]
+    InternalOnly,
+    /// The body is over the service's limit.
+    #[snafu(display("the body is over {limit} bytes"))]
+    BodyTooLarge {
+        /// Limit, in bytes.
+        limit: usize,
+    },
+    /// The body ended early.
+    #[snafu(display("the request's body ended early"))]
+    BodyCutShort,
+    /// The headers are over the limit.
+    #[snafu(display("the headers are over {limit} bytes"))]
+    HeadTooLarge {
+        /// Limit, in bytes.
+        limit: usize,
+    },
+    /// The deadline passed before the request was sent to an upstream.
+    #[snafu(display("the deadline passed before the request ran"))]
+    Expired,
+    /// No room at the upstream.
+    #[snafu(display("the upstream's queue is full"))]
+    Overloaded {
+        /// When to come back.
+        retry_after: Duration,
+    },
+    /// No node serves the partition now.
+    #[snafu(display("no owner serves this key now"))]
+    NoOwner,
+    /// This node does not serve the partition.
+    #[snafu(display("this node does not own the key"))]
+    NotOwner,
+    /// The upstream refused before it ran anything.
+    #[snafu(display("the upstream refused the request unrun"))]
+    UpstreamRefused,
+    /// The request was in flight at two crashes.
+    #[snafu(display("upstreams crashed twice while they ran this request"))]
+    Poisonous {
+        /// When the refusal ends.
+        retry_after: Duration,
+    },
+    /// A request with this id runs now.
+    #[snafu(display("a request with this id is running"))]
+    StillRunning,
+    /// A request with this id ran, and its answer is no longer kept.
+    #[snafu(display("this request ran before; its answer is not kept"))]
+    RanBefore,
+    /// Whether a request with this id ran is unknown.
+    #[snafu(display("a request with this id may have run before"))]
+    OutcomeUnknown,
+    /// The connection to the upstream or owner broke after sending.
+    #[snafu(display("the connection broke while the request was in flight"))]
+    ConnectionLost,
+    /// The answer ended early or was over the limit.
+    #[snafu(display("the answer was cut short"))]
+    AnswerCutShort,
+    /// The deadline passed while the request ran.
+    #[snafu(display("the deadline passed while the request ran"))]
+    DeadlinePassed,
+}
+
+impl RequestFailure {
+    /// Whether the request may have run.
+    pub const fn verdict(&self) -> RequestVerdict {
+        match self {
+            Self::RanBefore => RequestVerdict::Ran,
+            Self::StillRunning
+            | Self::OutcomeUnknown
+            | Self::ConnectionLost
+            | Self::AnswerCutShort
+            | Self::DeadlinePassed => RequestVerdict::MayHaveRun,
+            _ => RequestVerdict::NotRun,
+        }
+    }
+
+    /// HTTP status.
+    pub const fn status(&self) -> u16 {
+        match self {
+            Self::MissingKey | Self::BadHeader { .. } | Self::BodyCutShort => 400,
+            Self::InternalOnly => 403,
+            Self::UnknownService => 404,
+            Self::StillRunning | Self::RanBefore | Self::OutcomeUnknown => 409,
+            Self::BodyTooLarge { .. } => 413,
+            Self::Poisonous { .. } => 422,
+            Self::HeadTooLarge { .. } => 431,
+            Self::ConnectionLost | Self::AnswerCutShort => 502,
+            Self::Overloaded { .. } | Self::NoOwner | Self::NotOwner | Self::UpstreamRefused => 503,
+            Self::Expired | Self::DeadlinePassed => 504,
+        }
+    }
+
+    /// When to come back, for a refusal that may pass.
+    pub const fn retry_after(&self) -> Option<Duration> {
+        match self {
+            Self::Overloaded { retry_after } | Self::Poisonous { retry_after } => Some(*retry_after),
+            Self::NoOwner | Self::NotOwner | Self::UpstreamRefused => Some(Duration::from_secs(1)),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/request/route_table.rs
@@ -0,0 +1,113 @@
+//! Where requests go, as one version of the state tells.
+//!
+//! Routes are hints: the node that a request reaches decides whether it serves it.
+
+use std::sync::Arc;
+
+use crate::version::{FoldState, ManifestSpec, ServiceSpec, partition_of_key};
+use crate::{ManifestVersion, NodeId, PartitionId, ServiceId};
+
+/// Routes of one version.
+#[derive(Debug, Clone, Default)]
+pub struct RouteTable {
+    /// Manifest version.
+    pub version: ManifestVersion,
+    /// Services by name.
+    pub services: Vec<ServiceRoute>,
+    /// Nodes by id.
+    pub targets: Vec<TargetRow>,
+}
+
+/// Routes of a service.
+#[derive(Debug, Clone)]
+pub struct ServiceRoute {
+    /// Service id.
+    pub id: ServiceId,
+    /// Manifest's entry.
+    pub spec: Arc<ServiceSpec>,
+    /// For each partition index, the members of its line in order.
+    pub lines: Vec<Box<[NodeId]>>,
+    /// Nodes that run the service and do not drain.
+    pub nodes: Vec<NodeId>,
+}
+
+/// A node that requests can be sent to.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TargetRow {
+    /// Node.
+    pub id: NodeId,
+    /// Host.
+    pub host: Box<str>,
+    /// Address for forwarded requests.
+    pub forward_address: Box<str>,
+}
+
+impl RouteTable {
+    /// Builds the routes of a state.
+    pub fn build(state: &FoldState, spec: &ManifestSpec) -> Self {
+        let mut services = Vec::new();
+        for row in &state.services {
+            let Some(service) = spec.service(&row.name) else { continue };
+            services.push(ServiceRoute {
+                id: row.id,
+                spec: Arc::new(service.clone()),
+                lines: service_lines(state, row.id, row.partitions),
+                nodes: service_nodes(state, &row.name),
+            });
+        }
+        services.sort_by(|a, b| a.spec.name.cmp(&b.spec.name));
+        let target = |row: &crate::version::MemberRow| TargetRow {
+            id: row.id,
+            host: row.info.host.clone(),
+            forward_address: row.info.forward_address.clone(),
+        };
+        let targets = state.members.iter().map(target).collect();
+        Self { version: state.manifest_version(), services, targets }
+    }
+
+    /// Service of a name.
+    pub fn service(&self, name: &str) -> Option<&ServiceRoute> {
+        let index = self.services.binary_search_by(|route| (*route.spec.name).cmp(name)).ok()?;
+        Some(&self.services[index])
+    }
+
+    /// Target of a node.
+    pub fn target(&self, node: NodeId) -> Option<&TargetRow> {
+        let index = self.targets.binary_search_by_key(&node, |row| row.id).ok()?;
+        Some(&self.targets[index])
+    }
+}
+
+impl ServiceRoute {
+    /// Partition of a key.
+    pub fn partition(&self, key: &[u8]) -> PartitionId {
+        partition_of_key(self.id, self.spec.partitions, key)
+    }
+
+    /// Nodes to try for a partition, the likely owner first.
+    pub fn line(&self, partition: PartitionId) -> &[NodeId] {
+        let index = usize::from(crate::version::partition_index(partition));
+        self.lines.get(index).map_or(&[], |line| line)
+    }
+}
+
+/// Lines of a service, with a draining owner behind its successors.
+fn service_lines(state: &FoldState, id: ServiceId, count: u16) -> Vec<Box<[NodeId]>> {
+    let line = |index: u16| {
+        let partition = crate::version::partition_id(id, index);
+        let current = state.partition(partition).and_then(|row| row.current());
+        let nodes = current.map_or(&[][..], |line| &line.nodes);
+        let mut open: Vec<_> =
+            nodes.iter().copied().filter(|node| state.member(*node).is_some()).collect();
+        open.sort_by_key(|node| state.member(*node).is_some_and(|row| row.draining));
+        open.into_boxed_slice()
+    };
+    (0..count).map(line).collect()
+}
+
+fn service_nodes(state: &FoldState, name: &str) -> Vec<NodeId> {
+    let runs = |row: &&crate::version::MemberRow| {
+        *row.info.upstream.service == *name && !row.draining
+    };
+    state.members.iter().filter(runs).map(|row| row.id).collect()
+}
--- /dev/null
+++ b/crates/core/src/version.rs
@@ -0,0 +1,33 @@
+//! What an offset of the log determines.
+//!
+//! The log's offset is the only order in the system. Two nodes that folded the same offset hold
+//! equal [`FoldState`]s, whatever they heard from each other; all else that a node knows is a
+//! hint. Readers drop a record whose precondition fails (a manifest that replaces another
+//! version, a plan computed from another revision), so a late or repeated append changes
+//! nothing.
+
+mod fold_state;
+mod key_hash;
+mod log_record;
+mod manifest_spec;
+mod member_row;
+mod partition_row;
+mod plan_builder;
+mod plan_record;
+mod spec_error;
+mod witness_chooser;
+mod witness_row;
+
+pub use fold_state::{FoldOutcome, FoldState, ManifestRow, ServiceRow, TermRow};
+pub use key_hash::{partition_id, partition_index, partition_of_key, partition_service};
+pub use log_record::{CheckpointBody, LogRecord, RecordBody};
+pub use manifest_spec::{
+    ManifestSpec, OperationSpec, PolicyChoice, PriorityClass, ServiceSpec, ServiceDivision,
+};
+pub use member_row::{DepartReason, DepartedRow, MemberInfo, MemberRow, UpstreamInfo};
+pub use partition_row::{LineRow, PartitionRow};
+pub use plan_builder::{PlanBuilder, SuccessorChoice};
+pub use plan_record::{LineChange, PlanRecord, SetChange};
+pub use spec_error::{SpecError, line_of_offset};
+pub use witness_chooser::choose_witnesses;
+pub use witness_row::{WitnessRow, WitnessSet};
--- /dev/null
+++ b/crates/core/src/version/fold_state.rs
@@ -0,0 +1,428 @@
+//! Folds the log into one state.
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::{
+    CheckpointBody, DepartReason, DepartedRow, LineRow, LogRecord, ManifestSpec, MemberInfo,
+    MemberRow, PartitionRow, PlanRecord, RecordBody, WitnessRow, WitnessSet, partition_id,
+};
+use crate::{
+    LogOffset, ManifestVersion, NodeId, PartitionId, RecordId, ServiceId, TermNumber,
+};
+
+/// Record ids remembered for dropping repeated appends; preconditions drop what is older.
+const RECENT_IDS: usize = 1024;
+
+/// The state that an offset determines.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FoldState {
+    /// First offset that is not folded.
+    pub next_offset: LogOffset,
+    /// Offset of the last record that changed what plans are computed from.
+    pub revision: LogOffset,
+    /// Manifest in force.
+    pub manifest: Option<ManifestRow>,
+    /// Services by id.
+    pub services: Vec<ServiceRow>,
+    /// Id for the next new service.
+    pub next_service: ServiceId,
+    /// Members by id.
+    pub members: Vec<MemberRow>,
+    /// Ended members by id, while a line or set names them.
+    pub departed: Vec<DepartedRow>,
+    /// Planner's term.
+    pub term: TermRow,
+    /// Partitions by id.
+    pub partitions: Vec<PartitionRow>,
+    /// Witness sets by member.
+    pub witnesses: Vec<WitnessRow>,
+    /// Offset that every member acknowledged.
+    pub floor: LogOffset,
+    /// Ids of the last records, oldest first.
+    pub recent: Vec<RecordId>,
+}
+
+/// The manifest in force.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ManifestRow {
+    /// Version, counted from 1.
+    pub version: ManifestVersion,
+    /// Offset of its record.
+    pub offset: LogOffset,
+    /// Id of its record.
+    pub record: RecordId,
+    /// TOML text.
+    pub text: Box<str>,
+}
+
+/// A service of the manifest in force.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceRow {
+    /// Id, never given twice.
+    pub id: ServiceId,
+    /// Name.
+    pub name: Box<str>,
+    /// Number of partitions.
+    pub partitions: u16,
+}
+
+/// The planner in force.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TermRow {
+    /// Number of the term; 0 before the first claim.
+    pub number: TermNumber,
+    /// Node that claimed it.
+    pub planner: Option<NodeId>,
+}
+
+/// What a fold did.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum FoldOutcome {
+    /// The record is in force.
+    Applied,
+    /// The record's precondition fails; it changes nothing.
+    Dropped(Box<str>),
+}
+
+impl Default for FoldState {
+    fn default() -> Self {
+        Self {
+            next_offset: 1,
+            revision: 0,
+            manifest: None,
+            services: Vec::new(),
+            next_service: 0,
+            members: Vec::new(),
+            departed: Vec::new(),
+            term: TermRow { number: 0, planner: None },
+            partitions: Vec::new(),
+            witnesses: Vec::new(),
+            floor: 0,
+            recent: Vec::new(),
+        }
+    }
+}
+
+impl FoldState {
+    /// Folds the record at `offset`, which must be the next one.
+    ///
+    /// # Panics
+    ///
+    /// If `offset` is not [`FoldState::next_offset`]: a gap would be served across.
+    pub fn fold(&mut self, offset: LogOffset, record: &LogRecord) -> FoldOutcome {
+        assert_eq!(offset, self.next_offset, "records are folded without a gap");
+        self.next_offset += 1;
+        if self.recent.contains(&record.id) {
+            return dropped("record was folded before");
+        }
+        if self.recent.len() == RECENT_IDS {
+            self.recent.remove(0);
+        }
+        self.recent.push(record.id);
+        let outcome = self.apply(offset, record);
+        let replans = !matches!(record.body, RecordBody::Checkpoint(_));
+        if outcome == FoldOutcome::Applied && replans {
+            self.revision = offset;
+        }
+        outcome
+    }
+
+    /// Skips an offset whose bytes are no record.
+    pub fn skip(&mut self, offset: LogOffset) {
+        assert_eq!(offset, self.next_offset, "records are folded without a gap");
+        self.next_offset += 1;
+    }
+
+    fn apply(&mut self, offset: LogOffset, record: &LogRecord) -> FoldOutcome {
+        match &record.body {
+            RecordBody::Join(info) => self.join(offset, info),
+            RecordBody::Drain { node } => self.drain(*node),
+            RecordBody::Left { node } => self.depart(*node, DepartReason::Left, offset),
+            RecordBody::Lapse { node, .. } => self.depart(*node, DepartReason::Lapsed, offset),
+            RecordBody::Manifest { replaces, text } => {
+                self.accept_manifest(offset, record.id, *replaces, text)
+            }
+            RecordBody::Claim { term, node } => self.claim(*term, *node),
+            RecordBody::Plan(plan) => self.apply_plan(offset, plan),
+            RecordBody::Checkpoint(body) => Self::note_checkpoint(body),
+        }
+    }
+
+    fn join(&mut self, offset: LogOffset, info: &MemberInfo) -> FoldOutcome {
+        if self.members.iter().any(|row| row.info.boot_id == info.boot_id) {
+            return dropped("this incarnation joined before");
+        }
+        self.replace_slot(offset, info);
+        self.members.push(MemberRow { id: offset, info: info.clone(), draining: false });
+        FoldOutcome::Applied
+    }
+
+    /// Ends earlier incarnations in the slot of a new one: two processes cannot hold its address.
+    fn replace_slot(&mut self, offset: LogOffset, info: &MemberInfo) {
+        let replaced = |old: &MemberInfo| {
+            let upstream_ended = old.upstream.boot_id != info.upstream.boot_id;
+            DepartReason::Replaced { upstream_ended }
+        };
+        let same_slot = |row: &&MemberRow| row.info.peer_address == info.peer_address;
+        let rows: Vec<_> = self.members.iter().filter(same_slot).cloned().collect();
+        for row in rows {
+            self.depart(row.id, replaced(&row.info), offset);
+        }
+        for row in &mut self.departed {
+            if row.info.peer_address == info.peer_address && row.reason == DepartReason::Lapsed {
+                row.reason = replaced(&row.info);
+            }
+        }
+    }
+
+    fn drain(&mut self, node: NodeId) -> FoldOutcome {
+        match self.members.binary_search_by_key(&node, |row| row.id) {
+            Ok(index) if !self.members[index].draining => {
+                self.members[index].draining = true;
+                FoldOutcome::Applied
+            }
+            _ => dropped("no such member, or it drains already"),
+        }
+    }
+
+    fn depart(&mut self, node: NodeId, reason: DepartReason, offset: LogOffset) -> FoldOutcome {
+        let Ok(index) = self.members.binary_search_by_key(&node, |row| row.id) else {
+            return dropped("no such member");
+        };
+        let row = self.members.remove(index);
+        let departed = DepartedRow { id: node, reason, offset, info: row.info };
+        let index = self.departed.partition_point(|other| other.id < node);
+        self.departed.insert(index, departed);
+        FoldOutcome::Applied
+    }
+
+    fn accept_manifest(
+        &mut self,
+        offset: LogOffset,
+        record: RecordId,
+        replaces: ManifestVersion,
+        text: &str,
+    ) -> FoldOutcome {
+        let version = self.manifest_version();
+        if replaces != version {
+            let reason = format!("replaces version {replaces}, but version {version} is in force");
+            return FoldOutcome::Dropped(reason.into());
+        }
+        let spec = match ManifestSpec::parse(text) {
+            Ok(spec) => spec,
+            Err(error) => return FoldOutcome::Dropped(error.to_string().into()),
+        };
+        if spec.replaces != replaces {
+            return dropped("text and record name different versions to replace");
+        }
+        if let Err(reason) = self.check_partition_counts(&spec) {
+            return FoldOutcome::Dropped(reason);
+        }
+        self.update_services(&spec);
+        self.declare_lost(&spec, offset);
+        self.manifest =
+            Some(ManifestRow { version: version + 1, offset, record, text: text.into() });
+        FoldOutcome::Applied
+    }
+
+    /// A service's keys must not change partitions while it is in force.
+    fn check_partition_counts(&self, spec: &ManifestSpec) -> Result<(), Box<str>> {
+        for service in &self.services {
+            let Some(next) = spec.service(&service.name) else { continue };
+            if next.partitions != service.partitions {
+                let reason = format!(
+                    "service `{}` has {} partitions; the number is fixed while it is in force",
+                    service.name, service.partitions
+                );
+                return Err(reason.into());
+            }
+        }
+        Ok(())
+    }
+
+    fn update_services(&mut self, spec: &ManifestSpec) {
+        self.services.retain(|row| spec.service(&row.name).is_some());
+        for service in &spec.services {
+            if self.service_named(&service.name).is_some() {
+                continue;
+            }
+            let id = self.next_service;
+            self.next_service += 1;
+            let row = ServiceRow { id, name: service.name.clone(), partitions: service.partitions };
+            self.services.push(row);
+        }
+        self.retain_partitions();
+    }
+
+    fn retain_partitions(&mut self) {
+        let mut rows = std::mem::take(&mut self.partitions).into_iter().peekable();
+        for service in &self.services {
+            for index in 0..service.partitions {
+                let id = partition_id(service.id, index);
+                while rows.next_if(|row| row.id < id).is_some() {}
+                let kept = rows.next_if(|row| row.id == id);
+                self.partitions.push(kept.unwrap_or(PartitionRow { id, lines: Vec::new() }));
+            }
+        }
+    }
+
+    fn declare_lost(&mut self, spec: &ManifestSpec, offset: LogOffset) {
+        let is_lost = |row: &&MemberRow| spec.lost_hosts.binary_search(&row.info.host).is_ok();
+        let lost: Vec<_> = self.members.iter().filter(is_lost).map(|row| row.id).collect();
+        for node in lost {
+            self.depart(node, DepartReason::Lost, offset);
+        }
+    }
+
+    fn claim(&mut self, term: TermNumber, node: NodeId) -> FoldOutcome {
+        if term != self.term.number + 1 {
+            return dropped("another node claimed the term first");
+        }
+        if self.member(node).is_none() {
+            return dropped("no such member");
+        }
+        self.term = TermRow { number: term, planner: Some(node) };
+        FoldOutcome::Applied
+    }
+
+    fn apply_plan(&mut self, offset: LogOffset, plan: &PlanRecord) -> FoldOutcome {
+        if let Err(reason) = self.check_plan(plan) {
+            return FoldOutcome::Dropped(reason.into());
+        }
+        for change in &plan.lines {
+            let index = self.partition_index(change.partition).expect("plan was checked");
+            let line = LineRow { offset, nodes: change.nodes.clone() };
+            self.partitions[index].lines.push(line);
+        }
+        for change in &plan.sets {
+            let set = WitnessSet { offset, nodes: change.nodes.clone() };
+            match self.witnesses.binary_search_by_key(&change.member, |row| row.member) {
+                Ok(index) => self.witnesses[index].sets.push(set),
+                Err(index) => {
+                    let row = WitnessRow { member: change.member, sets: vec![set] };
+                    self.witnesses.insert(index, row);
+                }
+            }
+        }
+        self.raise_floor(plan.floor);
+        FoldOutcome::Applied
+    }
+
+    fn check_plan(&self, plan: &PlanRecord) -> Result<(), &'static str> {
+        if plan.term != self.term.number {
+            return Err("plan of another term");
+        }
+        if plan.base != self.revision {
+            return Err("plan computed from another revision");
+        }
+        let known = |nodes: &[NodeId]| nodes.iter().all(|node| self.member(*node).is_some());
+        let lines_ok = plan.lines.iter().all(|change| {
+            self.partition_index(change.partition).is_some() && known(&change.nodes)
+        });
+        let sets_ok = plan
+            .sets
+            .iter()
+            .all(|change| known(&change.nodes) && self.member(change.member).is_some());
+        if lines_ok && sets_ok { Ok(()) } else { Err("plan names an unknown node or partition") }
+    }
+
+    fn raise_floor(&mut self, floor: LogOffset) {
+        if floor <= self.floor {
+            return;
+        }
+        self.floor = floor;
+        for row in &mut self.partitions {
+            row.compact(floor);
+        }
+        for row in &mut self.witnesses {
+            row.compact(floor);
+        }
+        self.drop_unnamed();
+    }
+
+    /// Forgets ended members that no line or witness set names any more.
+    fn drop_unnamed(&mut self) {
+        let mut named: Vec<NodeId> = Vec::new();
+        for row in &self.partitions {
+            named.extend(row.lines.iter().flat_map(|line| &line.nodes));
+        }
+        for row in &self.witnesses {
+            if self.member(row.member).is_some() {
+                named.extend(row.sets.iter().flat_map(|set| &set.nodes));
+            }
+        }
+        named.sort_unstable();
+        named.dedup();
+        self.departed.retain(|row| named.binary_search(&row.id).is_ok());
+        let members = &self.members;
+        let departed = &self.departed;
+        self.witnesses.retain(|row| {
+            members.binary_search_by_key(&row.member, |member| member.id).is_ok()
+                || departed.binary_search_by_key(&row.member, |gone| gone.id).is_ok()
+        });
+    }
+
+    /// A reader that holds a state never takes a checkpoint over it.
+    fn note_checkpoint(body: &CheckpointBody) -> FoldOutcome {
+        let offset = body.next_offset();
+        log::debug!(next_offset = offset; "checkpoint passed by");
+        FoldOutcome::Applied
+    }
+
+    /// Version in force, 0 before the first manifest.
+    pub fn manifest_version(&self) -> ManifestVersion {
+        self.manifest.as_ref().map_or(0, |row| row.version)
+    }
+
+    /// Member in force.
+    pub fn member(&self, node: NodeId) -> Option<&MemberRow> {
+        let index = self.members.binary_search_by_key(&node, |row| row.id).ok()?;
+        Some(&self.members[index])
+    }
+
+    /// Member that ended and is still named somewhere.
+    pub fn departed(&self, node: NodeId) -> Option<&DepartedRow> {
+        let index = self.departed.binary_search_by_key(&node, |row| row.id).ok()?;
+        Some(&self.departed[index])
+    }
+
+    /// Partition.
+    pub fn partition(&self, partition: PartitionId) -> Option<&PartitionRow> {
+        Some(&self.partitions[self.partition_index(partition)?])
+    }
+
+    fn partition_index(&self, partition: PartitionId) -> Option<usize> {
+        self.partitions.binary_search_by_key(&partition, |row| row.id).ok()
+    }
+
+    /// Witness sets of a member.
+    pub fn witness_row(&self, node: NodeId) -> Option<&WitnessRow> {
+        let index = self.witnesses.binary_search_by_key(&node, |row| row.member).ok()?;
+        Some(&self.witnesses[index])
+    }
+
+    /// Service of a name.
+    pub fn service_named(&self, name: &str) -> Option<&ServiceRow> {
+        self.services.iter().find(|row| &*row.name == name)
+    }
+
+    /// Service of an id.
+    pub fn service(&self, id: ServiceId) -> Option<&ServiceRow> {
+        let index = self.services.binary_search_by_key(&id, |row| row.id).ok()?;
+        Some(&self.services[index])
+    }
+
+    /// Hash of the whole state, equal on all nodes at one offset.
+    ///
+    /// # Panics
+    ///
+    /// Never: every state has an encoding.
+    pub fn digest(&self) -> u64 {
+        xxh3_64(&postcard::to_stdvec(self).expect("states always encode"))
+    }
+}
+
+fn dropped(reason: &str) -> FoldOutcome {
+    FoldOutcome::Dropped(reason.into())
+}
--- /dev/null
+++ b/crates/core/src/version/plan_record.rs
@@ -0,0 +1,47 @@
+//! A planner's decision, as it stands on the log.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{LogOffset, NodeId, PartitionId, TermNumber};
+
+/// Changes of lines and witness sets.
+///
+/// Readers drop it unless `term` is current and `base` is the revision that they hold.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlanRecord {
+    /// Term of the planner.
+    pub term: TermNumber,
+    /// Revision that it was computed from.
+    pub base: LogOffset,
+    /// Every member acknowledged this offset; older lines and sets are dropped.
+    pub floor: LogOffset,
+    /// New lines.
+    pub lines: Vec<LineChange>,
+    /// New witness sets.
+    pub sets: Vec<SetChange>,
+}
+
+/// New line of a partition.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LineChange {
+    /// Partition.
+    pub partition: PartitionId,
+    /// Owner, then successors.
+    pub nodes: Vec<NodeId>,
+}
+
+/// New witness set of a member.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SetChange {
+    /// Member.
+    pub member: NodeId,
+    /// Witnesses, sorted.
+    pub nodes: Vec<NodeId>,
+}
+
+impl PlanRecord {
+    /// Whether the plan changes nothing but the floor.
+    pub fn is_empty(&self) -> bool {
+        self.lines.is_empty() && self.sets.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/core/src/version/witness_row.rs
@@ -0,0 +1,49 @@
+//! Witness sets of the members.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{LogOffset, NodeId};
+
+/// Nodes that grant one member its lease.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WitnessSet {
+    /// Offset of the plan that recorded it.
+    pub offset: LogOffset,
+    /// Witnesses, sorted.
+    pub nodes: Vec<NodeId>,
+}
+
+impl WitnessSet {
+    /// Number of witnesses that make a majority.
+    pub fn majority(&self) -> usize {
+        self.nodes.len() / 2 + 1
+    }
+
+    /// Whether a node is in the set.
+    pub fn contains(&self, node: NodeId) -> bool {
+        self.nodes.binary_search(&node).is_ok()
+    }
+}
+
+/// A member's witness sets: the newest, and older ones that may still grant.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WitnessRow {
+    /// Member that the sets serve.
+    pub member: NodeId,
+    /// Sets by rising offset; the last is the newest.
+    pub sets: Vec<WitnessSet>,
+}
+
+impl WitnessRow {
+    /// Newest set.
+    pub fn newest(&self) -> Option<&WitnessSet> {
+        self.sets.last()
+    }
+
+    /// Drops sets that the member left: it acknowledged `floor`, which supersedes them.
+    pub fn compact(&mut self, floor: LogOffset) {
+        while self.sets.len() > 1 && self.sets[1].offset <= floor {
+            self.sets.remove(0);
+        }
+    }
+}
--- /dev/null
+++ b/crates/firspindle/src/connection/partition_gate.rs
@@ -0,0 +1,121 @@
+//! The way into a served partition.
+//!
+//! A request holds a pass while it may run. Closing the gate and counting passes are one atomic
+//! word, so no request enters between "closed" and "idle".
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::Sender;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use firspindle_core::PartitionId;
+use firspindle_core::process::FenceToken;
+use firspindle_core::request::IdMemory;
+use tokio::sync::watch;
+
+use crate::process::ControlEvent;
+
+/// Bit of the state that says the gate is closed; the rest counts passes.
+const CLOSED: u64 = 1 << 63;
+
+/// A served partition.
+#[derive(Debug)]
+pub struct PartitionGate {
+    partition: PartitionId,
+    state: AtomicU64,
+    fence: Mutex<FenceToken>,
+    memory: Mutex<IdMemory>,
+    /// Tells passes that the grant ended under them.
+    abandoned: watch::Sender<bool>,
+    tx: Sender<ControlEvent>,
+}
+
+impl PartitionGate {
+    /// An open gate.
+    pub fn new(
+        partition: PartitionId,
+        fence: FenceToken,
+        memory: IdMemory,
+        tx: Sender<ControlEvent>,
+    ) -> Self {
+        Self {
+            partition,
+            state: AtomicU64::new(0),
+            fence: Mutex::new(fence),
+            memory: Mutex::new(memory),
+            abandoned: watch::Sender::new(false),
+            tx,
+        }
+    }
+
+    /// Enters, unless the gate is closed.
+    pub fn enter(self: &Arc<Self>) -> Option<GatePass> {
+        let before = self.state.fetch_add(1, Ordering::AcqRel);
+        let pass = GatePass { gate: self.clone() };
+        // A pass that is dropped here leaves as any other.
+        (before & CLOSED == 0).then_some(pass)
+    }
+
+    /// Closes the gate; the control thread hears when no pass is left.
+    pub fn close(&self) {
+        let before = self.state.fetch_or(CLOSED, Ordering::AcqRel);
+        if before & CLOSED == 0 && before == 0 {
+            self.tell_idle();
+        }
+    }
+
+    /// Closes the gate and makes its passes give up.
+    pub fn abandon(&self) {
+        self.state.fetch_or(CLOSED, Ordering::AcqRel);
+        self.abandoned.send_replace(true);
+    }
+
+    fn leave(&self) {
+        if self.state.fetch_sub(1, Ordering::AcqRel) == CLOSED + 1 {
+            self.tell_idle();
+        }
+    }
+
+    fn tell_idle(&self) {
+        let _ = self.tx.send(ControlEvent::Idle(self.partition));
+    }
+
+    /// Fence of the grant.
+    pub fn fence(&self) -> FenceToken {
+        *self.fence.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Raises the fence.
+    pub fn refence(&self, fence: FenceToken) {
+        *self.fence.lock().unwrap_or_else(PoisonError::into_inner) = fence;
+    }
+
+    /// Ids of requests.
+    pub fn memory(&self) -> MutexGuard<'_, IdMemory> {
+        self.memory.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// One request inside a gate.
+#[derive(Debug)]
+pub struct GatePass {
+    gate: Arc<PartitionGate>,
+}
+
+impl GatePass {
+    /// The gate.
+    pub fn gate(&self) -> &Arc<PartitionGate> {
+        &self.gate
+    }
+
+    /// Resolves when the grant ended under the pass.
+    pub async fn abandoned(&self) {
+        let mut rx = self.gate.abandoned.subscribe();
+        let _ = rx.wait_for(|abandoned| *abandoned).await;
+    }
+}
+
+impl Drop for GatePass {
+    fn drop(&mut self) {
+        self.gate.leave();
+    }
+}
--- /dev/null
+++ b/crates/firspindle/src/connection/upstream_link.rs
@@ -0,0 +1,206 @@
+//! The upstream beside a node: its slots, queue and signs of life.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use firspindle_core::request::{Admission, AdmissionQueue, RequestFailure};
+use firspindle_core::version::PriorityClass;
+use tokio::sync::oneshot;
+
+/// One process of an upstream.
+#[derive(Debug)]
+pub struct UpstreamLink {
+    /// Address.
+    pub address: SocketAddr,
+    /// Random id of its process, in hexadecimal.
+    pub boot_id: Box<str>,
+    queue: Mutex<SlotQueue>,
+    in_flight: AtomicU64,
+    epoch: Instant,
+    /// Milliseconds after `epoch` at which it last answered.
+    answered_ms: AtomicU64,
+}
+
+#[derive(Debug)]
+struct SlotQueue {
+    queue: AdmissionQueue,
+    /// Waiting requests by rising ticket.
+    calls: Vec<WaitingCall>,
+}
+
+#[derive(Debug)]
+struct WaitingCall {
+    ticket: u64,
+    tx: oneshot::Sender<Result<(), RequestFailure>>,
+}
+
+/// When a caller whose request was given up may come back.
+const DISPLACED_RETRY: Duration = Duration::from_secs(1);
+
+impl UpstreamLink {
+    /// A link to an upstream of some slots, with some places to wait.
+    pub fn new(address: SocketAddr, boot_id: Box<str>, slots: usize, places: usize) -> Self {
+        let queue = SlotQueue { queue: AdmissionQueue::new(slots, places), calls: Vec::new() };
+        Self {
+            address,
+            boot_id,
+            queue: Mutex::new(queue),
+            in_flight: AtomicU64::new(0),
+            epoch: Instant::now(),
+            answered_ms: AtomicU64::new(0),
+        }
+    }
+
+    /// Changes slots and places.
+    pub fn resize(&self, slots: usize, places: usize) {
+        self.lock().queue.resize(slots, places);
+    }
+
+    /// Waits for a slot.
+    ///
+    /// # Errors
+    ///
+    /// If the request is given up: at once when there is no room, or when its deadline passes.
+    pub async fn acquire(
+        &self,
+        class: PriorityClass,
+        deadline: Instant,
+    ) -> Result<SlotPass<'_>, RequestFailure> {
+        let now = Instant::now();
+        let (ticket, rx) = {
+            let mut queue = self.lock();
+            match queue.queue.offer(class, deadline, now) {
+                Admission::Start => return Ok(SlotPass::new(self)),
+                Admission::Shed { retry_after } => {
+                    return Err(RequestFailure::Overloaded { retry_after });
+                }
+                Admission::Wait { ticket, displaced } => {
+                    if let Some(displaced) = displaced {
+                        let retry_after = DISPLACED_RETRY;
+                        queue.tell(displaced, Err(RequestFailure::Overloaded { retry_after }));
+                    }
+                    let (tx, rx) = oneshot::channel();
+                    queue.calls.push(WaitingCall { ticket, tx });
+                    (ticket, rx)
+                }
+            }
+        };
+        let mut place = WaitingPlace { link: self, ticket, rx, called: false };
+        place.wait(deadline).await
+    }
+
+    /// Requests at the upstream.
+    pub fn in_flight(&self) -> u64 {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
+    /// Requests that wait for a slot.
+    pub fn waiting(&self) -> usize {
+        self.lock().queue.len()
+    }
+
+    /// Notes that the upstream answered.
+    pub fn note_answer(&self) {
+        let passed = u64::try_from(self.epoch.elapsed().as_millis()).unwrap_or(u64::MAX);
+        self.answered_ms.store(passed, Ordering::Relaxed);
+    }
+
+    /// Time since the upstream last answered.
+    pub fn silence(&self) -> Duration {
+        let answered = Duration::from_millis(self.answered_ms.load(Ordering::Relaxed));
+        self.epoch.elapsed().saturating_sub(answered)
+    }
+
+    fn release(&self, took: Option<Duration>) {
+        self.in_flight.fetch_sub(1, Ordering::Relaxed);
+        let mut queue = self.lock();
+        let departure = queue.queue.finish(took, Instant::now());
+        for ticket in departure.expired {
+            queue.tell(ticket, Err(RequestFailure::Expired));
+        }
+        if let Some(ticket) = departure.start {
+            queue.tell(ticket, Ok(()));
+        }
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, SlotQueue> {
+        self.queue.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl SlotQueue {
+    fn tell(&mut self, ticket: u64, answer: Result<(), RequestFailure>) {
+        if let Ok(index) = self.calls.binary_search_by_key(&ticket, |call| call.ticket) {
+            // A receiver that is gone gives its slot back itself.
+            let _ = self.calls.remove(index).tx.send(answer);
+        }
+    }
+}
+
+/// A place in the queue, given back if its request goes away.
+struct WaitingPlace<'a> {
+    link: &'a UpstreamLink,
+    ticket: u64,
+    rx: oneshot::Receiver<Result<(), RequestFailure>>,
+    called: bool,
+}
+
+impl<'a> WaitingPlace<'a> {
+    async fn wait(&mut self, deadline: Instant) -> Result<SlotPass<'a>, RequestFailure> {
+        let left = deadline.saturating_duration_since(Instant::now());
+        match tokio::time::timeout(left, &mut self.rx).await {
+            Ok(Ok(Ok(()))) => {
+                self.called = true;
+                Ok(SlotPass::new(self.link))
+            }
+            Ok(Ok(Err(failure))) => {
+                self.called = true;
+                Err(failure)
+            }
+            Ok(Err(_)) | Err(_) => Err(RequestFailure::Expired),
+        }
+    }
+}
+
+impl Drop for WaitingPlace<'_> {
+    fn drop(&mut self) {
+        if self.called {
+            return;
+        }
+        let mut queue = self.link.lock();
+        let waits = queue.queue.cancel(self.ticket);
+        queue.calls.retain(|call| call.ticket != self.ticket);
+        drop(queue);
+        // Called between its last look and now: the slot is its own and goes to the next.
+        if !waits && matches!(self.rx.try_recv(), Ok(Ok(()))) {
+            drop(SlotPass::new(self.link));
+        }
+    }
+}
+
+/// A slot of the upstream, given back on drop.
+#[derive(Debug)]
+pub struct SlotPass<'a> {
+    link: &'a UpstreamLink,
+    took: Option<Duration>,
+}
+
+impl<'a> SlotPass<'a> {
+    fn new(link: &'a UpstreamLink) -> Self {
+        link.in_flight.fetch_add(1, Ordering::Relaxed);
+        Self { link, took: None }
+    }
+
+    /// Notes how long the upstream took for a whole answer.
+    pub fn answered(&mut self, took: Duration) {
+        self.took = Some(took);
+    }
+}
+
+impl Drop for SlotPass<'_> {
+    fn drop(&mut self) {
+        self.link.release(self.took);
+    }
+}
--- /dev/null
+++ b/crates/firspindle/src/process/admin_service.rs
@@ -0,0 +1,214 @@
+//! The administration API, and the upstream's announcements.
+
+use std::convert::Infallible;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::sync::mpsc::Sender;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use firspindle_core::version::{LogRecord, ManifestSpec, RecordBody};
+use http::{HeaderValue, StatusCode};
+use snafu::ResultExt;
+use uuid::Uuid;
+use xitca_web::body::ResponseBody;
+use xitca_web::handler::handler_service;
+use xitca_web::http::WebResponse;
+use xitca_web::route::{get, post};
+use xitca_web::{App, WebContext};
+
+use super::boot_clock::boot_time;
+use super::process_error::{ProcessError, StartSnafu};
+use super::status_page::StatusPage;
+use super::{AnnounceBody, ControlEvent, LogClient, LogError};
+use crate::request::{StopServer, TrafficContext, run_server};
+
+/// Time for a posted manifest to come into force.
+const VERDICT_LIMIT: Duration = Duration::from_secs(10);
+
+/// Time between two looks at the status.
+const LOOK_GAP: Duration = Duration::from_millis(10);
+
+/// State of the administration server.
+#[derive(Clone)]
+pub struct AdminState {
+    /// Status, replaced whole.
+    pub status: Arc<ArcSwap<StatusPage>>,
+    /// Shared with traffic threads.
+    pub context: Arc<TrafficContext>,
+    /// The control thread.
+    pub tx: Sender<ControlEvent>,
+    /// The platform's log.
+    pub log: LogClient,
+}
+
+/// Serves the administration API.
+///
+/// # Errors
+///
+/// If the server cannot start.
+pub fn serve_admin(listener: TcpListener, state: AdminState) -> Result<StopServer, ProcessError> {
+    let server = App::new()
+        .with_state(state)
+        .at("/status", get(handler_service(status)))
+        .at("/metrics", get(handler_service(metrics)))
+        .at("/healthz", get(handler_service(health)))
+        .at("/readyz", get(handler_service(ready)))
+        .at("/owners", get(handler_service(owners)))
+        .at("/manifests", post(handler_service(post_manifest)))
+        .at("/announce", post(handler_service(announce)))
+        .serve()
+        .disable_signal()
+        .worker_threads(1)
+        .listen(listener)
+        .context(StartSnafu)?;
+    run_server(server.run())
+}
+
+type Answer = Result<WebResponse, Infallible>;
+
+fn answer(status: StatusCode, kind: &'static str, body: impl Into<String>) -> WebResponse {
+    let body: String = body.into();
+    let mut response = WebResponse::new(ResponseBody::bytes(body));
+    *response.status_mut() = status;
+    let headers = response.headers_mut();
+    headers.insert(http::header::CONTENT_TYPE, HeaderValue::from_static(kind));
+    response
+}
+
+fn json(status: StatusCode, body: &impl serde::Serialize) -> WebResponse {
+    answer(status, "application/json", serde_json::to_string(body).unwrap_or_default())
+}
+
+fn current_status(state: &AdminState) -> StatusPage {
+    let mut page = StatusPage::clone(&state.status.load());
+    let now = u64::try_from(boot_time().as_micros()).unwrap_or(u64::MAX);
+    let deadline = state.context.lease.deadline_micros();
+    page.lease_left_ms = deadline.map_or(0, |deadline| deadline.saturating_sub(now) / 1000);
+    page
+}
+
+async fn status(ctx: &WebContext<'_, AdminState>) -> Answer {
+    Ok(json(StatusCode::OK, &current_status(ctx.state())))
+}
+
+async fn metrics(ctx: &WebContext<'_, AdminState>) -> Answer {
+    let context = &ctx.state().context;
+    let lease = context.lease.deadline_micros().is_some();
+    context.metrics.lease.set(i64::from(lease));
+    let view = context.view.load();
+    let waiting = view.upstream.as_ref().map_or(0, |upstream| upstream.waiting());
+    context.metrics.queued.set(i64::try_from(waiting).unwrap_or(i64::MAX));
+    Ok(answer(StatusCode::OK, "text/plain; version=0.0.4", context.metrics.render()))
+}
+
+async fn health() -> Answer {
+    Ok(answer(StatusCode::OK, "text/plain", "ok\n"))
+}
+
+/// Ready once a manifest is in force and the process does not end.
+async fn ready(ctx: &WebContext<'_, AdminState>) -> Answer {
+    let view = ctx.state().context.view.load();
+    let ready = view.routes.version > 0 && !view.stopping;
+    Ok(match ready {
+        true => answer(StatusCode::OK, "text/plain", "ready\n"),
+        false => answer(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "not ready\n"),
+    })
+}
+
+async fn owners(ctx: &WebContext<'_, AdminState>) -> Answer {
+    let uri = ctx.req().uri();
+    let (service, key) = (query(uri, "service"), query(uri, "key"));
+    let (Some(service), Some(key)) = (service, key) else {
+        let text = "the query needs `service` and `key`\n";
+        return Ok(answer(StatusCode::BAD_REQUEST, "text/plain", text));
+    };
+    let view = ctx.state().context.view.load();
+    let Some(route) = view.routes.service(&service) else {
+        return Ok(answer(StatusCode::NOT_FOUND, "text/plain", "no such service\n"));
+    };
+    let partition = route.partition(key.as_bytes());
+    let line = route.line(partition);
+    let hosts: Vec<_> = line
+        .iter()
+        .filter_map(|node| view.routes.target(*node).map(|target| target.host.clone()))
+        .collect();
+    let fence = view.gate(partition).map(|gate| gate.fence().to_string());
+    let body = serde_json::json!({
+        "service": service, "key": key, "partition": partition,
+        "line": line, "hosts": hosts, "serving_here": fence.is_some(), "fence": fence,
+    });
+    Ok(json(StatusCode::OK, &body))
+}
+
+fn query(uri: &http::Uri, name: &str) -> Option<String> {
+    let mut pairs = uri.query()?.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.find(|(key, _)| *key == name).map(|(_, value)| value.to_owned())
+}
+
+async fn announce(ctx: &WebContext<'_, AdminState>, body: String) -> Answer {
+    let state = ctx.state();
+    let body: AnnounceBody = match serde_json::from_str(&body) {
+        Ok(body) => body,
+        Err(error) => {
+            return Ok(answer(StatusCode::BAD_REQUEST, "text/plain", format!("{error}\n")));
+        }
+    };
+    let _ = state.tx.send(ControlEvent::Announce(body));
+    let view = state.context.view.load();
+    // An upstream that leaves may stop once nothing is routed to it.
+    let released = view.gates.is_empty() && view.upstream.as_ref().is_none_or(|link| link.in_flight() == 0);
+    Ok(json(StatusCode::OK, &serde_json::json!({ "released": released })))
+}
+
+async fn post_manifest(ctx: &WebContext<'_, AdminState>, text: String) -> Answer {
+    let state = ctx.state();
+    let spec = match ManifestSpec::parse(&text) {
+        Ok(spec) => spec,
+        Err(error) => {
+            let body = serde_json::json!({ "verdict": "refused", "reason": error.to_string() });
+            return Ok(json(StatusCode::UNPROCESSABLE_ENTITY, &body));
+        }
+    };
+    let id = Uuid::new_v4();
+    let body = RecordBody::Manifest { replaces: spec.replaces, text: text.into() };
+    let record = LogRecord { id: id.as_u128(), body };
+    let appended = state.log.append(record.encode()).await;
+    if let Err(LogError::Refused { status }) = &appended {
+        let reason = format!("the log refused the append: {status}");
+        let body = serde_json::json!({ "verdict": "unknown", "reason": reason });
+        return Ok(json(StatusCode::SERVICE_UNAVAILABLE, &body));
+    }
+    Ok(await_verdict(state, id, spec.replaces, appended.ok()).await)
+}
+
+/// Waits until this node folded the record or another manifest of the same base.
+async fn await_verdict(
+    state: &AdminState,
+    id: Uuid,
+    replaces: u64,
+    offset: Option<u64>,
+) -> WebResponse {
+    let id: Box<str> = id.to_string().into();
+    let give_up_at = tokio::time::Instant::now() + VERDICT_LIMIT;
+    while tokio::time::Instant::now() < give_up_at {
+        let page = state.status.load();
+        if page.manifest_record == id {
+            let body =
+                serde_json::json!({ "verdict": "accepted", "version": page.manifest_version });
+            return json(StatusCode::OK, &body);
+        }
+        let folded = offset.is_some_and(|offset| page.next_offset > offset);
+        if page.manifest_version > replaces || folded {
+            let reason = format!(
+                "it replaces version {replaces}, and version {} is in force",
+                page.manifest_version
+            );
+            let body = serde_json::json!({ "verdict": "refused", "reason": reason });
+            return json(StatusCode::CONFLICT, &body);
+        }
+        tokio::time::sleep(LOOK_GAP).await;
+    }
+    let body = serde_json::json!({ "verdict": "unknown", "reason": "no word of the log" });
+    json(StatusCode::GATEWAY_TIMEOUT, &body)
+}
--- /dev/null
+++ b/crates/firspindle/src/process/command_line.rs
@@ -0,0 +1,177 @@
+//! The command line.
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::Duration;
+
+use bytes::Bytes;
+use clap::{Args, Parser, Subcommand};
+use firspindle_core::version::ManifestSpec;
+use http::{HeaderMap, Method, Uri};
+use snafu::ResultExt;
+
+use super::node_process::run_node;
+use super::process_error::{BadFileSnafu, ReadFileSnafu, StartSnafu};
+use super::publish_command::{PublishVerdict, publish};
+use super::status_page::StatusPage;
+use super::{LogClient, ProcessError, SettingsFile};
+use crate::connection::{HttpPool, PoolRequest};
+
+/// Exit status of a refused file.
+const BAD_FILE: u8 = 2;
+
+/// Exit status of a refused manifest.
+const REFUSED: u8 = 3;
+
+/// Exit status when the log gave no answer.
+const UNKNOWN: u8 = 4;
+
+/// Longest wait for a node's status.
+const STATUS_LIMIT: Duration = Duration::from_secs(5);
+
+/// Router for services whose servers own their keys exclusively.
+#[derive(Debug, Parser)]
+#[command(name = "firspindle", version, about)]
+pub struct CommandLine {
+    #[command(subcommand)]
+    command: NodeCommand,
+}
+
+#[derive(Debug, Subcommand)]
+enum NodeCommand {
+    /// Runs the process beside an upstream; SIGTERM drains it.
+    Node {
+        /// Settings of the node, in TOML.
+        #[arg(long, value_name = "FILE")]
+        settings: PathBuf,
+    },
+    /// Checks settings or a manifest; exit status 2 with file, line and reason if refused.
+    Check(CheckArgs),
+    /// Publishes a manifest: exit status 0 accepted, 3 refused, 4 unknown.
+    Publish {
+        /// Manifest, in TOML.
+        #[arg(long, value_name = "FILE")]
+        manifest: PathBuf,
+        /// URL of the platform's log.
+        #[arg(long, value_name = "URL")]
+        log: String,
+    },
+    /// Shows a node's members, lease, manifest version and partitions.
+    Status {
+        /// Administration address of the node, as a URL.
+        #[arg(long, value_name = "URL")]
+        node: String,
+        /// Prints JSON.
+        #[arg(long)]
+        json: bool,
+    },
+}
+
+#[derive(Debug, Args)]
+#[group(required = true, multiple = false)]
+struct CheckArgs {
+    /// Settings file to check.
+    #[arg(long, value_name = "FILE")]
+    settings: Option<PathBuf>,
+    /// Manifest to check.
+    #[arg(long, value_name = "FILE")]
+    manifest: Option<PathBuf>,
+}
+
+impl CommandLine {
+    /// Runs the command.
+    pub fn run(self) -> ExitCode {
+        let result = match self.command {
+            NodeCommand::Node { settings } => read_settings(&settings).and_then(run_node).map(|()| 0),
+            NodeCommand::Check(args) => check(&args).map(|()| 0),
+            NodeCommand::Publish { manifest, log } => publish_file(&manifest, &log),
+            NodeCommand::Status { node, json } => show_status(&node, json).map(|()| 0),
+        };
+        match result {
+            Ok(status) => ExitCode::from(status),
+            Err(error) => {
+                eprintln!("firspindle: {error}");
+                ExitCode::from(exit_status(&error))
+            }
+        }
+    }
+}
+
+fn exit_status(error: &ProcessError) -> u8 {
+    match error {
+        ProcessError::BadFile { .. } | ProcessError::ReadFile { .. } => BAD_FILE,
+        _ => 1,
+    }
+}
+
+fn read_file(path: &Path) -> Result<(Box<str>, String), ProcessError> {
+    let name: Box<str> = path.display().to_string().into();
+    let text = std::fs::read_to_string(path).context(ReadFileSnafu { path: name.clone() })?;
+    Ok((name, text))
+}
+
+fn read_settings(path: &Path) -> Result<SettingsFile, ProcessError> {
+    let (path, text) = read_file(path)?;
+    SettingsFile::parse(&text).context(BadFileSnafu { path })
+}
+
+fn read_manifest(path: &Path) -> Result<(ManifestSpec, String), ProcessError> {
+    let (path, text) = read_file(path)?;
+    let spec = ManifestSpec::parse(&text).context(BadFileSnafu { path })?;
+    Ok((spec, text))
+}
+
+fn check(args: &CheckArgs) -> Result<(), ProcessError> {
+    if let Some(path) = &args.settings {
+        read_settings(path)?;
+    }
+    if let Some(path) = &args.manifest {
+        read_manifest(path)?;
+    }
+    println!("ok");
+    Ok(())
+}
+
+fn runtime() -> Result<tokio::runtime::Runtime, ProcessError> {
+    tokio::runtime::Builder::new_current_thread().enable_all().build().context(StartSnafu)
+}
+
+fn publish_file(path: &Path, log: &str) -> Result<u8, ProcessError> {
+    let (spec, text) = read_manifest(path)?;
+    let verdict = runtime()?.block_on(publish(LogClient::new(log), &spec, &text));
+    Ok(match verdict {
+        PublishVerdict::Accepted(version) => {
+            println!("accepted as version {version}");
+            0
+        }
+        PublishVerdict::Refused(reason) => {
+            eprintln!("firspindle: refused: {reason}");
+            REFUSED
+        }
+        PublishVerdict::Unknown(reason) => {
+            eprintln!("firspindle: unknown: {reason}");
+            UNKNOWN
+        }
+    })
+}
+
+fn show_status(url: &str, json: bool) -> Result<(), ProcessError> {
+    let refuse = |reason: &str| ProcessError::NoAnswer { url: url.into(), reason: reason.into() };
+    let uri: Uri = format!("{}/status", url.trim_end_matches('/'))
+        .parse()
+        .map_err(|_| refuse("not a URL"))?;
+    let request =
+        PoolRequest { method: Method::GET, uri, headers: HeaderMap::new(), body: Bytes::new() };
+    let response = runtime()?.block_on(async {
+        tokio::time::timeout(STATUS_LIMIT, HttpPool::of_thread().send(request)).await
+    });
+    let response = response.map_err(|_| refuse("timed out"))?.map_err(|_| refuse("no answer"))?;
+    let text = String::from_utf8_lossy(&response.body);
+    if json {
+        println!("{text}");
+        return Ok(());
+    }
+    let page: StatusPage = serde_json::from_str(&text).map_err(|_| refuse("not a status page"))?;
+    print!("{page}");
+    Ok(())
+}
--- /dev/null
+++ b/crates/firspindle/src/process/control_thread.rs
@@ -0,0 +1,514 @@
+//! The thread that holds the control state.
+//!
+//! It takes events in order, gives them to the [`NodeMachine`] and carries out the machine's
+//! actions. Traffic threads see only the views that it publishes.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender};
+use std::time::{Duration, Instant};
+
+use firspindle_core::connection::HandoverMemory;
+use firspindle_core::process::{FenceToken, LeaseTiming, LifeCycle, NodeAction, NodeMachine};
+use firspindle_core::request::{IdMemory, RouteTable, SuspectTable};
+use firspindle_core::version::{FoldState, MemberInfo, UpstreamInfo};
+use firspindle_core::{LogOffset, PartitionId};
+use tokio::sync::mpsc::UnboundedSender;
+use uuid::Uuid;
+
+use super::boot_clock::{unix_ms, unix_time};
+use super::peer_socket::PeerSocket;
+use super::status_page::{MemberStatus, StatusPage};
+use super::{AnnounceBody, BootClock, ControlEvent, SettingsFile};
+use crate::connection::{PartitionGate, UpstreamLink};
+use crate::request::TrafficContext;
+use crate::version::{GateRow, TrafficView};
+
+/// Time between two ticks.
+const TICK: Duration = Duration::from_millis(20);
+
+/// Events taken between two publications.
+const BATCH: usize = 256;
+
+/// Lead of the wall clock over boot time at which the lease is no longer trusted.
+const CLOCK_LEAD: Duration = Duration::from_millis(300);
+
+/// Time after which a node without a log asks its seeds for state.
+const SEED_GAP: Duration = Duration::from_secs(1);
+
+/// Time between two sweeps of id memories.
+const EXPIRE_GAP: Duration = Duration::from_secs(5);
+
+/// Places in the queue if no manifest tells.
+const DEFAULT_PLACES: usize = 64;
+
+/// Work for the thread that talks to the log and the upstream.
+#[derive(Debug)]
+pub enum IoOrder {
+    /// Appends a record.
+    Append(Box<firspindle_core::version::LogRecord>),
+    /// Tells the upstream that the grant runs longer.
+    ExtendGrant {
+        /// Upstream.
+        upstream: Arc<UpstreamLink>,
+        /// This incarnation.
+        holder: u64,
+        /// End of the grant, in microseconds of boot time.
+        deadline: u64,
+    },
+}
+
+/// What the control thread is given.
+pub struct ControlParts {
+    /// Settings.
+    pub settings: SettingsFile,
+    /// Events.
+    pub rx: Receiver<ControlEvent>,
+    /// Sender for events, given to gates.
+    pub tx: Sender<ControlEvent>,
+    /// Orders to the IO thread.
+    pub io: UnboundedSender<IoOrder>,
+    /// Shared with traffic threads.
+    pub context: Arc<TrafficContext>,
+    /// Next offset to fold.
+    pub folded: Arc<AtomicU64>,
+    /// Status, replaced whole.
+    pub status: Arc<arc_swap::ArcSwap<StatusPage>>,
+}
+
+/// The control thread's state.
+pub struct ControlThread {
+    parts: ControlParts,
+    clock: BootClock,
+    machine: Option<NodeMachine>,
+    /// State kept while no upstream is there.
+    idle: NodeMachine,
+    upstream: Option<Arc<UpstreamLink>>,
+    announced: Option<AnnounceBody>,
+    announced_at: Instant,
+    gates: Vec<GateRow>,
+    routes: Arc<RouteTable>,
+    routes_at: Option<LogOffset>,
+    routes_node: Option<u64>,
+    suspects: usize,
+    peers: PeerSocket,
+    wall_lead: Duration,
+    started: Instant,
+    seed_at: Instant,
+    expire_at: Instant,
+    granted: Option<Instant>,
+    stopping: bool,
+    finished: bool,
+}
+
+impl ControlThread {
+    /// A thread state without an incarnation.
+    pub fn new(parts: ControlParts) -> Self {
+        let clock = BootClock::default();
+        let now = clock.now();
+        let idle = new_machine(&parts.settings, None, FoldState::default(), now);
+        let peers = PeerSocket::new(parts.context.metrics.clone());
+        Self {
+            parts,
+            clock,
+            machine: None,
+            idle,
+            upstream: None,
+            announced: None,
+            announced_at: now,
+            gates: Vec::new(),
+            routes: Arc::default(),
+            routes_at: None,
+            routes_node: None,
+            suspects: 0,
+            peers,
+            wall_lead: unix_time(),
+            started: now,
+            seed_at: now + SEED_GAP,
+            expire_at: now + EXPIRE_GAP,
+            granted: None,
+            stopping: false,
+            finished: false,
+        }
+    }
+
+    /// Runs until the process may end.
+    pub fn run(mut self) {
+        let mut tick_at = Instant::now();
+        self.wall_lead = self.wall_offset();
+        while !self.finished {
+            let wait = tick_at.saturating_duration_since(Instant::now());
+            match self.parts.rx.recv_timeout(wait) {
+                Ok(event) => {
+                    self.check_clock();
+                    self.take_event(event);
+                    for _ in 0..BATCH {
+                        let Ok(event) = self.parts.rx.try_recv() else { break };
+                        self.take_event(event);
+                    }
+                }
+                Err(RecvTimeoutError::Timeout) => self.check_clock(),
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+            if Instant::now() >= tick_at {
+                tick_at = Instant::now() + TICK;
+                self.tick();
+            }
+            self.carry_out();
+            self.publish();
+        }
+    }
+
+    /// Wall time less boot time.
+    fn wall_offset(&self) -> Duration {
+        unix_time().saturating_sub(self.clock.boot_of(self.clock.now()))
+    }
+
+    /// A virtual machine that was stopped shows only in the wall clock.
+    fn check_clock(&mut self) {
+        let offset = self.wall_offset();
+        if offset > self.wall_lead + CLOCK_LEAD {
+            log::warn!(ahead_ms = (offset - self.wall_lead).as_millis(); "clocks disagree; lease distrusted");
+            if let Some(machine) = &mut self.machine {
+                machine.distrust_clock();
+            }
+        }
+        self.wall_lead = offset;
+    }
+
+    fn current(&mut self) -> &mut NodeMachine {
+        self.machine.as_mut().unwrap_or(&mut self.idle)
+    }
+
+    fn take_event(&mut self, event: ControlEvent) {
+        let now = self.clock.now();
+        match event {
+            ControlEvent::Record(offset, record) => {
+                self.current().take_record(offset, record.as_deref(), now);
+            }
+            ControlEvent::Adopt(state) => {
+                self.current().adopt(*state, now);
+            }
+            ControlEvent::LogLost => self.current().lose_log(),
+            ControlEvent::Peer(envelope) => self.current().take_message(*envelope, now),
+            ControlEvent::Announce(body) => self.take_announcement(body, now),
+            ControlEvent::UpstreamGone => self.lose_upstream("it refuses connections", now),
+            ControlEvent::UpstreamFrozen => self.lose_upstream("it is frozen", now),
+            ControlEvent::Idle(partition) => self.hand_over(partition, now),
+            ControlEvent::AppendFailed(record) => self.current().append_failed(record),
+            ControlEvent::Suspect(row) => self.current().report_suspect(&row),
+            ControlEvent::Shutdown => {
+                log::info!("shutting down");
+                self.stopping = true;
+                self.drain(now);
+            }
+        }
+        // Actions are carried out in the order of their events.
+        self.carry_out();
+    }
+
+    fn drain(&mut self, now: Instant) {
+        match &mut self.machine {
+            Some(machine) if machine.life().id().is_some() => machine.drain(now),
+            _ => self.finished = self.stopping,
+        }
+    }
+
+    fn take_announcement(&mut self, body: AnnounceBody, now: Instant) {
+        self.announced_at = now;
+        if body.leaving {
+            if self.announced.take().is_some() {
+                log::info!(address:% = body.address; "upstream is leaving");
+                self.drain(now);
+            }
+            return;
+        }
+        let known = self.announced.as_ref().is_some_and(|known| known.boot_id == body.boot_id);
+        if known || self.stopping {
+            return;
+        }
+        if self.machine.is_some() {
+            // The incarnation of the process before ends first.
+            self.lose_upstream("another process announced itself", now);
+            return;
+        }
+        log::info!(
+            service = &*body.service, address:% = body.address, slots = body.slots,
+            checks_grants = body.checks_grants;
+            "upstream announced itself"
+        );
+        let slots = body.slots as usize;
+        let link = UpstreamLink::new(body.address, body.boot_id.clone(), slots, DEFAULT_PLACES);
+        self.upstream = Some(Arc::new(link));
+        self.machine = Some(new_machine(
+            &self.parts.settings,
+            Some(&body),
+            self.idle.state().clone(),
+            now,
+        ));
+        self.announced = Some(body);
+    }
+
+    /// The upstream is gone: requests in flight fail, partitions go to their successors.
+    fn lose_upstream(&mut self, reason: &str, now: Instant) {
+        if self.announced.take().is_none() {
+            return;
+        }
+        log::warn!(reason; "upstream lost");
+        self.drain(now);
+    }
+
+    fn hand_over(&mut self, partition: PartitionId, now: Instant) {
+        let Ok(index) = self.find_gate(partition) else { return };
+        let memory = self.gates.remove(index).gate.memory().export();
+        self.current().partition_idle(partition, memory, now);
+    }
+
+    fn find_gate(&self, partition: PartitionId) -> Result<usize, usize> {
+        self.gates.binary_search_by_key(&partition, |row| row.partition)
+    }
+
+    fn tick(&mut self) {
+        let now = self.clock.now();
+        if let Some(machine) = &mut self.machine {
+            machine.tick(now);
+        }
+        if now >= self.expire_at {
+            self.expire_at = now + EXPIRE_GAP;
+            for row in &self.gates {
+                row.gate.memory().expire(unix_ms());
+            }
+            self.current().expire_suspects(unix_ms());
+        }
+        self.ask_seeds(now);
+        self.extend_grant();
+        self.restart_incarnation(now);
+    }
+
+    /// A node that cannot read the log takes state from peers.
+    fn ask_seeds(&mut self, now: Instant) {
+        let from = self.current().state().next_offset;
+        if now < self.seed_at || from > 1 || now < self.started + SEED_GAP {
+            return;
+        }
+        self.seed_at = now + SEED_GAP;
+        let reply_to: Box<str> = self.parts.settings.listen.peer.to_string().into();
+        for seed in &self.parts.settings.seeds {
+            use firspindle_core::connection::{Envelope, PeerMessage};
+            let message = PeerMessage::Fetch { from, reply_to: reply_to.clone() };
+            let envelope = Envelope { from: 0, to: 0, next_offset: from, message };
+            self.peers.send(&seed.to_string(), &envelope);
+        }
+    }
+
+    fn extend_grant(&mut self) {
+        let Some(machine) = &self.machine else { return };
+        let deadline = machine.lease_deadline();
+        if deadline == self.granted {
+            return;
+        }
+        self.granted = deadline;
+        let (Some(deadline), Some(upstream), Some(holder)) =
+            (deadline, self.upstream.clone(), machine.life().id())
+        else {
+            return;
+        };
+        let boot = self.clock.boot_of(deadline).as_micros();
+        let deadline = u64::try_from(boot).unwrap_or(u64::MAX);
+        let _ = self.parts.io.send(IoOrder::ExtendGrant { upstream, holder, deadline });
+    }
+
+    /// After an incarnation ended, the next one begins with the upstream's next announcement.
+    fn restart_incarnation(&mut self, now: Instant) {
+        let gone = self.machine.as_ref().is_some_and(|machine| {
+            matches!(machine.life(), LifeCycle::Gone(_))
+        });
+        if !gone {
+            return;
+        }
+        let Some(machine) = self.machine.take() else { return };
+        self.idle = new_machine(&self.parts.settings, None, machine.state().clone(), now);
+        self.upstream = None;
+        self.announced = None;
+        for row in self.gates.drain(..) {
+            row.gate.abandon();
+        }
+        self.finished |= self.stopping;
+    }
+
+    fn carry_out(&mut self) {
+        let actions = match &mut self.machine {
+            Some(machine) => machine.take_actions(),
+            None => self.idle.take_actions(),
+        };
+        for action in actions {
+            self.carry_out_one(action);
+        }
+        let next_offset = self.current().state().next_offset;
+        self.parts.folded.store(next_offset, Ordering::Release);
+        let deadline = self.machine.as_ref().and_then(NodeMachine::lease_deadline);
+        self.parts.context.lease.store(deadline, &self.clock);
+    }
+
+    fn carry_out_one(&mut self, action: NodeAction) {
+        match action {
+            NodeAction::Send { address, envelope } => self.peers.send(&address, &envelope),
+            NodeAction::Append { record } => {
+                let _ = self.parts.io.send(IoOrder::Append(Box::new(record)));
+            }
+            NodeAction::Open { partition, fence, memory, clean } => {
+                self.open_gate(partition, fence, &memory, clean);
+            }
+            NodeAction::Refence { partition, fence } => {
+                if let Ok(index) = self.find_gate(partition) {
+                    self.gates[index].gate.refence(fence);
+                }
+            }
+            NodeAction::Close { partition } => {
+                if let Ok(index) = self.find_gate(partition) {
+                    self.gates[index].gate.close();
+                }
+            }
+            NodeAction::Abandon { partition } => {
+                if let Ok(index) = self.find_gate(partition) {
+                    self.gates.remove(index).gate.abandon();
+                }
+            }
+            NodeAction::Suspects { .. } => self.suspects = usize::MAX,
+            NodeAction::Finished => self.finished |= self.stopping,
+        }
+    }
+
+    fn open_gate(
+        &mut self,
+        partition: PartitionId,
+        fence: FenceToken,
+        memory: &[HandoverMemory],
+        clean: bool,
+    ) {
+        let memory = IdMemory::take_over(memory, clean, unix_ms());
+        let gate = Arc::new(PartitionGate::new(partition, fence, memory, self.parts.tx.clone()));
+        let row = GateRow { partition, gate };
+        match self.find_gate(partition) {
+            Ok(index) => self.gates[index] = row,
+            Err(index) => self.gates.insert(index, row),
+        }
+        self.parts.context.metrics.opened.inc();
+    }
+
+    /// Publishes a view if anything in it changed.
+    fn publish(&mut self) {
+        let machine = self.machine.as_ref().unwrap_or(&self.idle);
+        let state = machine.state();
+        let node = machine.life().id();
+        let view = self.parts.context.view.load();
+        let routes_old = self.routes_at != Some(state.revision);
+        let gates_same = view.gates.len() == self.gates.len()
+            && view.gates.iter().zip(&self.gates).all(|(a, b)| Arc::ptr_eq(&a.gate, &b.gate));
+        let upstream_same = view.upstream.as_ref().map(Arc::as_ptr)
+            == self.upstream.as_ref().map(Arc::as_ptr);
+        let suspects_same = self.suspects == machine.suspects().len();
+        let same = !routes_old
+            && gates_same
+            && upstream_same
+            && suspects_same
+            && self.routes_node == node
+            && view.stopping == self.stopping;
+        if same {
+            return;
+        }
+        if routes_old {
+            let spec = machine.spec();
+            self.routes =
+                Arc::new(spec.map(|spec| RouteTable::build(state, spec)).unwrap_or_default());
+            self.routes_at = Some(state.revision);
+            self.resize_upstream();
+        }
+        let machine = self.machine.as_ref().unwrap_or(&self.idle);
+        self.suspects = machine.suspects().len();
+        self.routes_node = node;
+        let next = TrafficView {
+            node,
+            routes: self.routes.clone(),
+            gates: if gates_same { view.gates.clone() } else { Arc::new(self.gates.clone()) },
+            suspects: Arc::new(SuspectTable::new(machine.suspects().to_vec())),
+            upstream: self.upstream.clone(),
+            stopping: self.stopping,
+        };
+        self.parts.context.view.store(Arc::new(next));
+        self.publish_status();
+    }
+
+    fn resize_upstream(&self) {
+        let (Some(link), Some(body)) = (&self.upstream, &self.announced) else { return };
+        let places = self.routes.service(&body.service).map(|route| route.spec.queue_limit);
+        link.resize(body.slots as usize, places.unwrap_or(DEFAULT_PLACES));
+    }
+
+    fn publish_status(&self) {
+        let machine = self.machine.as_ref().unwrap_or(&self.idle);
+        let state = machine.state();
+        let metrics = &self.parts.context.metrics;
+        metrics.partitions.set(gauge(self.gates.len()));
+        metrics.members.set(gauge(state.members.len()));
+        metrics.offset.set(i64::try_from(state.next_offset).unwrap_or(i64::MAX));
+        metrics.manifest.set(i64::try_from(state.manifest_version()).unwrap_or(i64::MAX));
+        let member = |row: &firspindle_core::version::MemberRow| MemberStatus {
+            node: row.id,
+            host: row.info.host.clone(),
+            data_centre: row.info.data_centre.clone(),
+            service: row.info.upstream.service.clone(),
+            draining: row.draining,
+        };
+        let page = StatusPage {
+            host: self.parts.settings.host.clone(),
+            node: machine.life().id(),
+            life: machine.life().name().into(),
+            planner: state.term.planner,
+            term: state.term.number,
+            manifest_version: state.manifest_version(),
+            manifest_record: state
+                .manifest
+                .as_ref()
+                .map_or_else(String::new, |row| Uuid::from_u128(row.record).to_string())
+                .into(),
+            next_offset: state.next_offset,
+            lease_left_ms: 0,
+            partitions: machine.owned().iter().map(|row| row.partition).collect(),
+            members: state.members.iter().map(member).collect(),
+        };
+        self.parts.status.store(Arc::new(page));
+    }
+}
+
+fn gauge(value: usize) -> i64 {
+    i64::try_from(value).unwrap_or(i64::MAX)
+}
+
+fn new_machine(
+    settings: &SettingsFile,
+    body: Option<&AnnounceBody>,
+    state: FoldState,
+    now: Instant,
+) -> NodeMachine {
+    let upstream = UpstreamInfo {
+        service: body.map(|body| body.service.clone()).unwrap_or_default(),
+        slots: body.map_or(0, |body| body.slots),
+        connections: body.map_or(0, |body| body.connections),
+        checks_grants: body.is_some_and(|body| body.checks_grants),
+        boot_id: body.and_then(|body| u128::from_str_radix(&body.boot_id, 16).ok()).unwrap_or(0),
+    };
+    let info = MemberInfo {
+        host: settings.host.clone(),
+        region: settings.region.clone(),
+        data_centre: settings.data_centre.clone(),
+        peer_address: settings.listen.peer.to_string().into(),
+        forward_address: settings.listen.forward.to_string().into(),
+        traffic_address: settings.listen.traffic.to_string().into(),
+        boot_id: Uuid::new_v4().as_u128(),
+        upstream,
+    };
+    // Several checkpoints fit into the time for which the log keeps records.
+    let checkpoint_gap = settings.log_retention / 4;
+    NodeMachine::new(info, state, LeaseTiming::default(), checkpoint_gap, now)
+}
--- /dev/null
+++ b/crates/firspindle/src/process/log_reader.rs
@@ -0,0 +1,108 @@
+//! Reads the log for the control thread.
+//!
+//! A reader that starts, or whose offset has expired, looks for the newest checkpoint whose
+//! following records are all kept, and goes on from there.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::Sender;
+use std::time::Duration;
+
+use firspindle_core::LogOffset;
+use firspindle_core::version::{CheckpointBody, LogRecord, RecordBody};
+
+use super::{ControlEvent, LogClient, LogError, StoredRecord};
+
+/// Time that a read waits for a record.
+const READ_WAIT: Duration = Duration::from_secs(5);
+
+/// Time between two tries while the log does not answer.
+const RETRY_GAP: Duration = Duration::from_millis(250);
+
+/// Reads until the process ends; `folded` is the next offset that the control thread wants.
+pub async fn read_log(log: LogClient, tx: Sender<ControlEvent>, folded: Arc<AtomicU64>) {
+    loop {
+        if let Err(error) = read_on(&log, &tx, &folded).await {
+            log::warn!(error:%; "reading the log failed; trying again");
+            tokio::time::sleep(RETRY_GAP).await;
+        }
+    }
+}
+
+async fn read_on(
+    log: &LogClient,
+    tx: &Sender<ControlEvent>,
+    folded: &AtomicU64,
+) -> Result<(), LogError> {
+    let mut next = folded.load(Ordering::Acquire);
+    loop {
+        // Peers may have brought the control thread further than this reader.
+        next = next.max(folded.load(Ordering::Acquire));
+        let records = match log.read(next, READ_WAIT).await {
+            Ok(records) => records,
+            Err(LogError::Expired) => {
+                next = start_over(log, tx, next).await?;
+                continue;
+            }
+            Err(error) => return Err(error),
+        };
+        for record in records {
+            next = record.offset + 1;
+            send_record(tx, &record);
+        }
+    }
+}
+
+fn send_record(tx: &Sender<ControlEvent>, stored: &StoredRecord) {
+    let record = LogRecord::decode(&stored.data).ok().map(Box::new);
+    if record.is_none() {
+        log::warn!(offset = stored.offset; "bytes on the log are no record");
+    }
+    let _ = tx.send(ControlEvent::Record(stored.offset, record));
+}
+
+/// Starts over from a checkpoint; gives the offset to read from.
+async fn start_over(
+    log: &LogClient,
+    tx: &Sender<ControlEvent>,
+    wanted: LogOffset,
+) -> Result<LogOffset, LogError> {
+    let bounds = log.bounds().await?;
+    if wanted >= bounds.first {
+        return Ok(wanted);
+    }
+    let _ = tx.send(ControlEvent::LogLost);
+    let Some(body) = find_checkpoint(log, bounds.first, bounds.next).await? else {
+        log::error!(first = bounds.first; "no usable checkpoint on the log");
+        tokio::time::sleep(RETRY_GAP).await;
+        return Ok(wanted);
+    };
+    let next = body.next_offset();
+    log::info!(next; "starting from a checkpoint");
+    let _ = tx.send(ControlEvent::Adopt(Box::new(body.state)));
+    Ok(next)
+}
+
+/// Newest checkpoint whose following records are all kept.
+pub(super) async fn find_checkpoint(
+    log: &LogClient,
+    first: LogOffset,
+    end: LogOffset,
+) -> Result<Option<Box<CheckpointBody>>, LogError> {
+    let mut newest = None;
+    let mut next = first;
+    while next < end {
+        let records = log.read(next, Duration::ZERO).await?;
+        let Some(last) = records.last() else { break };
+        next = last.offset + 1;
+        for stored in &records {
+            let Ok(record) = LogRecord::decode(&stored.data) else { continue };
+            if let RecordBody::Checkpoint(body) = record.body
+                && body.next_offset() >= first
+            {
+                newest = Some(body);
+            }
+        }
+    }
+    Ok(newest)
+}
--- /dev/null
+++ b/crates/firspindle/src/process/metrics_set.rs
@@ -0,0 +1,110 @@
+//! Metrics in the Prometheus text form.
+
+use prometheus::{
+    Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+};
+
+/// Latency buckets, in seconds.
+const BUCKETS: [f64; 12] =
+    [0.0005, 0.001, 0.002, 0.004, 0.008, 0.011, 0.016, 0.032, 0.064, 0.25, 1.0, 5.0];
+
+/// All metrics of a node.
+#[derive(Debug)]
+pub struct MetricsSet {
+    registry: Registry,
+    /// Answers to callers, by service and verdict.
+    pub answers: IntCounterVec,
+    /// Answers without an upstream's answer, by status.
+    pub refusals: IntCounterVec,
+    /// Attempts beyond the first.
+    pub retries: IntCounter,
+    /// Requests run by the upstream beside.
+    pub runs: IntCounter,
+    /// Time from arrival to answer, in seconds.
+    pub latency: Histogram,
+    /// Partitions served.
+    pub partitions: IntGauge,
+    /// Folded offset.
+    pub offset: IntGauge,
+    /// Manifest version in force.
+    pub manifest: IntGauge,
+    /// Members in force.
+    pub members: IntGauge,
+    /// Whether the lease runs.
+    pub lease: IntGauge,
+    /// Messages to other nodes.
+    pub messages: IntCounter,
+    /// Bytes of messages to other nodes.
+    pub message_bytes: IntCounter,
+    /// Records that this node appended.
+    pub appends: IntCounter,
+    /// Partitions opened.
+    pub opened: IntCounter,
+    /// Requests that wait for a slot.
+    pub queued: IntGauge,
+}
+
+impl Default for MetricsSet {
+    fn default() -> Self {
+        let registry = Registry::new();
+        let latency = HistogramOpts::new(
+            "firspindle_answer_seconds",
+            "Time from a request's arrival to its answer",
+        )
+        .buckets(BUCKETS.to_vec());
+        let latency = Histogram::with_opts(latency).expect("the name is valid");
+        registry.register(Box::new(latency.clone())).expect("the name is new");
+        let counter = |name: &str, help: &str| {
+            let counter = IntCounter::new(name, help).expect("the name is valid");
+            registry.register(Box::new(counter.clone())).expect("the name is new");
+            counter
+        };
+        let gauge = |name: &str, help: &str| {
+            let gauge = IntGauge::new(name, help).expect("the name is valid");
+            registry.register(Box::new(gauge.clone())).expect("the name is new");
+            gauge
+        };
+        let family = |name: &str, help: &str, labels: &[&str]| {
+            let family = IntCounterVec::new(Opts::new(name, help), labels).expect("valid");
+            registry.register(Box::new(family.clone())).expect("the name is new");
+            family
+        };
+        Self {
+            answers: family(
+                "firspindle_answers_total",
+                "Answers to callers by service and verdict",
+                &["service", "verdict"],
+            ),
+            refusals: family(
+                "firspindle_refusals_total",
+                "Answers without an upstream's answer by status",
+                &["status"],
+            ),
+            retries: counter("firspindle_retries_total", "Attempts beyond a request's first"),
+            runs: counter("firspindle_runs_total", "Requests sent to the upstream beside"),
+            latency,
+            partitions: gauge("firspindle_partitions", "Partitions that this node serves"),
+            offset: gauge("firspindle_log_offset", "Next log offset to fold"),
+            manifest: gauge("firspindle_manifest_version", "Manifest version in force"),
+            members: gauge("firspindle_members", "Members in force"),
+            lease: gauge("firspindle_lease_valid", "1 while the lease runs"),
+            messages: counter("firspindle_peer_messages_total", "Messages sent to other nodes"),
+            message_bytes: counter(
+                "firspindle_peer_bytes_total",
+                "Bytes of messages sent to other nodes",
+            ),
+            appends: counter("firspindle_appends_total", "Records that this node appended"),
+            opened: counter("firspindle_partitions_opened_total", "Partitions opened"),
+            queued: gauge("firspindle_queued_requests", "Requests that wait for a slot"),
+            registry,
+        }
+    }
+}
+
+impl MetricsSet {
+    /// All metrics as Prometheus text.
+    pub fn render(&self) -> String {
+        let families = self.registry.gather();
+        TextEncoder::new().encode_to_string(&families).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/firspindle/src/process/peer_socket.rs
@@ -0,0 +1,108 @@
+//! Messages between nodes over nng: each node pulls on one address and pushes to others.
+
+use std::sync::Arc;
+use std::sync::mpsc::Sender;
+use std::time::{Duration, Instant};
+
+use firspindle_core::connection::Envelope;
+use nng::options::{Options, RecvMaxSize, SendBufferSize};
+use nng::{Protocol, Socket};
+
+use super::{ControlEvent, MetricsSet};
+
+/// Messages that wait for one peer's connection; more are dropped.
+const SEND_BUFFER: i32 = 64;
+
+/// Largest message, in bytes.
+const MAX_MESSAGE: usize = 32 * 1024 * 1024;
+
+/// Time after which an unused connection is closed.
+const IDLE_LIMIT: Duration = Duration::from_secs(60);
+
+/// Sending side: a socket for each peer that was written to lately.
+#[derive(Debug)]
+pub struct PeerSocket {
+    metrics: Arc<MetricsSet>,
+    links: Vec<PeerLink>,
+    sweep_at: Instant,
+}
+
+#[derive(Debug)]
+struct PeerLink {
+    address: Box<str>,
+    socket: Socket,
+    used: Instant,
+}
+
+impl PeerSocket {
+    /// No connections yet.
+    pub fn new(metrics: Arc<MetricsSet>) -> Self {
+        Self { metrics, links: Vec::new(), sweep_at: Instant::now() + IDLE_LIMIT }
+    }
+
+    /// Sends without waiting; a message that cannot go now is lost.
+    pub fn send(&mut self, address: &str, envelope: &Envelope) {
+        let Ok(bytes) = postcard::to_stdvec(envelope) else { return };
+        self.metrics.messages.inc();
+        self.metrics.message_bytes.inc_by(bytes.len() as u64);
+        let now = Instant::now();
+        self.close_idle(now);
+        match self.link(address, now) {
+            Ok(link) => {
+                link.used = now;
+                if let Err((_, error)) = link.socket.try_send(nng::Message::from(&bytes[..])) {
+                    log::debug!(address, error:%; "message dropped");
+                }
+            }
+            Err(error) => log::warn!(address, error:%; "no connection to the peer"),
+        }
+    }
+
+    fn link(&mut self, address: &str, now: Instant) -> Result<&mut PeerLink, nng::Error> {
+        let found = self.links.binary_search_by(|link| (*link.address).cmp(address));
+        let index = match found {
+            Ok(index) => index,
+            Err(index) => {
+                let socket = Socket::new(Protocol::Push0)?;
+                socket.set_opt::<SendBufferSize>(SEND_BUFFER)?;
+                socket.dial_async(&format!("tcp://{address}"))?;
+                let link = PeerLink { address: address.into(), socket, used: now };
+                self.links.insert(index, link);
+                index
+            }
+        };
+        Ok(&mut self.links[index])
+    }
+
+    fn close_idle(&mut self, now: Instant) {
+        if now < self.sweep_at {
+            return;
+        }
+        self.sweep_at = now + IDLE_LIMIT;
+        self.links.retain(|link| now.duration_since(link.used) < IDLE_LIMIT);
+    }
+}
+
+/// Listens for messages and passes them to the control thread.
+///
+/// # Errors
+///
+/// If the address cannot be listened on.
+pub fn listen(address: &str, tx: Sender<ControlEvent>) -> Result<(), nng::Error> {
+    let socket = Socket::new(Protocol::Pull0)?;
+    socket.set_opt::<RecvMaxSize>(MAX_MESSAGE)?;
+    socket.listen(&format!("tcp://{address}"))?;
+    std::thread::spawn(move || {
+        while let Ok(message) = socket.recv() {
+            match postcard::from_bytes::<Envelope>(&message) {
+                Ok(envelope) => {
+                    if tx.send(ControlEvent::Peer(Box::new(envelope))).is_err() {
+                        return;
+                    }
+                }
+                Err(error) => log::warn!(error:%; "bytes of a peer are no message"),
+            }
+        }
+    });
+    Ok(())
+}
--- /dev/null
+++ b/crates/firspindle/src/process/publish_command.rs
@@ -0,0 +1,101 @@
+//! `firspindle publish`: appends a manifest and waits for its verdict.
+
+use std::time::{Duration, Instant};
+
+use firspindle_core::version::{FoldOutcome, FoldState, LogRecord, ManifestSpec, RecordBody};
+use uuid::Uuid;
+
+use super::{LogClient, LogError};
+
+/// Longest wait for the log.
+const LIMIT: Duration = Duration::from_secs(15);
+
+/// Wait of one read.
+const READ_WAIT: Duration = Duration::from_millis(500);
+
+/// What became of a manifest.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PublishVerdict {
+    /// In force as a version.
+    Accepted(u64),
+    /// Not in force, with the reason.
+    Refused(Box<str>),
+    /// The log gave no answer.
+    Unknown(Box<str>),
+}
+
+/// Publishes the text of a checked manifest.
+pub async fn publish(log: LogClient, spec: &ManifestSpec, text: &str) -> PublishVerdict {
+    let until = Instant::now() + LIMIT;
+    let id = Uuid::new_v4().as_u128();
+    let body = RecordBody::Manifest { replaces: spec.replaces, text: text.into() };
+    let record = LogRecord { id, body };
+    // Reading first finds a manifest that cannot win, without a record on the log.
+    let mut fold = match FoldReader::open(&log).await {
+        Ok(fold) => fold,
+        Err(error) => return PublishVerdict::Unknown(error.to_string().into()),
+    };
+    let version = fold.state.manifest_version();
+    if version != spec.replaces {
+        let reason = format!("it replaces version {}, version {version} is in force", spec.replaces);
+        return PublishVerdict::Refused(reason.into());
+    }
+    let mut unknown: Box<str> = "the log did not show the record".into();
+    match log.append(record.encode()).await {
+        Ok(_) => {}
+        Err(LogError::Refused { status }) => {
+            return PublishVerdict::Unknown(format!("the log refused: {status}").into());
+        }
+        Err(error) => unknown = error.to_string().into(),
+    }
+    while Instant::now() < until {
+        match fold.find(&log, id).await {
+            Ok(Some(FoldOutcome::Applied)) => {
+                return PublishVerdict::Accepted(fold.state.manifest_version());
+            }
+            Ok(Some(FoldOutcome::Dropped(reason))) => return PublishVerdict::Refused(reason),
+            Ok(None) => {}
+            Err(error) => {
+                unknown = error.to_string().into();
+                tokio::time::sleep(READ_WAIT).await;
+            }
+        }
+    }
+    PublishVerdict::Unknown(unknown)
+}
+
+/// A fold of the log up to its end.
+struct FoldReader {
+    state: FoldState,
+}
+
+impl FoldReader {
+    async fn open(log: &LogClient) -> Result<Self, LogError> {
+        let bounds = log.bounds().await?;
+        let mut reader = Self { state: FoldState::default() };
+        if bounds.first > 1 {
+            let found =
+                super::log_reader::find_checkpoint(log, bounds.first, bounds.next).await?;
+            reader.state = found.map_or_else(FoldState::default, |body| body.state);
+        }
+        while reader.state.next_offset < bounds.next {
+            reader.find(log, 0).await?;
+        }
+        Ok(reader)
+    }
+
+    /// Folds what is there and tells what became of a record.
+    async fn find(&mut self, log: &LogClient, id: u128) -> Result<Option<FoldOutcome>, LogError> {
+        for stored in log.read(self.state.next_offset, READ_WAIT).await? {
+            let Ok(record) = LogRecord::decode(&stored.data) else {
+                self.state.skip(stored.offset);
+                continue;
+            };
+            let outcome = self.state.fold(stored.offset, &record);
+            if record.id == id {
+                return Ok(Some(outcome));
+            }
+        }
+        Ok(None)
+    }
+}
--- /dev/null
+++ b/crates/firspindle/src/request.rs
@@ -0,0 +1,15 @@
+//! What lives for one request.
+
+mod caller_answer;
+mod caller_request;
+mod entry_step;
+mod forward_step;
+mod owner_step;
+mod traffic_context;
+mod traffic_service;
+
+pub use caller_answer::CallerAnswer;
+pub use caller_request::CallerRequest;
+pub use traffic_context::TrafficContext;
+pub use traffic_service::{StopServer, serve_requests};
+pub(crate) use traffic_service::run_server;
--- /dev/null
+++ b/crates/harness/src/fleet.rs
@@ -0,0 +1,349 @@
+//! A fleet of nodes, upstreams and a log.
+
+use std::fmt::Write as _;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+use std::time::Duration;
+
+use serde_json::Value;
+
+use crate::fleet_process::program_path;
+use crate::{CallResult, FleetAddress, FleetProcess, HttpCaller, JournalRow, wait_until};
+
+/// Ports on each host.
+const TRAFFIC_PORT: u16 = 7000;
+const FORWARD_PORT: u16 = 7001;
+const PEER_PORT: u16 = 7002;
+const ADMIN_PORT: u16 = 7003;
+const UPSTREAM_PORT: u16 = 7010;
+
+/// Host number of the log.
+const LOG_HOST: usize = 250;
+
+/// Longest wait for a fleet to serve.
+const START_LIMIT: Duration = Duration::from_secs(30);
+
+/// One node with its upstream.
+#[derive(Debug, Clone)]
+pub struct NodeSpec {
+    /// Service of the upstream.
+    pub service: String,
+    /// Data centre.
+    pub data_centre: String,
+    /// Region.
+    pub region: String,
+    /// More arguments of the upstream.
+    pub upstream_args: Vec<String>,
+}
+
+/// A fleet to start.
+#[derive(Debug, Clone)]
+pub struct FleetSpec {
+    /// Nodes by host number.
+    pub nodes: Vec<NodeSpec>,
+    /// More arguments of the log.
+    pub log_args: Vec<String>,
+    /// Retention told to the nodes, in seconds.
+    pub retention_s: u64,
+    /// Log filter of the nodes.
+    pub filter: String,
+}
+
+impl FleetSpec {
+    /// `count` nodes of one service, spread over data centres of one region.
+    #[must_use]
+    pub fn one_service(service: &str, count: usize, centres: usize) -> Self {
+        let node = |index: usize| NodeSpec {
+            service: service.to_owned(),
+            data_centre: format!("dc{}", index % centres),
+            region: "region".to_owned(),
+            upstream_args: Vec::new(),
+        };
+        Self {
+            nodes: (0..count).map(node).collect(),
+            log_args: Vec::new(),
+            retention_s: 86_400,
+            filter: "info".to_owned(),
+        }
+    }
+
+    /// Adds an argument of every upstream.
+    #[must_use]
+    pub fn upstream_arg(mut self, arg: &str) -> Self {
+        for node in &mut self.nodes {
+            node.upstream_args.push(arg.to_owned());
+        }
+        self
+    }
+
+    /// Adds an argument of the log.
+    #[must_use]
+    pub fn log_arg(mut self, arg: &str) -> Self {
+        self.log_args.push(arg.to_owned());
+        self
+    }
+}
+
+/// A running fleet.
+#[derive(Debug)]
+pub struct Fleet {
+    /// Specification.
+    pub spec: FleetSpec,
+    /// Addresses.
+    pub addresses: FleetAddress,
+    /// The log.
+    pub log: FleetProcess,
+    /// Nodes by host number; `None` after a kill.
+    pub nodes: Vec<Option<FleetProcess>>,
+    /// Upstreams by host number; `None` after a kill.
+    pub upstreams: Vec<Option<FleetProcess>>,
+    /// Rows of journals of upstreams that ended.
+    pub kept_rows: Vec<JournalRow>,
+    folder: PathBuf,
+}
+
+impl Fleet {
+    /// Starts the log, the nodes and the upstreams.
+    ///
+    /// # Panics
+    ///
+    /// If a process cannot be started.
+    pub fn start(spec: FleetSpec) -> Self {
+        let addresses = FleetAddress::random();
+        let name = format!("fleet-{}", uuid::Uuid::new_v4().simple());
+        let folder = std::env::temp_dir().join("firspindle").join(name);
+        std::fs::create_dir_all(&folder).expect("a folder for logs can be made");
+        let listen = addresses.of(LOG_HOST, TRAFFIC_PORT).to_string();
+        let mut args = vec!["log", "--listen", &listen];
+        args.extend(spec.log_args.iter().map(String::as_str));
+        let log = FleetProcess::start("standin", &args, &folder.join("log.txt"));
+        let count = spec.nodes.len();
+        let mut fleet = Self {
+            spec,
+            addresses,
+            log,
+            nodes: Vec::new(),
+            upstreams: Vec::new(),
+            kept_rows: Vec::new(),
+            folder,
+        };
+        fleet.wait_for(fleet.log_address());
+        for host in 0..count {
+            fleet.nodes.push(None);
+            fleet.upstreams.push(None);
+            fleet.start_node(host);
+            fleet.start_upstream(host);
+        }
+        fleet
+    }
+
+    /// Folder of settings and logs.
+    pub fn folder(&self) -> &Path {
+        &self.folder
+    }
+
+    fn wait_for(&self, address: SocketAddr) {
+        wait_until("the process listens", START_LIMIT, || {
+            std::net::TcpStream::connect(address).ok()
+        });
+    }
+
+    /// Writes the settings of a host and gives their path.
+    ///
+    /// # Panics
+    ///
+    /// If the file cannot be written.
+    pub fn write_settings(&self, host: usize) -> PathBuf {
+        let node = &self.spec.nodes[host];
+        let mut text = String::new();
+        let seeds: Vec<_> =
+            (0..self.spec.nodes.len()).map(|seed| self.addresses.of(seed, PEER_PORT)).collect();
+        writeln!(text, "host = \"host-{host}\"").expect("strings take text");
+        writeln!(text, "region = \"{}\"", node.region).expect("strings take text");
+        writeln!(text, "data_centre = \"{}\"", node.data_centre).expect("strings take text");
+        writeln!(text, "log = \"http://{}\"", self.log_address()).expect("strings take text");
+        let seeds: Vec<_> = seeds.iter().take(5).map(|seed| format!("\"{seed}\"")).collect();
+        writeln!(text, "seeds = [{}]", seeds.join(", ")).expect("strings take text");
+        writeln!(text, "log_retention_s = {}", self.spec.retention_s).expect("strings take text");
+        writeln!(text, "[listen]").expect("strings take text");
+        for (name, port) in [
+            ("traffic", TRAFFIC_PORT),
+            ("forward", FORWARD_PORT),
+            ("peer", PEER_PORT),
+            ("admin", ADMIN_PORT),
+        ] {
+            writeln!(text, "{name} = \"{}\"", self.addresses.of(host, port))
+                .expect("strings take text");
+        }
+        let path = self.folder.join(format!("node-{host}.toml"));
+        std::fs::write(&path, text).expect("settings can be written");
+        path
+    }
+
+    /// Starts the node of a host.
+    pub fn start_node(&mut self, host: usize) {
+        let settings = self.write_settings(host);
+        let log = self.folder.join(format!("node-{host}.txt"));
+        let settings = settings.display().to_string();
+        let args = ["node", "--settings", &settings];
+        self.nodes[host] = Some(FleetProcess::start("firspindle", &args, &log));
+    }
+
+    /// Starts the upstream of a host.
+    pub fn start_upstream(&mut self, host: usize) {
+        let node = &self.spec.nodes[host];
+        let listen = self.addresses.of(host, UPSTREAM_PORT).to_string();
+        let announce = format!("http://{}", self.admin(host));
+        let mut args = vec![
+            "upstream",
+            "--listen",
+            &listen,
+            "--announce",
+            &announce,
+            "--service",
+            &node.service,
+        ];
+        args.extend(node.upstream_args.iter().map(String::as_str));
+        let log = self.folder.join(format!("upstream-{host}.txt"));
+        self.upstreams[host] = Some(FleetProcess::start("standin", &args, &log));
+    }
+
+    /// Address of the log.
+    pub fn log_address(&self) -> SocketAddr {
+        self.addresses.of(LOG_HOST, TRAFFIC_PORT)
+    }
+
+    /// Address for callers.
+    pub fn traffic(&self, host: usize) -> SocketAddr {
+        self.addresses.of(host, TRAFFIC_PORT)
+    }
+
+    /// Address for administration.
+    pub fn admin(&self, host: usize) -> SocketAddr {
+        self.addresses.of(host, ADMIN_PORT)
+    }
+
+    /// Address of the upstream.
+    pub fn upstream(&self, host: usize) -> SocketAddr {
+        self.addresses.of(host, UPSTREAM_PORT)
+    }
+
+    /// Runs the product's command.
+    ///
+    /// # Panics
+    ///
+    /// If it cannot be started.
+    pub fn command(args: &[&str]) -> Output {
+        Command::new(program_path("firspindle")).args(args).output().expect("the command starts")
+    }
+
+    /// Publishes a manifest with the product's command.
+    ///
+    /// # Panics
+    ///
+    /// If the file cannot be written.
+    pub fn publish(&self, text: &str) -> Output {
+        let path = self.folder.join(format!("manifest-{}.toml", uuid::Uuid::new_v4().simple()));
+        std::fs::write(&path, text).expect("manifest can be written");
+        let log = format!("http://{}", self.log_address());
+        Self::command(&["publish", "--manifest", &path.display().to_string(), "--log", &log])
+    }
+
+    /// Sets faults of the log.
+    ///
+    /// # Panics
+    ///
+    /// If the log does not take them.
+    pub fn log_faults(&self, faults: &str) {
+        let reply = HttpCaller::call(self.log_address(), "POST", "/faults", &[], faults.to_owned());
+        assert_eq!(reply.expect("the log answers").status, 200, "faults are taken");
+    }
+
+    /// Status page of a node.
+    pub fn status(&self, host: usize) -> Option<Value> {
+        let reply = HttpCaller::call(self.admin(host), "GET", "/status", &[], "").ok()?;
+        serde_json::from_str(&reply.body).ok()
+    }
+
+    /// Partitions served by a node.
+    pub fn partitions(&self, host: usize) -> Vec<u64> {
+        let status = self.status(host);
+        let rows = status.as_ref().and_then(|status| status["partitions"].as_array());
+        rows.map(|rows| rows.iter().filter_map(Value::as_u64).collect()).unwrap_or_default()
+    }
+
+    /// Waits until every living node serves something and all partitions are served.
+    ///
+    /// # Panics
+    ///
+    /// If that does not happen in time.
+    pub fn wait_until_served(&self, partitions: usize) {
+        wait_until("all partitions are served", START_LIMIT, || {
+            let counts: Vec<_> = (0..self.nodes.len())
+                .filter(|host| self.nodes[*host].is_some())
+                .map(|host| self.partitions(host).len())
+                .collect();
+            (counts.iter().sum::<usize>() == partitions && counts.iter().all(|n| *n > 0)).then_some(())
+        });
+    }
+
+    /// Host that serves a key, if one says so.
+    pub fn owner(&self, service: &str, key: &str) -> Option<usize> {
+        let path = format!("/owners?service={service}&key={key}");
+        (0..self.nodes.len()).find(|host| {
+            let reply = HttpCaller::call(self.admin(*host), "GET", &path, &[], "");
+            let page = reply.ok().and_then(|reply| serde_json::from_str::<Value>(&reply.body).ok());
+            page.is_some_and(|page| page["serving_here"] == true)
+        })
+    }
+
+    /// Sends a caller's request to a node.
+    ///
+    /// # Errors
+    ///
+    /// If no whole answer comes.
+    pub fn call(
+        &self,
+        host: usize,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> CallResult {
+        HttpCaller::call(self.traffic(host), method, path, headers, body.to_owned())
+    }
+
+    /// Journal of one upstream.
+    pub fn journal(&self, host: usize) -> Vec<JournalRow> {
+        let reply = HttpCaller::call(self.upstream(host), "GET", "/journal", &[], "");
+        let rows = reply.ok().and_then(|reply| serde_json::from_str(&reply.body).ok());
+        let mut rows: Vec<JournalRow> = rows.unwrap_or_default();
+        for row in &mut rows {
+            row.host = host;
+        }
+        rows
+    }
+
+    /// Journals of all upstreams, those that were kept included.
+    pub fn journals(&self) -> Vec<JournalRow> {
+        let mut rows = self.kept_rows.clone();
+        for host in 0..self.upstreams.len() {
+            if self.upstreams[host].is_some() {
+                rows.extend(self.journal(host));
+            }
+        }
+        rows
+    }
+
+    /// Kills the node and the upstream of a host; the journal so far is kept.
+    pub fn kill_host(&mut self, host: usize) {
+        let rows = self.journal(host);
+        self.kept_rows.extend(rows);
+        for process in [self.nodes[host].take(), self.upstreams[host].take()] {
+            if let Some(mut process) = process {
+                process.kill();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/harness/src/fleet_address.rs
@@ -0,0 +1,24 @@
+//! Addresses of a fleet.
+
+use std::net::{Ipv4Addr, SocketAddr};
+
+/// A random block of loopback addresses, one for each host.
+#[derive(Debug, Clone, Copy)]
+pub struct FleetAddress {
+    high: u8,
+    low: u8,
+}
+
+impl FleetAddress {
+    /// Draws a block.
+    pub fn random() -> Self {
+        let bytes = uuid::Uuid::new_v4().into_bytes();
+        Self { high: 64 + bytes[0] % 160, low: bytes[1] }
+    }
+
+    /// Address of a port on a host; hosts count from 0.
+    pub fn of(&self, host: usize, port: u16) -> SocketAddr {
+        let last = u8::try_from(host + 1).expect("a fleet has under 255 hosts");
+        SocketAddr::from((Ipv4Addr::new(127, self.high, self.low, last), port))
+    }
+}
--- /dev/null
+++ b/crates/standin/src/boot_time.rs
@@ -0,0 +1,10 @@
+//! The clock that goes on while a machine sleeps.
+
+use rustix::time::{ClockId, clock_gettime};
+
+/// Microseconds since the machine started.
+pub fn boot_micros() -> u64 {
+    let time = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or(0);
+    seconds * 1_000_000 + u64::try_from(time.tv_nsec).unwrap_or(0) / 1000
+}
--- /dev/null
+++ b/xtask/src/main.rs
@@ -0,0 +1,25 @@
+//! Tasks of the repository: the demonstration and the measurements.
+
+mod demo_task;
+
+use clap::{Parser, Subcommand};
+
+/// Tasks of the repository.
+#[derive(Parser)]
+#[command(name = "xtask", about)]
+struct CommandLine {
+    #[command(subcommand)]
+    task: TaskCommand,
+}
+
+#[derive(Subcommand)]
+enum TaskCommand {
+    /// Runs the whole path on loopback: publish, announce, assign, request, kill, answer.
+    Demo,
+}
+
+fn main() {
+    match CommandLine::parse().task {
+        TaskCommand::Demo => demo_task::run(),
+    }
+}
