test: real processes under kills, freezes, cuts and outages of the log

Cause: the promises need proofs over real sockets. Frozen upstreams lose their partitions once their last grant ended.

--- a/crates/core/src/process/life_cycle.rs
+++ b/crates/core/src/process/life_cycle.rs
@@ -23,6 +23,15 @@
     pub id: NodeId,
 }
 
+/// How fast a draining node closes its partitions.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DrainPace {
+    /// A few at a time, so that successors are not flooded.
+    Steps,
+    /// All at once, because the upstream is gone.
+    AtOnce,
+}
+
 /// An incarnation that ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Gone {
--- a/crates/core/src/process/node_machine/tenure_step.rs
+++ b/crates/core/src/process/node_machine/tenure_step.rs
@@ -5,7 +5,7 @@
 use super::{NodeMachine, RELEASE_MEMORY};
 use crate::connection::{HandoverMemory, PeerMessage, ReleaseAsk, ReleaseNotice};
 use crate::process::tenure_table::{self, insert, take};
-use crate::process::{FenceToken, LapseCheck, LifeCycle, NodeAction, Tenure};
+use crate::process::{DrainPace, FenceToken, LapseCheck, LifeCycle, NodeAction, Tenure};
 use crate::version::{DepartReason, LineRow, PartitionRow};
 use crate::{LogOffset, NodeId, PartitionId};
 
@@ -355,7 +355,7 @@
     }
 
     /// Starts to release everything and to leave.
-    pub fn drain(&mut self, now: Instant) {
+    pub fn drain(&mut self, pace: DrainPace, now: Instant) {
         let LifeCycle::Serving(life) = self.life else { return };
         let life = life.drain();
         self.life = LifeCycle::Draining(life);
@@ -365,6 +365,9 @@
         self.append(super::AppendKind::Drain, crate::version::RecordBody::Drain {
             node: life.state.id,
         });
+        if pace == DrainPace::AtOnce {
+            self.close_held(usize::MAX);
+        }
         self.drain_step(now);
     }
 
@@ -373,8 +376,12 @@
             return;
         }
         self.drain_step_at = now + DRAIN_GAP;
-        let step: Vec<_> =
-            self.tenures.held.iter().take(DRAIN_STEP).map(|tenure| tenure.partition).collect();
+        self.close_held(DRAIN_STEP);
+    }
+
+    fn close_held(&mut self, most: usize) {
+        let held = self.tenures.held.iter().take(most);
+        let step: Vec<_> = held.map(|tenure| tenure.partition).collect();
         for partition in step {
             self.begin_release(partition, "this node drains");
         }
--- a/crates/core/src/process/node_machine/tick_step.rs
+++ b/crates/core/src/process/node_machine/tick_step.rs
@@ -4,7 +4,7 @@
 
 use super::{AppendKind, NodeMachine};
 use crate::connection::{Envelope, MoveRequest, PeerMessage, RenewRequest};
-use crate::process::{LifeCycle, NodeAction, PlannerDesk};
+use crate::process::{DrainPace, LifeCycle, NodeAction, PlannerDesk};
 use crate::version::{CheckpointBody, PlanBuilder, PlanRecord, RecordBody};
 use crate::{LogOffset, NodeId};
 
@@ -259,7 +259,7 @@
         if self.lease.is_lost() || now.duration_since(since) >= patience {
             log::warn!("lease lost for good; starting over");
             self.lost_since = None;
-            self.drain(now);
+            self.drain(DrainPace::AtOnce, now);
         }
     }
 
--- a/crates/core/src/version/fold_state.rs
+++ b/crates/core/src/version/fold_state.rs
@@ -413,6 +413,13 @@
         Some(&self.services[index])
     }
 
+    /// Number of superseded lines and witness sets that are kept.
+    pub fn open_history(&self) -> usize {
+        let lines = self.partitions.iter().map(|row| row.lines.len().saturating_sub(1));
+        let sets = self.witnesses.iter().map(|row| row.sets.len().saturating_sub(1));
+        lines.sum::<usize>() + sets.sum::<usize>()
+    }
+
     /// Hash of the whole state, equal on all nodes at one offset.
     ///
     /// # Panics
--- a/crates/core/tests/ownership/world.rs
+++ b/crates/core/tests/ownership/world.rs
@@ -8,7 +8,7 @@
 
 use firspindle_core::connection::{Envelope, HandoverMemory};
 use firspindle_core::process::{
-    FenceToken, LeaseTiming, LifeCycle, NodeAction, NodeMachine, SafetyGuards,
+    DrainPace, FenceToken, LeaseTiming, LifeCycle, NodeAction, NodeMachine, SafetyGuards,
 };
 use firspindle_core::version::{
     FoldState, LineChange, LogRecord, MemberInfo, PlanRecord, RecordBody, SetChange, UpstreamInfo,
@@ -267,7 +267,7 @@
             Step::Drain(node) => {
                 let now = self.local(*node, self.now);
                 if self.nodes[*node].alive && self.nodes[*node].paused_until <= self.now {
-                    self.nodes[*node].machine.drain(now);
+                    self.nodes[*node].machine.drain(DrainPace::Steps, now);
                     self.nodes[*node].drained = true;
                     self.act(*node)?;
                 }
--- a/crates/firspindle/src/connection/partition_gate.rs
+++ b/crates/firspindle/src/connection/partition_gate.rs
@@ -63,9 +63,14 @@
         }
     }
 
-    /// Closes the gate and makes its passes give up.
+    /// Closes the gate for good and makes its passes give up.
     pub fn abandon(&self) {
         self.state.fetch_or(CLOSED, Ordering::AcqRel);
+        self.give_up();
+    }
+
+    /// Makes passes give up what they wait for.
+    pub fn give_up(&self) {
         self.abandoned.send_replace(true);
     }
 
--- a/crates/firspindle/src/connection/upstream_link.rs
+++ b/crates/firspindle/src/connection/upstream_link.rs
@@ -19,7 +19,7 @@
     queue: Mutex<SlotQueue>,
     in_flight: AtomicU64,
     epoch: Instant,
-    /// Milliseconds after `epoch` at which it last answered.
+    /// Milliseconds after `epoch` at which it last answered or announced itself.
     answered_ms: AtomicU64,
 }
 
@@ -101,13 +101,13 @@
         self.lock().queue.len()
     }
 
-    /// Notes that the upstream answered.
+    /// Notes that the upstream answered or announced itself.
     pub fn note_answer(&self) {
         let passed = u64::try_from(self.epoch.elapsed().as_millis()).unwrap_or(u64::MAX);
         self.answered_ms.store(passed, Ordering::Relaxed);
     }
 
-    /// Time since the upstream last answered.
+    /// Time since the upstream last gave a sign of life.
     pub fn silence(&self) -> Duration {
         let answered = Duration::from_millis(self.answered_ms.load(Ordering::Relaxed));
         self.epoch.elapsed().saturating_sub(answered)
--- a/crates/firspindle/src/process.rs
+++ b/crates/firspindle/src/process.rs
@@ -27,5 +27,5 @@
 pub use metrics_set::MetricsSet;
 pub use process_error::ProcessError;
 pub(crate) use process_error::StartSnafu;
-pub use settings_file::{ListenSettings, SettingsFile};
+pub use settings_file::{AdvertiseSettings, ListenSettings, SettingsFile};
 pub use status_page::{MemberStatus, StatusPage};
--- a/crates/firspindle/src/process/admin_service.rs
+++ b/crates/firspindle/src/process/admin_service.rs
@@ -154,8 +154,13 @@
             return Ok(answer(StatusCode::BAD_REQUEST, "text/plain", format!("{error}\n")));
         }
     };
-    let _ = state.tx.send(ControlEvent::Announce(body));
     let view = state.context.view.load();
+    if let Some(link) = &view.upstream
+        && link.boot_id == body.boot_id
+    {
+        link.note_answer();
+    }
+    let _ = state.tx.send(ControlEvent::Announce(body));
     // An upstream that leaves may stop once nothing is routed to it.
     let released = view.gates.is_empty() && view.upstream.as_ref().is_none_or(|link| link.in_flight() == 0);
     Ok(json(StatusCode::OK, &serde_json::json!({ "released": released })))
--- a/crates/firspindle/src/process/control_thread.rs
+++ b/crates/firspindle/src/process/control_thread.rs
@@ -3,13 +3,14 @@
 //! It takes events in order, gives them to the [`NodeMachine`] and carries out the machine's
 //! actions. Traffic threads see only the views that it publishes.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender};
 use std::time::{Duration, Instant};
 
 use firspindle_core::connection::HandoverMemory;
-use firspindle_core::process::{FenceToken, LeaseTiming, LifeCycle, NodeAction, NodeMachine};
+use firspindle_core::process::{DrainPace, FenceToken, LeaseTiming, LifeCycle, NodeAction, NodeMachine};
 use firspindle_core::request::{IdMemory, RouteTable, SuspectTable};
 use firspindle_core::version::{FoldState, MemberInfo, UpstreamInfo};
 use firspindle_core::{LogOffset, PartitionId};
@@ -76,13 +77,25 @@
     pub status: Arc<arc_swap::ArcSwap<StatusPage>>,
 }
 
+/// Why idle partitions are not handed over yet.
+#[derive(Debug, Clone, Copy)]
+enum HoldIdle {
+    /// The upstream's last grant still runs.
+    Until(Instant),
+    /// The upstream's process must be seen gone.
+    Gone,
+}
+
 /// The control thread's state.
 pub struct ControlThread {
     parts: ControlParts,
     clock: BootClock,
     machine: Option<NodeMachine>,
     /// State kept while no upstream is there.
-    idle: NodeMachine,
+    reader: NodeMachine,
+    /// Closed partitions without requests in flight.
+    idle: VecDeque<PartitionId>,
+    hold_idle: Option<HoldIdle>,
     upstream: Option<Arc<UpstreamLink>>,
     announced: Option<AnnounceBody>,
     announced_at: Instant,
@@ -106,13 +119,15 @@
     pub fn new(parts: ControlParts) -> Self {
         let clock = BootClock::default();
         let now = clock.now();
-        let idle = new_machine(&parts.settings, None, FoldState::default(), now);
+        let reader = new_machine(&parts.settings, None, FoldState::default(), now);
         let peers = PeerSocket::new(parts.context.metrics.clone());
         Self {
             parts,
             clock,
             machine: None,
-            idle,
+            reader,
+            idle: VecDeque::new(),
+            hold_idle: None,
             upstream: None,
             announced: None,
             announced_at: now,
@@ -177,7 +192,7 @@
     }
 
     fn current(&mut self) -> &mut NodeMachine {
-        self.machine.as_mut().unwrap_or(&mut self.idle)
+        self.machine.as_mut().unwrap_or(&mut self.reader)
     }
 
     fn take_event(&mut self, event: ControlEvent) {
@@ -192,24 +207,28 @@
             ControlEvent::LogLost => self.current().lose_log(),
             ControlEvent::Peer(envelope) => self.current().take_message(*envelope, now),
             ControlEvent::Announce(body) => self.take_announcement(body, now),
-            ControlEvent::UpstreamGone => self.lose_upstream("it refuses connections", now),
-            ControlEvent::UpstreamFrozen => self.lose_upstream("it is frozen", now),
-            ControlEvent::Idle(partition) => self.hand_over(partition, now),
+            ControlEvent::UpstreamGone => {
+                self.hold_idle = None;
+                self.lose_upstream("it refuses connections", now);
+            }
+            ControlEvent::UpstreamFrozen => self.freeze_upstream(now),
+            ControlEvent::Idle(partition) => self.idle.push_back(partition),
             ControlEvent::AppendFailed(record) => self.current().append_failed(record),
             ControlEvent::Suspect(row) => self.current().report_suspect(&row),
             ControlEvent::Shutdown => {
                 log::info!("shutting down");
                 self.stopping = true;
-                self.drain(now);
+                self.drain(DrainPace::Steps, now);
             }
         }
+        self.hand_over_idle(now);
         // Actions are carried out in the order of their events.
         self.carry_out();
     }
 
-    fn drain(&mut self, now: Instant) {
+    fn drain(&mut self, pace: DrainPace, now: Instant) {
         match &mut self.machine {
-            Some(machine) if machine.life().id().is_some() => machine.drain(now),
+            Some(machine) if machine.life().id().is_some() => machine.drain(pace, now),
             _ => self.finished = self.stopping,
         }
     }
@@ -219,7 +238,7 @@
         if body.leaving {
             if self.announced.take().is_some() {
                 log::info!(address:% = body.address; "upstream is leaving");
-                self.drain(now);
+                self.drain(DrainPace::Steps, now);
             }
             return;
         }
@@ -243,7 +262,7 @@
         self.machine = Some(new_machine(
             &self.parts.settings,
             Some(&body),
-            self.idle.state().clone(),
+            self.reader.state().clone(),
             now,
         ));
         self.announced = Some(body);
@@ -255,7 +274,33 @@
             return;
         }
         log::warn!(reason; "upstream lost");
-        self.drain(now);
+        self.drain(DrainPace::AtOnce, now);
+    }
+
+    /// A frozen upstream may run what it was sent once it goes on.
+    ///
+    /// One that checks grants refuses that after the last grant that it was given; partitions
+    /// are released then. One that does not check keeps them until its process is seen gone.
+    fn freeze_upstream(&mut self, now: Instant) {
+        let Some(body) = &self.announced else { return };
+        let granted = self.granted.unwrap_or(now);
+        self.hold_idle = Some(if body.checks_grants { HoldIdle::Until(granted) } else { HoldIdle::Gone });
+        self.lose_upstream("it is frozen", now);
+        self.carry_out();
+        for row in &self.gates {
+            row.gate.give_up();
+        }
+    }
+
+    fn hand_over_idle(&mut self, now: Instant) {
+        match self.hold_idle {
+            Some(HoldIdle::Gone) => return,
+            Some(HoldIdle::Until(until)) if now < until => return,
+            _ => {}
+        }
+        while let Some(partition) = self.idle.pop_front() {
+            self.hand_over(partition, now);
+        }
     }
 
     fn hand_over(&mut self, partition: PartitionId, now: Instant) {
@@ -280,6 +325,7 @@
             }
             self.current().expire_suspects(unix_ms());
         }
+        self.hand_over_idle(now);
         self.ask_seeds(now);
         self.extend_grant();
         self.restart_incarnation(now);
@@ -292,7 +338,7 @@
             return;
         }
         self.seed_at = now + SEED_GAP;
-        let reply_to: Box<str> = self.parts.settings.listen.peer.to_string().into();
+        let reply_to: Box<str> = self.parts.settings.advertise.peer.to_string().into();
         for seed in &self.parts.settings.seeds {
             use firspindle_core::connection::{Envelope, PeerMessage};
             let message = PeerMessage::Fetch { from, reply_to: reply_to.clone() };
@@ -303,6 +349,9 @@
 
     fn extend_grant(&mut self) {
         let Some(machine) = &self.machine else { return };
+        if self.hold_idle.is_some() {
+            return;
+        }
         let deadline = machine.lease_deadline();
         if deadline == self.granted {
             return;
@@ -327,9 +376,11 @@
             return;
         }
         let Some(machine) = self.machine.take() else { return };
-        self.idle = new_machine(&self.parts.settings, None, machine.state().clone(), now);
+        self.reader = new_machine(&self.parts.settings, None, machine.state().clone(), now);
         self.upstream = None;
         self.announced = None;
+        self.hold_idle = None;
+        self.idle.clear();
         for row in self.gates.drain(..) {
             row.gate.abandon();
         }
@@ -339,7 +390,7 @@
     fn carry_out(&mut self) {
         let actions = match &mut self.machine {
             Some(machine) => machine.take_actions(),
-            None => self.idle.take_actions(),
+            None => self.reader.take_actions(),
         };
         for action in actions {
             self.carry_out_one(action);
@@ -398,7 +449,7 @@
 
     /// Publishes a view if anything in it changed.
     fn publish(&mut self) {
-        let machine = self.machine.as_ref().unwrap_or(&self.idle);
+        let machine = self.machine.as_ref().unwrap_or(&self.reader);
         let state = machine.state();
         let node = machine.life().id();
         let view = self.parts.context.view.load();
@@ -424,7 +475,7 @@
             self.routes_at = Some(state.revision);
             self.resize_upstream();
         }
-        let machine = self.machine.as_ref().unwrap_or(&self.idle);
+        let machine = self.machine.as_ref().unwrap_or(&self.reader);
         self.suspects = machine.suspects().len();
         self.routes_node = node;
         let next = TrafficView {
@@ -446,7 +497,7 @@
     }
 
     fn publish_status(&self) {
-        let machine = self.machine.as_ref().unwrap_or(&self.idle);
+        let machine = self.machine.as_ref().unwrap_or(&self.reader);
         let state = machine.state();
         let metrics = &self.parts.context.metrics;
         metrics.partitions.set(gauge(self.gates.len()));
@@ -474,6 +525,7 @@
                 .into(),
             next_offset: state.next_offset,
             lease_left_ms: 0,
+            open_history: state.open_history(),
             partitions: machine.owned().iter().map(|row| row.partition).collect(),
             members: state.members.iter().map(member).collect(),
         };
@@ -502,8 +554,8 @@
         host: settings.host.clone(),
         region: settings.region.clone(),
         data_centre: settings.data_centre.clone(),
-        peer_address: settings.listen.peer.to_string().into(),
-        forward_address: settings.listen.forward.to_string().into(),
+        peer_address: settings.advertise.peer.to_string().into(),
+        forward_address: settings.advertise.forward.to_string().into(),
         traffic_address: settings.listen.traffic.to_string().into(),
         boot_id: Uuid::new_v4().as_u128(),
         upstream,
--- a/crates/firspindle/src/process/node_process.rs
+++ b/crates/firspindle/src/process/node_process.rs
@@ -183,11 +183,17 @@
     }
 }
 
-/// Finds an upstream that refuses connections.
+/// Silence of an upstream, with requests in flight, after which it counts as frozen.
+const FROZEN_SILENCE: Duration = Duration::from_millis(900);
+
+/// Finds an upstream that refuses connections or is frozen.
 async fn watch_upstream(context: Arc<TrafficContext>) {
     loop {
         tokio::time::sleep(WATCH_GAP).await;
         let Some(upstream) = context.view.load().upstream.clone() else { continue };
+        if upstream.in_flight() > 0 && upstream.silence() >= FROZEN_SILENCE {
+            let _ = context.tx.send(ControlEvent::UpstreamFrozen);
+        }
         let probe = tokio::net::TcpStream::connect(upstream.address);
         let Ok(result) = tokio::time::timeout(GRANT_TIMEOUT, probe).await else { continue };
         if result.is_err_and(|error| error.kind() == std::io::ErrorKind::ConnectionRefused) {
--- a/crates/firspindle/src/process/settings_file.rs
+++ b/crates/firspindle/src/process/settings_file.rs
@@ -26,6 +26,17 @@
     pub log_retention: Duration,
     /// Addresses to listen on.
     pub listen: ListenSettings,
+    /// Addresses that other nodes are told, where a forwarder stands in front.
+    pub advertise: AdvertiseSettings,
+}
+
+/// Addresses that other nodes are told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AdvertiseSettings {
+    /// For requests forwarded by other nodes.
+    pub forward: SocketAddr,
+    /// For messages of other nodes.
+    pub peer: SocketAddr,
 }
 
 /// Addresses of a node.
@@ -55,6 +66,15 @@
     #[serde(default = "default_retention")]
     log_retention_s: Spanned<u64>,
     listen: RawListen,
+    #[serde(default)]
+    advertise: RawAdvertise,
+}
+
+#[derive(Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawAdvertise {
+    forward: Option<Spanned<Box<str>>>,
+    peer: Option<Spanned<Box<str>>>,
 }
 
 #[derive(Deserialize)]
@@ -94,6 +114,7 @@
         check_range(text, "workers", &raw.workers, 1, 256)?;
         check_range(text, "log_retention_s", &raw.log_retention_s, 4, 365 * 86_400)?;
         let listen = check_listen(text, &raw.listen)?;
+        let advertise = check_advertise(text, &raw.advertise, listen)?;
         let mut seeds = Vec::with_capacity(raw.seeds.len());
         for seed in &raw.seeds {
             seeds.push(check_address(text, "seeds", seed)?);
@@ -107,6 +128,7 @@
             workers: raw.workers.into_inner(),
             log_retention: Duration::from_secs(raw.log_retention_s.into_inner()),
             listen,
+            advertise,
         })
     }
 }
@@ -143,6 +165,21 @@
     })
 }
 
+fn check_advertise(
+    text: &str,
+    raw: &RawAdvertise,
+    listen: ListenSettings,
+) -> Result<AdvertiseSettings, SpecError> {
+    let or = |value: &Option<Spanned<Box<str>>>, field, default| match value {
+        Some(value) => check_address(text, field, value),
+        None => Ok(default),
+    };
+    Ok(AdvertiseSettings {
+        forward: or(&raw.forward, "forward", listen.forward)?,
+        peer: or(&raw.peer, "peer", listen.peer)?,
+    })
+}
+
 fn check_address(
     text: &str,
     field: &str,
--- a/crates/firspindle/src/process/status_page.rs
+++ b/crates/firspindle/src/process/status_page.rs
@@ -26,6 +26,8 @@
     pub next_offset: LogOffset,
     /// Time that the lease still runs, in milliseconds.
     pub lease_left_ms: u64,
+    /// Older lines and witness sets that may still be relied on.
+    pub open_history: usize,
     /// Partitions served.
     pub partitions: Vec<PartitionId>,
     /// Members in force.
--- a/crates/harness/src/fleet.rs
+++ b/crates/harness/src/fleet.rs
@@ -17,6 +17,8 @@
 const PEER_PORT: u16 = 7002;
 const ADMIN_PORT: u16 = 7003;
 const UPSTREAM_PORT: u16 = 7010;
+const LOG_LINK_PORT: u16 = 7020;
+const PEER_LINK_PORT: u16 = 7021;
 
 /// Host number of the log.
 const LOG_HOST: usize = 250;
@@ -46,8 +48,8 @@
     pub log_args: Vec<String>,
     /// Retention told to the nodes, in seconds.
     pub retention_s: u64,
-    /// Log filter of the nodes.
-    pub filter: String,
+    /// Whether links that can be cut stand before the log and the peer addresses.
+    pub links: bool,
 }
 
 impl FleetSpec {
@@ -64,7 +66,7 @@
             nodes: (0..count).map(node).collect(),
             log_args: Vec::new(),
             retention_s: 86_400,
-            filter: "info".to_owned(),
+            links: false,
         }
     }
 
@@ -77,6 +79,13 @@
         self
     }
 
+    /// Puts links that can be cut before the log and the peer addresses.
+    #[must_use]
+    pub const fn with_links(mut self) -> Self {
+        self.links = true;
+        self
+    }
+
     /// Adds an argument of the log.
     #[must_use]
     pub fn log_arg(mut self, arg: &str) -> Self {
@@ -98,8 +107,10 @@
     pub nodes: Vec<Option<FleetProcess>>,
     /// Upstreams by host number; `None` after a kill.
     pub upstreams: Vec<Option<FleetProcess>>,
-    /// Rows of journals of upstreams that ended.
-    pub kept_rows: Vec<JournalRow>,
+    /// Links to the log by host number, if there are links.
+    pub log_links: Vec<FleetProcess>,
+    /// Links to the peer addresses by host number, if there are links.
+    pub peer_links: Vec<FleetProcess>,
     folder: PathBuf,
 }
 
@@ -125,13 +136,15 @@
             log,
             nodes: Vec::new(),
             upstreams: Vec::new(),
-            kept_rows: Vec::new(),
+            log_links: Vec::new(),
+            peer_links: Vec::new(),
             folder,
         };
         fleet.wait_for(fleet.log_address());
         for host in 0..count {
             fleet.nodes.push(None);
             fleet.upstreams.push(None);
+            fleet.start_links(host);
             fleet.start_node(host);
             fleet.start_upstream(host);
         }
@@ -149,6 +162,23 @@
         });
     }
 
+    fn start_links(&mut self, host: usize) {
+        if !self.spec.links {
+            return;
+        }
+        let log = self.folder.join(format!("links-{host}.txt"));
+        let link = |listen: SocketAddr, to: SocketAddr| {
+            let (listen, to) = (listen.to_string(), to.to_string());
+            FleetProcess::start("standin", &["link", "--listen", &listen, "--to", &to], &log)
+        };
+        let log_link = link(self.addresses.of(host, LOG_LINK_PORT), self.log_address());
+        let peer_link =
+            link(self.addresses.of(host, PEER_LINK_PORT), self.addresses.of(host, PEER_PORT));
+        self.log_links.push(log_link);
+        self.peer_links.push(peer_link);
+        self.wait_for(self.addresses.of(host, LOG_LINK_PORT));
+    }
+
     /// Writes the settings of a host and gives their path.
     ///
     /// # Panics
@@ -162,7 +192,11 @@
         writeln!(text, "host = \"host-{host}\"").expect("strings take text");
         writeln!(text, "region = \"{}\"", node.region).expect("strings take text");
         writeln!(text, "data_centre = \"{}\"", node.data_centre).expect("strings take text");
-        writeln!(text, "log = \"http://{}\"", self.log_address()).expect("strings take text");
+        let log = match self.spec.links {
+            true => self.addresses.of(host, LOG_LINK_PORT),
+            false => self.log_address(),
+        };
+        writeln!(text, "log = \"http://{log}\"").expect("strings take text");
         let seeds: Vec<_> = seeds.iter().take(5).map(|seed| format!("\"{seed}\"")).collect();
         writeln!(text, "seeds = [{}]", seeds.join(", ")).expect("strings take text");
         writeln!(text, "log_retention_s = {}", self.spec.retention_s).expect("strings take text");
@@ -176,6 +210,10 @@
             writeln!(text, "{name} = \"{}\"", self.addresses.of(host, port))
                 .expect("strings take text");
         }
+        if self.spec.links {
+            let peer = self.addresses.of(host, PEER_LINK_PORT);
+            writeln!(text, "[advertise]\npeer = \"{peer}\"").expect("strings take text");
+        }
         let path = self.folder.join(format!("node-{host}.toml"));
         std::fs::write(&path, text).expect("settings can be written");
         path
@@ -204,6 +242,8 @@
             "--service",
             &node.service,
         ];
+        let journal = self.journal_path(host).display().to_string();
+        args.extend(["--journal", &journal]);
         args.extend(node.upstream_args.iter().map(String::as_str));
         let log = self.folder.join(format!("upstream-{host}.txt"));
         self.upstreams[host] = Some(FleetProcess::start("standin", &args, &log));
@@ -314,32 +354,24 @@
         HttpCaller::call(self.traffic(host), method, path, headers, body.to_owned())
     }
 
-    /// Journal of one upstream.
+    fn journal_path(&self, host: usize) -> PathBuf {
+        self.folder.join(format!("journal-{host}.jsonl"))
+    }
+
+    /// Journal of one host's upstreams, those that were killed included.
     pub fn journal(&self, host: usize) -> Vec<JournalRow> {
-        let reply = HttpCaller::call(self.upstream(host), "GET", "/journal", &[], "");
-        let rows = reply.ok().and_then(|reply| serde_json::from_str(&reply.body).ok());
-        let mut rows: Vec<JournalRow> = rows.unwrap_or_default();
-        for row in &mut rows {
-            row.host = host;
-        }
-        rows
+        let text = std::fs::read_to_string(self.journal_path(host)).unwrap_or_default();
+        let rows = text.lines().filter_map(|line| serde_json::from_str::<JournalRow>(line).ok());
+        rows.map(|row| JournalRow { host, ..row }).collect()
     }
 
-    /// Journals of all upstreams, those that were kept included.
+    /// Journals of all hosts.
     pub fn journals(&self) -> Vec<JournalRow> {
-        let mut rows = self.kept_rows.clone();
-        for host in 0..self.upstreams.len() {
-            if self.upstreams[host].is_some() {
-                rows.extend(self.journal(host));
-            }
-        }
-        rows
+        (0..self.upstreams.len()).flat_map(|host| self.journal(host)).collect()
     }
 
-    /// Kills the node and the upstream of a host; the journal so far is kept.
+    /// Kills the node and the upstream of a host.
     pub fn kill_host(&mut self, host: usize) {
-        let rows = self.journal(host);
-        self.kept_rows.extend(rows);
         for process in [self.nodes[host].take(), self.upstreams[host].take()] {
             if let Some(mut process) = process {
                 process.kill();
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -6,6 +6,7 @@
 mod boot_time;
 mod grant_check;
 mod http_server;
+mod link_server;
 mod log_store;
 mod log_server;
 mod upstream_journal;
@@ -25,6 +26,8 @@
 enum RoleCommand {
     /// The platform's log: append, and read from an offset.
     Log(log_server::LogArgs),
+    /// A link between processes that can be cut.
+    Link(link_server::LinkArgs),
     /// An upstream that announces itself and keeps a journal of what it ran.
     Upstream(upstream_server::UpstreamArgs),
 }
@@ -37,6 +40,7 @@
         .expect("a runtime can be built");
     let result = match CommandLine::parse().role {
         RoleCommand::Log(args) => runtime.block_on(log_server::serve(args)),
+        RoleCommand::Link(args) => runtime.block_on(link_server::serve(args)),
         RoleCommand::Upstream(args) => runtime.block_on(upstream_server::serve(args)),
     };
     if let Err(error) = result {
--- a/crates/standin/src/upstream_server.rs
+++ b/crates/standin/src/upstream_server.rs
@@ -4,6 +4,7 @@
 //! process aborts), `cut=1` (the answer ends early). `GET /journal` lists what took effect.
 
 use std::cell::{Cell, RefCell};
+use std::io::Write;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -56,6 +57,9 @@
     /// Time after the start during which work takes four times as long, in milliseconds.
     #[arg(long, default_value_t = 0)]
     cold_ms: u64,
+    /// File that keeps the journal when the process is killed.
+    #[arg(long)]
+    journal: Option<std::path::PathBuf>,
 }
 
 struct UpstreamState {
@@ -69,6 +73,18 @@
     misreport: Cell<bool>,
 }
 
+impl UpstreamState {
+    fn keep_row(&self, row: JournalRow) {
+        if let Some(path) = &self.args.journal {
+            let mut line = serde_json::to_string(&row).expect("rows encode");
+            line.push('\n');
+            let file = std::fs::File::options().create(true).append(true).open(path);
+            file.and_then(|mut file| file.write_all(line.as_bytes())).expect("the journal is kept");
+        }
+        self.journal.borrow_mut().push(row);
+    }
+}
+
 /// Serves the upstream until it is told to leave.
 pub async fn serve(args: UpstreamArgs) -> std::io::Result<()> {
     let listen = args.listen;
@@ -206,7 +222,7 @@
         end: boot_micros(),
     };
     let text = format!("{} {} {} {}", row.method, row.path, row.key, row.id);
-    state.journal.borrow_mut().push(row);
+    state.keep_row(row);
     drop(in_flight);
     Some(finish(&parts.uri, &text, &body))
 }
