fix: handovers are clean when the last server released; keep lines of unsettled members

Change: releases carry the fence last served and the suspects; lines that name an ended member stay until a settle record; an entry gives up on a node that is no member any more; a node without a lease for 0.4 s yields its partitions. Load probes carry a deadline, so that callers do not stop asking while a key is not served.

--- a/crates/core/src/connection/peer_message.rs
+++ b/crates/core/src/connection/peer_message.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::process::FenceToken;
 use crate::version::{FoldState, LogRecord};
 use crate::{LogOffset, NodeId, PartitionId, RequestId};
 
@@ -198,8 +199,12 @@
     pub partition: PartitionId,
     /// First offset whose rights are not released.
     pub before: LogOffset,
+    /// Fence under which the sender served last, if it did.
+    pub served: Option<FenceToken>,
     /// What the holder remembers of requests.
     pub memory: HandoverMemory,
+    /// Requests suspected of crashing upstreams.
+    pub suspects: Vec<SuspectRow>,
 }
 
 /// What an owner hands to the next one.
--- a/crates/core/src/process/node_machine.rs
+++ b/crates/core/src/process/node_machine.rs
@@ -78,6 +78,7 @@
     partition: PartitionId,
     node: NodeId,
     before: LogOffset,
+    served: Option<FenceToken>,
     memory: HandoverMemory,
     until: Instant,
 }
@@ -108,6 +109,7 @@
     Drain,
     Left,
     Lapse(NodeId),
+    Settle(NodeId),
     Claim,
     Plan,
     Checkpoint,
--- a/crates/core/src/process/node_machine/fold_step.rs
+++ b/crates/core/src/process/node_machine/fold_step.rs
@@ -183,6 +183,7 @@
         RecordBody::Drain { .. } => "drain",
         RecordBody::Left { .. } => "left",
         RecordBody::Lapse { .. } => "lapse",
+        RecordBody::Settle { .. } => "settle",
         RecordBody::Manifest { .. } => "manifest",
         RecordBody::Claim { .. } => "claim",
         RecordBody::Plan(_) => "plan",
--- a/crates/core/src/process/node_machine/message_step.rs
+++ b/crates/core/src/process/node_machine/message_step.rs
@@ -135,16 +135,20 @@
             return;
         }
         let released = tenure_table::find(&self.tenures.released, partition).ok();
-        let memory = released.map(|index| self.tenures.released[index].state.memory.clone());
-        let memory = memory.unwrap_or_default();
+        let released = released.map(|index| &self.tenures.released[index].state);
+        let memory = released.map(|released| released.memory.clone()).unwrap_or_default();
+        let served = released.map(|released| released.fence);
         self.note_given(partition, ask.before);
-        let notice = ReleaseNotice { partition, before: ask.before, memory };
+        let suspects = self.suspects.clone();
+        let notice = ReleaseNotice { partition, before: ask.before, served, memory, suspects };
         self.send(asker, PeerMessage::Release(notice));
     }
 
     fn take_release(&mut self, from: NodeId, notice: ReleaseNotice, now: Instant) {
-        let ReleaseNotice { partition, before, memory } = notice;
-        let row = ReleaseRow { partition, node: from, before, memory, until: now + RELEASE_MEMORY };
+        let ReleaseNotice { partition, before, served, memory, suspects } = notice;
+        self.merge_suspects(&suspects);
+        let until = now + RELEASE_MEMORY;
+        let row = ReleaseRow { partition, node: from, before, served, memory, until };
         let key = (partition, from);
         match self.releases.binary_search_by_key(&key, |row| (row.partition, row.node)) {
             Ok(index) if self.releases[index].before > before => {}
--- a/crates/core/src/process/node_machine/tenure_step.rs
+++ b/crates/core/src/process/node_machine/tenure_step.rs
@@ -29,6 +29,13 @@
     before: LogOffset,
 }
 
+/// A right of another node that must end before this one serves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct EarlierRight {
+    node: NodeId,
+    fence: FenceToken,
+}
+
 impl NodeMachine {
     /// Opens, closes or waits, for every partition that names this node.
     pub(super) fn settle(&mut self, now: Instant) {
@@ -61,7 +68,7 @@
         let step = line.as_ref().and_then(|line| self.continued_step(me, line, now));
         match (line, step) {
             (Some(line), Some(step)) => self.refence(partition, &line, step, now),
-            _ => self.begin_release(partition, "another node owns it"),
+            _ => self.begin_release(partition, false, "another node owns it"),
         }
     }
 
@@ -83,10 +90,10 @@
     }
 
     /// Closes a partition; it is released once no request is in flight.
-    fn begin_release(&mut self, partition: PartitionId, reason: &str) {
+    fn begin_release(&mut self, partition: PartitionId, yields: bool, reason: &str) {
         let Some(tenure) = take(&mut self.tenures.held, partition) else { return };
         log::info!(partition, fence:% = tenure.state.fence, reason; "partition closes");
-        let tenure = tenure.release(0, Vec::new());
+        let tenure = tenure.release(yields);
         insert(&mut self.tenures.releasing, tenure);
         self.actions.push(NodeAction::Close { partition });
     }
@@ -97,7 +104,9 @@
         let Some(mut tenure) = take(&mut self.tenures.releasing, partition) else { return };
         if let Some(line) = self.state.partition(partition).and_then(PartitionRow::current) {
             let drains = matches!(self.life, LifeCycle::Draining(_));
-            tenure.state.before = line.offset + LogOffset::from(drains);
+            // Whoever gives up the present line lets the next in it serve.
+            let gives_up = drains || tenure.state.yields;
+            tenure.state.before = line.offset + LogOffset::from(gives_up);
             tenure.state.to = line.nodes.iter().copied().filter(|node| *node != me).collect();
         }
         log::info!(partition, to:? = tenure.state.to, before = tenure.state.before; "partition released");
@@ -124,7 +133,9 @@
                 let notice = ReleaseNotice {
                     partition: tenure.partition,
                     before: released.before,
+                    served: Some(released.fence),
                     memory: memory.clone(),
+                    suspects: self.suspects.clone(),
                 };
                 notices.push((*node, notice));
             }
@@ -144,11 +155,12 @@
             take(&mut self.tenures.pending, partition);
             return;
         };
-        if !self.is_next(partition, line, step, now) {
+        let given_up = self.given_before(partition) > line.offset;
+        if given_up || !self.is_next(partition, line, step, now) {
             take(&mut self.tenures.pending, partition);
             return;
         }
-        let blockers = self.blockers(me, row, step, now);
+        let blockers = self.blockers(me, row, now);
         let offset = line.offset;
         let fence = fence_of(line, step);
         if tenure_table::find(&self.tenures.pending, partition).is_err() {
@@ -196,41 +208,44 @@
     }
 
     /// Nodes whose rights, by the present line or an earlier one, have not ended.
-    fn blockers(
-        &self,
-        me: NodeId,
-        row: &PartitionRow,
-        step: usize,
-        now: Instant,
-    ) -> Vec<Blocker> {
-        let mut blockers = Vec::new();
-        let Some((current, earlier)) = row.lines.split_last() else { return blockers };
-        let mut check = |node: NodeId, offset: LogOffset, before: LogOffset| {
-            if node != me && !self.has_ended(node, now) && !self.has_released(row.id, node, offset)
-            {
-                blockers.push(Blocker { node, before });
-            }
-        };
-        for node in &current.nodes[..step] {
-            check(*node, current.offset, current.offset + 1);
-        }
-        if !self.guards.earlier_holders {
-            return blockers;
-        }
-        let given = self.given_before(row.id);
-        for line in earlier {
-            // Whoever stands behind this node in an earlier line needs its release or its lapse.
-            let own = line.nodes.iter().position(|node| *node == me);
-            let end = own.filter(|_| line.offset >= given).unwrap_or(line.nodes.len());
-            for node in &line.nodes[..end] {
-                check(*node, line.offset, current.offset);
-            }
-        }
+    fn blockers(&self, me: NodeId, row: &PartitionRow, now: Instant) -> Vec<Blocker> {
+        let current = row.current().map_or(0, |line| line.offset);
+        let mut blockers: Vec<_> = self
+            .earlier_rights(me, row)
+            .into_iter()
+            .filter(|right| {
+                !self.has_ended(right.node, now)
+                    && !self.has_released(row.id, right.node, right.fence.offset)
+            })
+            .map(|right| {
+                let is_current = right.fence.offset == current;
+                Blocker { node: right.node, before: current + LogOffset::from(is_current) }
+            })
+            .collect();
         blockers.sort_unstable_by_key(|blocker| (blocker.node, blocker.before));
         blockers.dedup();
         blockers
     }
 
+    /// Rights of others that come before this node's, by the present line and earlier ones.
+    fn earlier_rights(&self, me: NodeId, row: &PartitionRow) -> Vec<EarlierRight> {
+        let mut rights = Vec::new();
+        let given = self.given_before(row.id);
+        let last = row.lines.len().saturating_sub(1);
+        let first = if self.guards.earlier_holders { 0 } else { last };
+        for (index, line) in row.lines.iter().enumerate().skip(first) {
+            // Whoever stands behind this node in a line needs its release or its lapse.
+            let own = line.nodes.iter().position(|node| *node == me);
+            let bound = own.filter(|_| index == last || line.offset >= given);
+            let end = bound.unwrap_or(line.nodes.len());
+            let nodes = line.nodes[..end].iter().enumerate().filter(|(_, node)| **node != me);
+            rights.extend(
+                nodes.map(|(step, node)| EarlierRight { node: *node, fence: fence_of(line, step) }),
+            );
+        }
+        rights
+    }
+
     /// First offset whose rights this node has not released; 0 if it released none.
     fn given_before(&self, partition: PartitionId) -> LogOffset {
         let index = self.given.binary_search_by_key(&partition, |row| row.partition);
@@ -298,20 +313,23 @@
         self.actions.push(NodeAction::Open { partition, fence, memory, clean });
     }
 
-    /// Memories of the earlier holders, and whether all of them handed theirs over.
+    /// Memories of the earlier holders, and whether nothing that they ran is missing.
+    ///
+    /// A node that ended without a release may have run requests unremembered, unless another
+    /// served after it and handed its memory over.
     fn collect_memory(&mut self, partition: PartitionId) -> (Vec<HandoverMemory>, bool) {
         let me = self.life.id().unwrap_or(0);
-        let mut clean = true;
+        let row = self.state.partition(partition);
+        let rights = row.map(|row| self.earlier_rights(me, row)).unwrap_or_default();
+        let own = tenure_table::find(&self.tenures.released, partition).ok();
+        let own = own.map(|index| self.tenures.released[index].state.fence);
+        let heard = self.releases.iter().filter(|row| row.partition == partition);
+        let last = heard.filter_map(|row| row.served).chain(own).max();
+        let clean = rights.iter().all(|right| {
+            self.has_released(partition, right.node, right.fence.offset)
+                || last.is_some_and(|last| right.fence < last)
+        });
         let mut memory = Vec::new();
-        let lines = self.state.partition(partition).map_or(&[][..], |row| &row.lines);
-        let last = lines.len().saturating_sub(1);
-        for (index, line) in lines.iter().enumerate() {
-            let own = line.nodes.iter().position(|node| *node == me);
-            let end = if index == last { own.unwrap_or(0) } else { line.nodes.len() };
-            for node in line.nodes[..end].iter().filter(|node| **node != me) {
-                clean &= self.has_released(partition, *node, line.offset);
-            }
-        }
         for row in self.releases.iter_mut().filter(|row| row.partition == partition) {
             memory.push(std::mem::take(&mut row.memory));
         }
@@ -333,6 +351,9 @@
             (None, Some(row)) => &row.info,
             (None, None) => return node < self.state.next_offset,
         };
+        if departed.is_some_and(|row| row.settled) {
+            return true;
+        }
         let evidence = match departed.map(|row| row.reason) {
             Some(DepartReason::Left) => return true,
             Some(DepartReason::Lost) => return self.lapses.closed_since(node, now).is_some(),
@@ -383,7 +404,18 @@
         let held = self.tenures.held.iter().take(most);
         let step: Vec<_> = held.map(|tenure| tenure.partition).collect();
         for partition in step {
-            self.begin_release(partition, "this node drains");
+            self.begin_release(partition, false, "this node drains");
+        }
+    }
+
+    /// Gives up every partition to its successors, because the lease has been gone for a while.
+    ///
+    /// A node that is heard and does not hear would otherwise keep its witnesses' grants alive
+    /// without a lease of its own.
+    pub(super) fn yield_held(&mut self) {
+        let held: Vec<_> = self.tenures.held.iter().map(|tenure| tenure.partition).collect();
+        for partition in held {
+            self.begin_release(partition, true, "the lease is gone");
         }
     }
 }
--- a/crates/core/src/process/node_machine/tick_step.rs
+++ b/crates/core/src/process/node_machine/tick_step.rs
@@ -14,6 +14,9 @@
 /// Lease times without a lease after which a node starts over as a new incarnation.
 const RETIRE_LEASES: u32 = 3;
 
+/// Time without a lease after which a node gives its partitions up.
+const YIELD_PATIENCE: Duration = Duration::from_millis(400);
+
 /// Greatest delay before a proven lapse is written, which spares repeated records.
 const LAPSE_SPREAD_MS: u64 = 600;
 
@@ -180,6 +183,7 @@
     fn tick_planner(&mut self, me: NodeId, now: Instant) {
         if self.state.term.planner == Some(me) {
             self.pursue_silent(now);
+            self.settle_departed(now);
             self.write_checkpoint(now);
             if self.desk.plan_due(now) {
                 self.write_plan(now);
@@ -207,6 +211,15 @@
         }
     }
 
+    /// Writes that an ended member's rights are over, where only time could show it.
+    fn settle_departed(&mut self, now: Instant) {
+        let open = self.state.departed.iter().filter(|row| !row.settled).map(|row| row.id);
+        let over: Vec<_> = open.filter(|node| self.has_ended(*node, now)).collect();
+        for node in over {
+            self.append(AppendKind::Settle(node), RecordBody::Settle { node });
+        }
+    }
+
     fn write_checkpoint(&mut self, now: Instant) {
         if self.desk.checkpoint_due(&self.state, now) {
             let body = CheckpointBody { state: self.state.clone() };
@@ -255,6 +268,9 @@
             return;
         }
         let since = *self.lost_since.get_or_insert(now);
+        if now.duration_since(since) >= YIELD_PATIENCE && !self.tenures.held.is_empty() {
+            self.yield_held();
+        }
         let patience = self.timing.lease * RETIRE_LEASES;
         if self.lease.is_lost() || now.duration_since(since) >= patience {
             log::warn!("lease lost for good; starting over");
--- a/crates/core/src/process/tenure_table.rs
+++ b/crates/core/src/process/tenure_table.rs
@@ -27,6 +27,8 @@
 pub struct ReleasingGrant {
     /// First offset whose rights are not released.
     pub before: LogOffset,
+    /// Whether the present line is given up as well.
+    pub yields: bool,
     /// Fence of the grant that ends.
     pub fence: FenceToken,
     /// Nodes that the release goes to.
@@ -38,6 +40,8 @@
 pub struct ReleasedGrant {
     /// First offset whose rights are not released.
     pub before: LogOffset,
+    /// Fence of the grant that ended.
+    pub fence: FenceToken,
     /// Nodes that have not seen the release.
     pub unseen: Vec<NodeId>,
     /// Memory to hand over.
@@ -73,8 +77,9 @@
 impl Tenure<HeldGrant> {
     /// Stops taking requests.
     #[must_use]
-    pub fn release(self, before: LogOffset, to: Vec<NodeId>) -> Tenure<ReleasingGrant> {
-        let state = ReleasingGrant { before, fence: self.state.fence, to };
+    pub fn release(self, yields: bool) -> Tenure<ReleasingGrant> {
+        let fence = self.state.fence;
+        let state = ReleasingGrant { before: 0, yields, fence, to: Vec::new() };
         Tenure { partition: self.partition, state }
     }
 }
@@ -90,6 +95,7 @@
     ) -> Tenure<ReleasedGrant> {
         let state = ReleasedGrant {
             before: self.state.before,
+            fence: self.state.fence,
             unseen: self.state.to,
             memory,
             send_at: now,
--- a/crates/core/src/version/fold_state.rs
+++ b/crates/core/src/version/fold_state.rs
@@ -140,6 +140,7 @@
             RecordBody::Drain { node } => self.drain(*node),
             RecordBody::Left { node } => self.depart(*node, DepartReason::Left, offset),
             RecordBody::Lapse { node, .. } => self.depart(*node, DepartReason::Lapsed, offset),
+            RecordBody::Settle { node } => self.settle(*node),
             RecordBody::Manifest { replaces, text } => {
                 self.accept_manifest(offset, record.id, *replaces, text)
             }
@@ -191,12 +192,29 @@
             return dropped("no such member");
         };
         let row = self.members.remove(index);
-        let departed = DepartedRow { id: node, reason, offset, info: row.info };
+        // A lapse is proven after the last grant ran out, so a checking upstream has stopped.
+        let settled = match reason {
+            DepartReason::Left => true,
+            DepartReason::Lapsed => row.info.upstream.checks_grants,
+            DepartReason::Replaced { .. } | DepartReason::Lost => false,
+        };
+        let departed = DepartedRow { id: node, reason, offset, settled, info: row.info };
         let index = self.departed.partition_point(|other| other.id < node);
         self.departed.insert(index, departed);
         FoldOutcome::Applied
     }
 
+    fn settle(&mut self, node: NodeId) -> FoldOutcome {
+        match self.departed.binary_search_by_key(&node, |row| row.id) {
+            Ok(index) if !self.departed[index].settled => {
+                self.departed[index].settled = true;
+                self.compact();
+                FoldOutcome::Applied
+            }
+            _ => dropped("no such ended member, or it is settled already"),
+        }
+    }
+
     fn accept_manifest(
         &mut self,
         offset: LogOffset,
@@ -332,11 +350,17 @@
             return;
         }
         self.floor = floor;
+        self.compact();
+    }
+
+    fn compact(&mut self) {
+        let open: Vec<_> =
+            self.departed.iter().filter(|row| !row.settled).map(|row| row.id).collect();
         for row in &mut self.partitions {
-            row.compact(floor);
+            row.compact(self.floor, &open);
         }
         for row in &mut self.witnesses {
-            row.compact(floor);
+            row.compact(self.floor);
         }
         self.drop_unnamed();
     }
--- a/crates/core/src/version/log_record.rs
+++ b/crates/core/src/version/log_record.rs
@@ -36,6 +36,11 @@
         /// Node that holds the promises.
         prover: NodeId,
     },
+    /// Nothing that an ended member was allowed can run any more.
+    Settle {
+        /// Node that ended.
+        node: NodeId,
+    },
     /// An operator's manifest.
     Manifest {
         /// Version that it replaces, repeated from the text.
--- a/crates/core/src/version/member_row.rs
+++ b/crates/core/src/version/member_row.rs
@@ -60,6 +60,8 @@
     pub reason: DepartReason,
     /// Offset of the record that ended it.
     pub offset: LogOffset,
+    /// Whether everyone may rely on its rights being over; lines that name it are kept until then.
+    pub settled: bool,
     /// What it said when it joined.
     pub info: MemberInfo,
 }
--- a/crates/core/src/version/partition_row.rs
+++ b/crates/core/src/version/partition_row.rs
@@ -29,9 +29,18 @@
     }
 
     /// Drops lines that nobody can rely on: everyone acknowledged `floor`, which supersedes them.
-    pub fn compact(&mut self, floor: LogOffset) {
-        while self.lines.len() > 1 && self.lines[1].offset <= floor {
-            self.lines.remove(0);
-        }
+    ///
+    /// A line that names one of `open` is kept: that member ended, and what it was allowed may
+    /// still run.
+    pub fn compact(&mut self, floor: LogOffset, open: &[NodeId]) {
+        let last = self.lines.len().saturating_sub(1);
+        let superseded = self.lines.iter().skip(1).take_while(|line| line.offset <= floor).count();
+        let mut index = 0;
+        self.lines.retain(|line| {
+            let keep = index >= superseded.min(last)
+                || line.nodes.iter().any(|node| open.binary_search(node).is_ok());
+            index += 1;
+            keep
+        });
     }
 }
--- a/crates/firspindle/src/request/entry_step.rs
+++ b/crates/firspindle/src/request/entry_step.rs
@@ -107,15 +107,11 @@
         return judge(request, run_here(context, request).await);
     }
     let Some(target) = view.routes.target(node) else { return TryResult::Next };
-    let sent = forward(target, request, request.fresh);
-    let result = match request.operation.idempotent {
-        false => sent.await,
-        true => tokio::select! {
-            result = sent => result,
-            () = route_left(context, request, node) => {
-                ForwardResult::Failed(RequestFailure::ConnectionLost)
-            }
-        },
+    let result = tokio::select! {
+        result = forward(target, request, request.fresh) => result,
+        () = route_left(context, request, node) => {
+            ForwardResult::Failed(RequestFailure::ConnectionLost)
+        }
     };
     match result {
         ForwardResult::Answer(answer) => judge(request, answer),
@@ -133,7 +129,10 @@
     }
 }
 
-/// Resolves when the routes no longer lead to the node that a request was sent to.
+/// Resolves when the node that a request was sent to has ended.
+///
+/// An idempotent request also leaves a node that is no longer first in line; any other waits
+/// for the answer of a node that releases.
 async fn route_left(context: &TrafficContext, request: &CallerRequest, node: NodeId) {
     loop {
         tokio::time::sleep(ROUTE_LOOK).await;
@@ -141,6 +140,9 @@
         if view.routes.target(node).is_none() {
             return;
         }
+        if !request.operation.idempotent {
+            continue;
+        }
         let Some(route) = view.routes.service(&request.service.name) else { return };
         let first = request.partition.and_then(|partition| route.line(partition).first().copied());
         if first.is_some_and(|first| first != node) {
--- a/crates/harness/src/load_probe.rs
+++ b/crates/harness/src/load_probe.rs
@@ -6,7 +6,7 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
-use crate::{HttpCaller, JournalRow, fresh_id};
+use crate::{HttpCaller, JournalRow, fresh_id, unix_ms};
 
 /// Pause of a caller between two orders.
 const PAUSE: Duration = Duration::from_millis(4);
@@ -42,6 +42,8 @@
     pub keys: Vec<String>,
     /// Callers.
     pub callers: usize,
+    /// Time from sending to deadline.
+    pub patience: Duration,
 }
 
 /// Running callers.
@@ -112,7 +114,13 @@
         let key = &spec.keys[(turn / entries.len() + turn) % spec.keys.len()];
         let id = fresh_id();
         let sent = Instant::now();
-        let headers = [("firspindle-key", key.as_str()), ("idempotency-key", id.as_str())];
+        let patience = u64::try_from(spec.patience.as_millis()).unwrap_or(u64::MAX);
+        let deadline = (unix_ms() + patience).to_string();
+        let headers = [
+            ("firspindle-key", key.as_str()),
+            ("idempotency-key", id.as_str()),
+            ("firspindle-deadline", deadline.as_str()),
+        ];
         let call = caller.send(entries[entry], "POST", &spec.path, &headers, "order");
         let answer = runtime.block_on(call).ok();
         let answer = answer.map(|reply| (reply.status, reply.verdict().to_owned()));
