fix: keep witness roles across incarnations, and end them before a node leaves

Causes, each shown by a red test: - two losses in a row left a fleet of five without leases for 4 to 5 s: a node that started over stopped witnessing others, which then lost their majority in turn; - two owners (ownership exploration): a drained node wrote that it had left and went on granting as a witness; - a successor closed a partition that its predecessor had released, not ended; - a checkpoint was not repeated without new records, so it expired with the log; - a witness that heard nobody told everybody that everybody was silent. Change: the process keeps its witness tables for sets that name earlier incarnations; a retire record ends a holder whose process stays; a leaving node stops granting before it says so; a stuck holder starts over 0.3 s after its lease; a missing planner is replaced after 0.4 s.

--- a/crates/core/src/process.rs
+++ b/crates/core/src/process.rs
@@ -22,7 +22,7 @@
 pub use lapse_table::{LapseCheck, LapseTable};
 pub use lease_table::LeaseTable;
 pub use lease_timing::LeaseTiming;
-pub use life_cycle::{DrainPace, Draining, Gone, Joining, Life, LifeCycle, Serving};
+pub use life_cycle::{DrainReason, Draining, Gone, Joining, Life, LifeCycle, Serving};
 pub use node_action::NodeAction;
 pub use node_machine::{NodeMachine, OwnedRow};
 pub use peer_log::PeerLog;
--- a/crates/core/src/process/lease_table.rs
+++ b/crates/core/src/process/lease_table.rs
@@ -228,6 +228,11 @@
         self.unsettled.or_else(|| self.next.as_ref().map(|set| set.offset))
     }
 
+    /// Whether a newer set waits for the present one to let the holder go.
+    pub const fn is_moving(&self) -> bool {
+        self.next.is_some()
+    }
+
     /// Highest line offset that a majority of witnesses knows the holder to act under.
     pub fn line_majority(&self) -> LogOffset {
         let Some(majority) = self.active.as_ref().map(WitnessSet::majority) else { return 0 };
--- a/crates/core/src/process/life_cycle.rs
+++ b/crates/core/src/process/life_cycle.rs
@@ -23,13 +23,24 @@
     pub id: NodeId,
 }
 
-/// How fast a draining node closes its partitions.
+/// Why a node drains.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum DrainPace {
-    /// A few at a time, so that successors are not flooded.
-    Steps,
-    /// All at once, because the upstream is gone.
-    AtOnce,
+pub enum DrainReason {
+    /// The process ends; it witnesses nothing any more.
+    ProcessEnds,
+    /// The upstream wants to stop; the process stays.
+    UpstreamLeaves,
+    /// The upstream is gone; the process stays.
+    UpstreamGone,
+    /// The lease cannot be won back; the process stays.
+    LeaseLost,
+}
+
+impl DrainReason {
+    /// Whether partitions close a few at a time, so that successors are not flooded.
+    pub const fn is_gradual(self) -> bool {
+        matches!(self, Self::ProcessEnds | Self::UpstreamLeaves)
+    }
 }
 
 /// An incarnation that ended.
--- a/crates/core/src/process/node_machine.rs
+++ b/crates/core/src/process/node_machine.rs
@@ -14,7 +14,7 @@
 use std::time::{Duration, Instant};
 
 use super::{
-    FenceToken, LapseTable, LeaseTable, LeaseTiming, Life, LifeCycle, NodeAction, PeerLog,
+    DrainReason, FenceToken, LapseTable, LeaseTable, LeaseTiming, Life, LifeCycle, NodeAction, PeerLog,
     PlannerDesk, SafetyGuards, TenureTable, WitnessTable,
 };
 use crate::connection::{Envelope, HandoverMemory, PeerMessage, SuspectRow};
@@ -38,7 +38,8 @@
     spec: Option<Arc<ManifestSpec>>,
     spec_version: ManifestVersion,
     lease: LeaseTable,
-    witness: WitnessTable,
+    /// Witness roles of this incarnation and of earlier ones of the same process.
+    roles: Vec<WitnessRole>,
     lapses: LapseTable,
     tenures: TenureTable,
     desk: PlannerDesk,
@@ -62,6 +63,7 @@
     /// Whether the lease held at the last event.
     lease_was_valid: bool,
     lost_since: Option<Instant>,
+    drain_reason: Option<DrainReason>,
     /// Line offset for which a renewal was hurried.
     hurried: LogOffset,
     /// Revision whose plan is empty.
@@ -72,6 +74,13 @@
     actions: Vec<NodeAction>,
 }
 
+/// Grants that one incarnation of this process gave.
+#[derive(Debug, Clone)]
+struct WitnessRole {
+    id: NodeId,
+    table: WitnessTable,
+}
+
 /// A release that another node sent here.
 #[derive(Debug, Clone)]
 struct ReleaseRow {
@@ -151,7 +160,7 @@
             spec: None,
             spec_version: 0,
             lease: LeaseTable::new(timing, guards),
-            witness: WitnessTable::new(timing, guards),
+            roles: Vec::new(),
             lapses: LapseTable::new(timing, guards),
             tenures: TenureTable::new(),
             desk: PlannerDesk::new(checkpoint_gap, now),
@@ -170,6 +179,7 @@
             supersession: 0,
             lease_was_valid: false,
             lost_since: None,
+            drain_reason: None,
             hurried: 0,
             planned: None,
             drain_step_at: now,
@@ -182,13 +192,29 @@
         machine
     }
 
+    /// The next incarnation of the same process, after this one ended.
+    ///
+    /// It holds nothing of the one before, and goes on as the witness that it was: sets that
+    /// name an earlier incarnation would otherwise lose a living witness.
+    #[must_use]
+    pub fn succeed(self, info: MemberInfo, checkpoint_gap: Duration, now: Instant) -> Self {
+        let mut next = Self::new(info, self.state, self.timing, checkpoint_gap, now);
+        next.guards = self.guards;
+        next.lease = LeaseTable::new(self.timing, self.guards);
+        next.lapses = LapseTable::new(self.timing, self.guards);
+        next.lapses.fold_departed(&next.state, now);
+        next.roles = self.roles;
+        next.log = self.log;
+        next.suspects = self.suspects;
+        next
+    }
+
     /// Takes guards out, for the proofs.
     #[doc(hidden)]
     #[must_use]
     pub fn with_guards(mut self, guards: SafetyGuards) -> Self {
         self.guards = guards;
         self.lease = LeaseTable::new(self.timing, guards);
-        self.witness = WitnessTable::new(self.timing, guards);
         self.lapses = LapseTable::new(self.timing, guards);
         self
     }
@@ -307,18 +333,29 @@
     }
 
     fn send(&mut self, to: NodeId, message: PeerMessage) {
-        let me = self.life.id().unwrap_or(0);
-        let envelope = Envelope { from: me, to, next_offset: self.state.next_offset, message };
-        if to == me {
+        self.send_as(self.life.id().unwrap_or(0), to, message);
+    }
+
+    /// Sends as an incarnation of this process.
+    fn send_as(&mut self, from: NodeId, to: NodeId, message: PeerMessage) {
+        let envelope = Envelope { from, to, next_offset: self.state.next_offset, message };
+        if self.is_own(to) {
             self.local.push_back(envelope);
             return;
         }
-        if let Some(row) = self.state.member(to) {
-            let address = row.info.peer_address.clone();
+        let member = self.state.member(to).map(|row| &row.info);
+        let info = member.or_else(|| self.state.departed(to).map(|row| &row.info));
+        if let Some(info) = info {
+            let address = info.peer_address.clone();
             self.actions.push(NodeAction::Send { address, envelope });
         }
     }
 
+    /// Whether an id is an incarnation of this process.
+    fn is_own(&self, id: NodeId) -> bool {
+        self.life.id() == Some(id) || self.roles.iter().any(|role| role.id == id)
+    }
+
     fn deliver_local(&mut self, now: Instant) {
         while let Some(envelope) = self.local.pop_front() {
             self.take_message(envelope, now);
--- a/crates/core/src/process/node_machine/fold_step.rs
+++ b/crates/core/src/process/node_machine/fold_step.rs
@@ -3,10 +3,10 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use super::{NodeMachine, OutstandingRow};
+use super::{NodeMachine, OutstandingRow, WitnessRole};
 use crate::LogOffset;
 use crate::connection::PeerRecord;
-use crate::process::{LifeCycle, NodeAction};
+use crate::process::{LifeCycle, NodeAction, WitnessTable};
 use crate::version::{FoldOutcome, FoldState, LogRecord, ManifestSpec, RecordBody};
 
 impl NodeMachine {
@@ -84,7 +84,7 @@
 
     fn after_fold(&mut self, now: Instant) {
         self.lapses.fold_departed(&self.state, now);
-        self.witness.retain_members(&self.state, now);
+        self.retain_roles(now);
         self.desk.retain_members(&self.state);
         let Some(me) = self.life.id() else { return };
         if self.state.member(me).is_none() {
@@ -104,8 +104,22 @@
         let LifeCycle::Joining(life) = self.life else { return };
         let joined = |row: &&crate::version::MemberRow| row.info.boot_id == life.state.boot_id;
         if let Some(row) = self.state.members.iter().find(joined) {
-            self.life = LifeCycle::Serving(life.joined(row.id));
-            log::info!(node = row.id, host = &*self.info.host; "joined");
+            let id = row.id;
+            self.life = LifeCycle::Serving(life.joined(id));
+            let table = WitnessTable::new(self.timing, self.guards);
+            self.roles.push(WitnessRole { id, table });
+            log::info!(node = id, host = &*self.info.host; "joined");
+        }
+    }
+
+    /// Drops what no member relies on any more.
+    fn retain_roles(&mut self, now: Instant) {
+        let me = self.life.id();
+        let state = &self.state;
+        let named = |id| state.witnesses.iter().any(|row| row.sets.iter().any(|set| set.contains(id)));
+        self.roles.retain(|role| Some(role.id) == me || named(role.id));
+        for role in &mut self.roles {
+            role.table.retain_members(state, now);
         }
     }
 
@@ -182,6 +196,7 @@
         RecordBody::Join(_) => "join",
         RecordBody::Drain { .. } => "drain",
         RecordBody::Left { .. } => "left",
+        RecordBody::Retire { .. } => "retire",
         RecordBody::Lapse { .. } => "lapse",
         RecordBody::Settle { .. } => "settle",
         RecordBody::Manifest { .. } => "manifest",
--- a/crates/core/src/process/node_machine/message_step.rs
+++ b/crates/core/src/process/node_machine/message_step.rs
@@ -16,22 +16,26 @@
 impl NodeMachine {
     /// Takes a message; one for another incarnation is dropped.
     pub fn take_message(&mut self, envelope: Envelope, now: Instant) {
-        let me = self.life.id().unwrap_or(0);
-        if envelope.to != 0 && envelope.to != me {
-            return;
-        }
-        let from = envelope.from;
+        let (from, to) = (envelope.from, envelope.to);
         self.note_ahead(from, envelope.next_offset, now);
         match envelope.message {
-            PeerMessage::Renew(request) => self.answer_renewal(from, &request, now),
-            PeerMessage::Renewed(reply) => self.take_renewal(from, &reply, now),
-            PeerMessage::Move(request) => {
-                let verdict = self.witness.move_set(&self.state, from, request.set);
-                let reply = MoveReply { set: request.set, verdict };
-                self.send(from, PeerMessage::Moved(reply));
+            PeerMessage::Renew(request) => self.answer_renewal(to, from, &request, now),
+            PeerMessage::Move(request) => self.answer_move(to, from, request.set),
+            PeerMessage::Lapse(query) => self.answer_lapse(to, from, query, now),
+            message if to == 0 || self.life.id() == Some(to) => {
+                self.take_own_message(from, message, now);
             }
+            // It was meant for an incarnation that ended.
+            _ => {}
+        }
+        self.deliver_local(now);
+        self.note_lease(now);
+    }
+
+    fn take_own_message(&mut self, from: NodeId, message: PeerMessage, now: Instant) {
+        match message {
+            PeerMessage::Renewed(reply) => self.take_renewal(from, &reply, now),
             PeerMessage::Moved(reply) => self.lease.moved(from, reply),
-            PeerMessage::Lapse(query) => self.answer_lapse(from, query, now),
             PeerMessage::Lapsed(reply) => self.take_lapse(from, &reply, now),
             PeerMessage::Silent { node } => self.note_silent(node, now),
             PeerMessage::AskRelease(ask) => self.answer_release(from, &ask),
@@ -47,9 +51,14 @@
             PeerMessage::Snapshot(state) => {
                 self.adopt(*state, now);
             }
+            PeerMessage::Renew(_) | PeerMessage::Move(_) | PeerMessage::Lapse(_) => {}
         }
-        self.deliver_local(now);
-        self.note_lease(now);
+    }
+
+    fn answer_move(&mut self, me: NodeId, holder: NodeId, set: LogOffset) {
+        let Some(index) = self.roles.iter().position(|role| role.id == me) else { return };
+        let verdict = self.roles[index].table.move_set(&self.state, holder, set);
+        self.send_as(me, holder, PeerMessage::Moved(MoveReply { set, verdict }));
     }
 
     fn note_ahead(&mut self, from: NodeId, offset: LogOffset, now: Instant) {
@@ -71,10 +80,17 @@
         }
     }
 
-    fn answer_renewal(&mut self, holder: NodeId, request: &RenewRequest, now: Instant) {
-        let Some(me) = self.life.id() else { return };
+    fn answer_renewal(
+        &mut self,
+        me: NodeId,
+        holder: NodeId,
+        request: &RenewRequest,
+        now: Instant,
+    ) {
+        let Some(index) = self.roles.iter().position(|role| role.id == me) else { return };
         self.merge_suspects(&request.suspects);
-        let verdict = self.witness.renew(&self.state, me, holder, request, now);
+        let table = &mut self.roles[index].table;
+        let verdict = table.renew(&self.state, me, holder, request, now);
         self.silent.retain(|row| row.node != holder);
         let reply = RenewReply {
             set: request.set,
@@ -82,7 +98,7 @@
             verdict,
             suspects: self.suspects.clone(),
         };
-        self.send(holder, PeerMessage::Renewed(reply));
+        self.send_as(me, holder, PeerMessage::Renewed(reply));
     }
 
     fn take_renewal(&mut self, witness: NodeId, reply: &RenewReply, now: Instant) {
@@ -95,13 +111,14 @@
         }
     }
 
-    fn answer_lapse(&mut self, taker: NodeId, query: LapseQuery, now: Instant) {
-        let Some(me) = self.life.id() else { return };
-        let (answer, line_offset) = self.witness.lapse(&self.state, me, query, now);
+    fn answer_lapse(&mut self, me: NodeId, taker: NodeId, query: LapseQuery, now: Instant) {
+        let Some(index) = self.roles.iter().position(|role| role.id == me) else { return };
+        let table = &mut self.roles[index].table;
+        let (answer, line_offset) = table.lapse(&self.state, me, query, now);
         log::info!(target = query.target, taker, answer:? = answer; "answered a lapse query");
         let newest_set = query.newest_set;
         let reply = LapseReply { target: query.target, newest_set, answer, line_offset };
-        self.send(taker, PeerMessage::Lapsed(reply));
+        self.send_as(me, taker, PeerMessage::Lapsed(reply));
     }
 
     fn take_lapse(&mut self, witness: NodeId, reply: &LapseReply, now: Instant) {
--- a/crates/core/src/process/node_machine/tenure_step.rs
+++ b/crates/core/src/process/node_machine/tenure_step.rs
@@ -5,7 +5,7 @@
 use super::{NodeMachine, RELEASE_MEMORY};
 use crate::connection::{HandoverMemory, PeerMessage, ReleaseAsk, ReleaseNotice};
 use crate::process::tenure_table::{self, insert, take};
-use crate::process::{DrainPace, FenceToken, LapseCheck, LifeCycle, NodeAction, Tenure};
+use crate::process::{DrainReason, FenceToken, LapseCheck, LifeCycle, NodeAction, Tenure};
 use crate::version::{DepartReason, LineRow, PartitionRow};
 use crate::{LogOffset, NodeId, PartitionId};
 
@@ -65,17 +65,26 @@
             return;
         }
         let line = self.state.partition(partition).and_then(PartitionRow::current).cloned();
-        let step = line.as_ref().and_then(|line| self.continued_step(me, line, now));
+        let step = line.as_ref().and_then(|line| self.continued_step(me, partition, line, now));
         match (line, step) {
             (Some(line), Some(step)) => self.refence(partition, &line, step, now),
             _ => self.begin_release(partition, false, "another node owns it"),
         }
     }
 
-    /// Place at which a holder goes on serving: all before it in the line have ended.
-    fn continued_step(&self, me: NodeId, line: &LineRow, now: Instant) -> Option<usize> {
+    /// Place at which a holder goes on serving: all before it in the line ended or released.
+    fn continued_step(
+        &self,
+        me: NodeId,
+        partition: PartitionId,
+        line: &LineRow,
+        now: Instant,
+    ) -> Option<usize> {
         let step = line.nodes.iter().position(|node| *node == me)?;
-        line.nodes[..step].iter().all(|node| self.has_ended(*node, now)).then_some(step)
+        let over = |node: &NodeId| {
+            self.has_ended(*node, now) || self.has_released(partition, *node, line.offset)
+        };
+        line.nodes[..step].iter().all(over).then_some(step)
     }
 
     fn refence(&mut self, partition: PartitionId, line: &LineRow, step: usize, now: Instant) {
@@ -355,7 +364,7 @@
             return true;
         }
         let evidence = match departed.map(|row| row.reason) {
-            Some(DepartReason::Left) => return true,
+            Some(DepartReason::Left | DepartReason::Retired) => return true,
             Some(DepartReason::Lost) => return self.lapses.closed_since(node, now).is_some(),
             Some(DepartReason::Replaced { upstream_ended: true }) => {
                 return self.lapses.closed_since(node, now).is_some();
@@ -376,17 +385,18 @@
     }
 
     /// Starts to release everything and to leave.
-    pub fn drain(&mut self, pace: DrainPace, now: Instant) {
+    pub fn drain(&mut self, reason: DrainReason, now: Instant) {
         let LifeCycle::Serving(life) = self.life else { return };
         let life = life.drain();
         self.life = LifeCycle::Draining(life);
+        self.drain_reason = Some(reason);
         self.tenures.pending.clear();
         self.drain_step_at = now;
-        log::info!(node = life.state.id; "draining");
+        log::info!(node = life.state.id, reason:?; "draining");
         self.append(super::AppendKind::Drain, crate::version::RecordBody::Drain {
             node: life.state.id,
         });
-        if pace == DrainPace::AtOnce {
+        if !reason.is_gradual() {
             self.close_held(usize::MAX);
         }
         self.drain_step(now);
--- a/crates/core/src/process/node_machine/tick_step.rs
+++ b/crates/core/src/process/node_machine/tick_step.rs
@@ -4,7 +4,7 @@
 
 use super::{AppendKind, NodeMachine};
 use crate::connection::{Envelope, MoveRequest, PeerMessage, RenewRequest};
-use crate::process::{DrainPace, LifeCycle, NodeAction, PlannerDesk};
+use crate::process::{DrainReason, LifeCycle, NodeAction, PlannerDesk};
 use crate::version::{CheckpointBody, PlanBuilder, PlanRecord, RecordBody};
 use crate::{LogOffset, NodeId};
 
@@ -14,6 +14,9 @@
 /// Lease times without a lease after which a node starts over as a new incarnation.
 const RETIRE_LEASES: u32 = 3;
 
+/// Time without a lease after which a node starts over if it cannot move to a newer witness set.
+const STUCK_PATIENCE: Duration = Duration::from_millis(300);
+
 /// Time without a lease after which a node gives its partitions up.
 const YIELD_PATIENCE: Duration = Duration::from_millis(400);
 
@@ -43,6 +46,7 @@
             }
             LifeCycle::Gone(_) => {}
         }
+        self.tell_silences(now);
         self.fetch_missing(now);
         self.deliver_local(now);
         self.note_lease(now);
@@ -50,7 +54,6 @@
 
     fn tick_member(&mut self, me: NodeId, now: Instant) {
         self.renew(now);
-        self.tell_silences(now);
         self.silent.retain(|row| row.until > now);
         for target in self.lapses.targets() {
             if self.state.member(target).is_some() {
@@ -113,8 +116,20 @@
 
     /// Tells those who stand behind a silent holder, and the planner.
     fn tell_silences(&mut self, now: Instant) {
-        for holder in self.witness.silent(now) {
-            if self.state.member(holder).is_none() {
+        // A witness without a lease is likely the one that is cut off; it waits a while.
+        let since = self.lost_since.unwrap_or(now);
+        if !self.lease.is_valid(now) && now.duration_since(since) < self.timing.lease {
+            return;
+        }
+        let mut silences = Vec::new();
+        for role in &mut self.roles {
+            silences.extend(role.table.silent(now).into_iter().map(|holder| (role.id, holder)));
+        }
+        for (me, holder) in silences {
+            let newest = self.state.witness_row(holder).and_then(|row| row.newest());
+            // A witness of an older set hears nothing from a holder that moved on.
+            let hears = newest.is_some_and(|set| set.contains(me));
+            if self.state.member(holder).is_none() || !hears {
                 continue;
             }
             let mut takers: Vec<NodeId> = Vec::new();
@@ -129,7 +144,7 @@
             takers.dedup();
             log::info!(node = holder, takers = takers.len(); "lease ran out; telling takers");
             for taker in takers {
-                self.send(taker, PeerMessage::Silent { node: holder });
+                self.send_as(me, taker, PeerMessage::Silent { node: holder });
             }
         }
     }
@@ -271,11 +286,15 @@
         if now.duration_since(since) >= YIELD_PATIENCE && !self.tenures.held.is_empty() {
             self.yield_held();
         }
-        let patience = self.timing.lease * RETIRE_LEASES;
+        // A holder that cannot leave a set of which a majority is gone never will.
+        let patience = match self.lease.is_moving() {
+            true => STUCK_PATIENCE,
+            false => self.timing.lease * RETIRE_LEASES,
+        };
         if self.lease.is_lost() || now.duration_since(since) >= patience {
             log::warn!("lease lost for good; starting over");
             self.lost_since = None;
-            self.drain(DrainPace::AtOnce, now);
+            self.drain(DrainReason::LeaseLost, now);
         }
     }
 
@@ -289,7 +308,14 @@
         let named = self.state.witnesses.iter().any(|row| {
             row.member != me && row.sets.iter().any(|set| set.contains(me))
         });
-        if late || (seen && !named) {
+        let ends = self.drain_reason == Some(DrainReason::ProcessEnds);
+        let lost = self.drain_reason == Some(DrainReason::LeaseLost);
+        if !ends && (lost || late || seen) {
+            // Before the releases were seen, a successor would miss the memory that they carry.
+            self.append(AppendKind::Left, RecordBody::Retire { node: me });
+        } else if ends && (late || (seen && !named)) {
+            // Others count this node's grants as run out one lease time after they read this.
+            self.roles.clear();
             self.append(AppendKind::Left, RecordBody::Left { node: me });
         }
         if now.duration_since(since) >= DRAIN_GRACE * 2 {
--- a/crates/core/src/process/planner_desk.rs
+++ b/crates/core/src/process/planner_desk.rs
@@ -13,7 +13,7 @@
 const PLAN_GAP: Duration = Duration::from_millis(50);
 
 /// Time that a needed plan may be missing before the next node claims the term.
-const PLAN_PATIENCE: Duration = Duration::from_millis(1000);
+const PLAN_PATIENCE: Duration = Duration::from_millis(400);
 
 /// Time added for each place behind the planner, so that claims come one at a time.
 const RANK_GAP: Duration = Duration::from_millis(60);
@@ -91,7 +91,8 @@
     pub fn checkpoint_due(&self, state: &FoldState, now: Instant) -> bool {
         let records = state.next_offset.saturating_sub(self.checkpoint_offset);
         let late = now.duration_since(self.checkpoint_at) >= self.checkpoint_gap;
-        records >= CHECKPOINT_RECORDS || (late && records > 1)
+        // Without new records too: the last checkpoint expires as any record.
+        records >= CHECKPOINT_RECORDS || late
     }
 
     /// Whether a planner may plan now; notes the time if so.
--- a/crates/core/src/version/fold_state.rs
+++ b/crates/core/src/version/fold_state.rs
@@ -139,6 +139,7 @@
             RecordBody::Join(info) => self.join(offset, info),
             RecordBody::Drain { node } => self.drain(*node),
             RecordBody::Left { node } => self.depart(*node, DepartReason::Left, offset),
+            RecordBody::Retire { node } => self.depart(*node, DepartReason::Retired, offset),
             RecordBody::Lapse { node, .. } => self.depart(*node, DepartReason::Lapsed, offset),
             RecordBody::Settle { node } => self.settle(*node),
             RecordBody::Manifest { replaces, text } => {
@@ -165,13 +166,16 @@
             let upstream_ended = old.upstream.boot_id != info.upstream.boot_id;
             DepartReason::Replaced { upstream_ended }
         };
-        let same_slot = |row: &&MemberRow| row.info.peer_address == info.peer_address;
-        let rows: Vec<_> = self.members.iter().filter(same_slot).cloned().collect();
+        let same_slot = |old: &MemberInfo| {
+            old.peer_address == info.peer_address && old.process_id != info.process_id
+        };
+        let in_slot = |row: &&MemberRow| same_slot(&row.info);
+        let rows: Vec<_> = self.members.iter().filter(in_slot).cloned().collect();
         for row in rows {
             self.depart(row.id, replaced(&row.info), offset);
         }
         for row in &mut self.departed {
-            if row.info.peer_address == info.peer_address && row.reason == DepartReason::Lapsed {
+            if same_slot(&row.info) && !row.reason.process_ended() {
                 row.reason = replaced(&row.info);
             }
         }
@@ -194,7 +198,7 @@
         let row = self.members.remove(index);
         // A lapse is proven after the last grant ran out, so a checking upstream has stopped.
         let settled = match reason {
-            DepartReason::Left => true,
+            DepartReason::Left | DepartReason::Retired => true,
             DepartReason::Lapsed => row.info.upstream.checks_grants,
             DepartReason::Replaced { .. } | DepartReason::Lost => false,
         };
--- a/crates/core/src/version/log_record.rs
+++ b/crates/core/src/version/log_record.rs
@@ -29,6 +29,11 @@
         /// Node that left.
         node: NodeId,
     },
+    /// A node released all that it held and goes on as another incarnation.
+    Retire {
+        /// Incarnation that ends.
+        node: NodeId,
+    },
     /// A majority of a node's witnesses promised never to grant it again.
     Lapse {
         /// Node that lapsed.
--- a/crates/core/src/version/member_row.rs
+++ b/crates/core/src/version/member_row.rs
@@ -21,6 +21,8 @@
     pub traffic_address: Box<str>,
     /// Random id of this incarnation, told by its writer.
     pub boot_id: u128,
+    /// Random id of the node's process, which outlives its incarnations.
+    pub process_id: u128,
     /// The upstream beside the node.
     pub upstream: UpstreamInfo,
 }
@@ -71,6 +73,8 @@
 pub enum DepartReason {
     /// It released all that it held and wrote so itself.
     Left,
+    /// It released all that it held and goes on as another incarnation of the same process.
+    Retired,
     /// A majority of its witnesses promised never to grant it again.
     Lapsed,
     /// Another process holds its address, so it has ended.
@@ -85,8 +89,8 @@
 impl DepartReason {
     /// Whether the process has ended, so that it can grant nothing as a witness.
     ///
-    /// A lapsed holder may still run and grant others.
+    /// A lapsed or retired holder may still run and grant others.
     pub const fn process_ended(self) -> bool {
-        !matches!(self, Self::Lapsed)
+        !matches!(self, Self::Lapsed | Self::Retired)
     }
 }
--- a/crates/core/tests/ownership/world.rs
+++ b/crates/core/tests/ownership/world.rs
@@ -8,7 +8,7 @@
 
 use firspindle_core::connection::{Envelope, HandoverMemory};
 use firspindle_core::process::{
-    DrainPace, FenceToken, LeaseTiming, LifeCycle, NodeAction, NodeMachine, SafetyGuards,
+    DrainReason, FenceToken, LeaseTiming, LifeCycle, NodeAction, NodeMachine, SafetyGuards,
 };
 use firspindle_core::version::{
     FoldState, LineChange, LogRecord, MemberInfo, PlanRecord, RecordBody, SetChange, UpstreamInfo,
@@ -111,6 +111,7 @@
     /// Requests in flight at the upstream, with their end.
     in_flight: Vec<(Duration, u32)>,
     boots: u128,
+    process: u128,
     /// Work of ended processes at the upstream, with the end of its grant.
     ghosts: Vec<(Duration, u32)>,
     inbox: Vec<Envelope>,
@@ -172,6 +173,7 @@
                 idle_at: Vec::new(),
                 in_flight: Vec::new(),
                 boots: 1,
+                process: 1,
                 ghosts: Vec::new(),
                 inbox: Vec::new(),
                 failed: Vec::new(),
@@ -185,8 +187,8 @@
         Ok(world)
     }
 
-    fn boot(&self, index: usize, boots: u128) -> NodeMachine {
-        let info = MemberInfo {
+    fn info(index: usize, boots: u128, process: u128) -> MemberInfo {
+        MemberInfo {
             host: format!("host-{index}").into(),
             region: "region".into(),
             data_centre: format!("dc{}", index % 3).into(),
@@ -194,6 +196,7 @@
             forward_address: "".into(),
             traffic_address: "".into(),
             boot_id: ((index as u128 + 1) << 100) + (boots << 64),
+            process_id: process,
             upstream: UpstreamInfo {
                 service: "registre".into(),
                 slots: 10,
@@ -201,7 +204,11 @@
                 checks_grants: true,
                 boot_id: boots / 2,
             },
-        };
+        }
+    }
+
+    fn boot(&self, index: usize, boots: u128) -> NodeMachine {
+        let info = Self::info(index, boots, boots);
         let gap = Duration::from_secs(4);
         let now = self.base + self.now;
         // Clocks drift ten times as much as the product allows, and so does its margin.
@@ -254,6 +261,7 @@
                 let node = &mut self.nodes[*node];
                 node.machine = machine;
                 node.boots = boots;
+                node.process = boots;
                 node.alive = true;
                 node.idle_at.clear();
                 node.in_flight.clear();
@@ -274,8 +282,11 @@
             Step::Drain(node) => {
                 let now = self.local(*node, self.now);
                 if self.nodes[*node].alive && self.nodes[*node].paused_until <= self.now {
-                    self.nodes[*node].machine.drain(DrainPace::Steps, now);
-                    self.nodes[*node].drained = true;
+                    let ends = self.dice.roll(2) == 0;
+                    let reason =
+                        if ends { DrainReason::ProcessEnds } else { DrainReason::UpstreamLeaves };
+                    self.nodes[*node].machine.drain(reason, now);
+                    self.nodes[*node].drained = ends;
                     self.act(*node)?;
                 }
             }
@@ -411,7 +422,20 @@
             self.nodes[index].alive = false;
             return Ok(());
         }
-        self.apply(&Step::Restart(index))
+        // What the ended incarnation sent runs under its own grant at most.
+        self.leave_ghosts(index);
+        let boots = self.nodes[index].boots + 1;
+        let info = Self::info(index, boots, self.nodes[index].process);
+        let now = self.local(index, self.now);
+        let node = &mut self.nodes[index];
+        let next = node.machine.clone().succeed(info, Duration::from_secs(4), now);
+        node.machine = next;
+        node.boots = boots;
+        node.idle_at.clear();
+        node.in_flight.clear();
+        node.failed.clear();
+        node.drained = false;
+        Ok(())
     }
 
     fn act(&mut self, index: usize) -> Result<(), Fault> {
--- a/crates/firspindle/src/process/control_thread.rs
+++ b/crates/firspindle/src/process/control_thread.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 use firspindle_core::connection::HandoverMemory;
-use firspindle_core::process::{DrainPace, FenceToken, LeaseTiming, LifeCycle, NodeAction, NodeMachine};
+use firspindle_core::process::{DrainReason, FenceToken, LeaseTiming, LifeCycle, NodeAction, NodeMachine};
 use firspindle_core::request::{IdMemory, RouteTable, SuspectTable};
 use firspindle_core::version::{FoldState, MemberInfo, UpstreamInfo};
 use firspindle_core::{LogOffset, PartitionId};
@@ -90,6 +90,7 @@
 pub struct ControlThread {
     parts: ControlParts,
     clock: BootClock,
+    process_id: u128,
     machine: Option<NodeMachine>,
     /// State kept while no upstream is there.
     reader: NodeMachine,
@@ -119,11 +120,13 @@
     pub fn new(parts: ControlParts) -> Self {
         let clock = BootClock::default();
         let now = clock.now();
-        let reader = new_machine(&parts.settings, None, FoldState::default(), now);
+        let process_id = Uuid::new_v4().as_u128();
+        let reader = new_machine(&parts.settings, process_id, now);
         let peers = PeerSocket::new(parts.context.metrics.clone());
         Self {
             parts,
             clock,
+            process_id,
             machine: None,
             reader,
             idle: VecDeque::new(),
@@ -218,7 +221,7 @@
             ControlEvent::Shutdown => {
                 log::info!("shutting down");
                 self.stopping = true;
-                self.drain(DrainPace::Steps, now);
+                self.drain(DrainReason::ProcessEnds, now);
             }
         }
         self.hand_over_idle(now);
@@ -226,9 +229,9 @@
         self.carry_out();
     }
 
-    fn drain(&mut self, pace: DrainPace, now: Instant) {
+    fn drain(&mut self, reason: DrainReason, now: Instant) {
         match &mut self.machine {
-            Some(machine) if machine.life().id().is_some() => machine.drain(pace, now),
+            Some(machine) if machine.life().id().is_some() => machine.drain(reason, now),
             _ => self.finished = self.stopping,
         }
     }
@@ -238,7 +241,7 @@
         if body.leaving {
             if self.announced.take().is_some() {
                 log::info!(address:% = body.address; "upstream is leaving");
-                self.drain(DrainPace::Steps, now);
+                self.drain(DrainReason::UpstreamLeaves, now);
             }
             return;
         }
@@ -259,12 +262,9 @@
         let slots = body.slots as usize;
         let link = UpstreamLink::new(body.address, body.boot_id.clone(), slots, DEFAULT_PLACES);
         self.upstream = Some(Arc::new(link));
-        self.machine = Some(new_machine(
-            &self.parts.settings,
-            Some(&body),
-            self.reader.state().clone(),
-            now,
-        ));
+        let info = member_info(&self.parts.settings, self.process_id, Some(&body));
+        let gap = checkpoint_gap(&self.parts.settings);
+        self.machine = Some(self.reader.clone().succeed(info, gap, now));
         self.announced = Some(body);
     }
 
@@ -274,7 +274,7 @@
             return;
         }
         log::warn!(reason; "upstream lost");
-        self.drain(DrainPace::AtOnce, now);
+        self.drain(DrainReason::UpstreamGone, now);
     }
 
     /// A frozen upstream may run what it was sent once it goes on.
@@ -367,7 +367,7 @@
         let _ = self.parts.io.send(IoOrder::ExtendGrant { upstream, holder, deadline });
     }
 
-    /// After an incarnation ended, the next one begins with the upstream's next announcement.
+    /// After an incarnation ended, the next one begins if the upstream is still there.
     fn restart_incarnation(&mut self, now: Instant) {
         let gone = self.machine.as_ref().is_some_and(|machine| {
             matches!(machine.life(), LifeCycle::Gone(_))
@@ -376,15 +376,18 @@
             return;
         }
         let Some(machine) = self.machine.take() else { return };
-        self.reader = new_machine(&self.parts.settings, None, machine.state().clone(), now);
+        let info = member_info(&self.parts.settings, self.process_id, None);
+        self.reader = machine.succeed(info, checkpoint_gap(&self.parts.settings), now);
         self.upstream = None;
-        self.announced = None;
         self.hold_idle = None;
         self.idle.clear();
         for row in self.gates.drain(..) {
             row.gate.abandon();
         }
         self.finished |= self.stopping;
+        if let Some(body) = self.announced.take() {
+            self.take_announcement(body, now);
+        }
     }
 
     fn carry_out(&mut self) {
@@ -537,12 +540,23 @@
     i64::try_from(value).unwrap_or(i64::MAX)
 }
 
-fn new_machine(
+/// Several checkpoints fit into the time for which the log keeps records.
+fn checkpoint_gap(settings: &SettingsFile) -> Duration {
+    settings.log_retention / 4
+}
+
+/// A machine that only reads: no upstream has announced itself, so it never ticks and joins.
+fn new_machine(settings: &SettingsFile, process_id: u128, now: Instant) -> NodeMachine {
+    let info = member_info(settings, process_id, None);
+    let gap = checkpoint_gap(settings);
+    NodeMachine::new(info, FoldState::default(), LeaseTiming::default(), gap, now)
+}
+
+fn member_info(
     settings: &SettingsFile,
+    process_id: u128,
     body: Option<&AnnounceBody>,
-    state: FoldState,
-    now: Instant,
-) -> NodeMachine {
+) -> MemberInfo {
     let upstream = UpstreamInfo {
         service: body.map(|body| body.service.clone()).unwrap_or_default(),
         slots: body.map_or(0, |body| body.slots),
@@ -550,7 +564,7 @@
         checks_grants: body.is_some_and(|body| body.checks_grants),
         boot_id: body.and_then(|body| u128::from_str_radix(&body.boot_id, 16).ok()).unwrap_or(0),
     };
-    let info = MemberInfo {
+    MemberInfo {
         host: settings.host.clone(),
         region: settings.region.clone(),
         data_centre: settings.data_centre.clone(),
@@ -558,9 +572,7 @@
         forward_address: settings.advertise.forward.to_string().into(),
         traffic_address: settings.listen.traffic.to_string().into(),
         boot_id: Uuid::new_v4().as_u128(),
+        process_id,
         upstream,
-    };
-    // Several checkpoints fit into the time for which the log keeps records.
-    let checkpoint_gap = settings.log_retention / 4;
-    NodeMachine::new(info, state, LeaseTiming::default(), checkpoint_gap, now)
+    }
 }
--- a/crates/firspindle/src/request/entry_step.rs
+++ b/crates/firspindle/src/request/entry_step.rs
@@ -19,7 +19,7 @@
 const WALK_GAP: Duration = Duration::from_millis(25);
 
 /// Longest time for which an entry looks for an owner.
-const WALK_LIMIT: Duration = Duration::from_secs(5);
+const WALK_LIMIT: Duration = Duration::from_secs(4);
 
 /// Time between two looks at the routes while an idempotent request is out.
 const ROUTE_LOOK: Duration = Duration::from_millis(50);
--- a/crates/harness/src/fleet.rs
+++ b/crates/harness/src/fleet.rs
@@ -140,6 +140,7 @@
             peer_links: Vec::new(),
             folder,
         };
+        eprintln!("fleet: {}", fleet.folder.display());
         fleet.wait_for(fleet.log_address());
         for host in 0..count {
             fleet.nodes.push(None);
