fix: hand memories on across incarnations and double moves

Cause: in a rolling restart orders were answered 409 because the memory of a released partition was lost: its holder started over before an owner chosen meanwhile had asked, or a plan moved a partition on while its successor was just taking it over. Ruled out: expiry of releases (kept 600 s), lost notices (resent until seen). Change: an incarnation answers for the releases of those before it in the process; a node hands on memories that it was handed; a taker waits up to 0.4 s for the memory of a node that ended in order; a plan leaves partitions alone that change hands by succession.

--- a/crates/core/src/connection/peer_message.rs
+++ b/crates/core/src/connection/peer_message.rs
@@ -199,9 +199,9 @@
     pub partition: PartitionId,
     /// First offset whose rights are not released.
     pub before: LogOffset,
-    /// Fence under which the sender served last, if it did.
+    /// Fence up to which the memory is complete, if anyone is known to have served.
     pub served: Option<FenceToken>,
-    /// What the holder remembers of requests.
+    /// What is remembered of requests, by the sender or by holders that released to it.
     pub memory: HandoverMemory,
     /// Requests suspected of crashing upstreams.
     pub suspects: Vec<SuspectRow>,
@@ -216,6 +216,14 @@
     pub unknown_before_ms: u64,
 }
 
+impl HandoverMemory {
+    /// Adds what another holder remembers.
+    pub fn extend(&mut self, other: &Self) {
+        self.requests.extend_from_slice(&other.requests);
+        self.unknown_before_ms = self.unknown_before_ms.max(other.unknown_before_ms);
+    }
+}
+
 /// One remembered request.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct HeldRequest {
--- a/crates/core/src/process/node_machine.rs
+++ b/crates/core/src/process/node_machine.rs
@@ -38,6 +38,8 @@
     spec: Option<Arc<ManifestSpec>>,
     spec_version: ManifestVersion,
     lease: LeaseTable,
+    /// Earlier incarnations of this process.
+    past: Vec<NodeId>,
     /// Witness roles of this incarnation and of earlier ones of the same process.
     roles: Vec<WitnessRole>,
     lapses: LapseTable,
@@ -160,6 +162,7 @@
             spec: None,
             spec_version: 0,
             lease: LeaseTable::new(timing, guards),
+            past: Vec::new(),
             roles: Vec::new(),
             lapses: LapseTable::new(timing, guards),
             tenures: TenureTable::new(),
@@ -198,11 +201,19 @@
     /// name an earlier incarnation would otherwise lose a living witness.
     #[must_use]
     pub fn succeed(self, info: MemberInfo, checkpoint_gap: Duration, now: Instant) -> Self {
+        let ended = match self.life {
+            LifeCycle::Gone(life) => Some(life.state.id),
+            _ => None,
+        };
         let mut next = Self::new(info, self.state, self.timing, checkpoint_gap, now);
         next.guards = self.guards;
         next.lease = LeaseTable::new(self.timing, self.guards);
         next.lapses = LapseTable::new(self.timing, self.guards);
         next.lapses.fold_departed(&next.state, now);
+        next.past = self.past;
+        next.past.extend(ended);
+        // What was released can still be asked for.
+        next.tenures.released = self.tenures.released;
         next.roles = self.roles;
         next.log = self.log;
         next.suspects = self.suspects;
@@ -353,7 +364,9 @@
 
     /// Whether an id is an incarnation of this process.
     fn is_own(&self, id: NodeId) -> bool {
-        self.life.id() == Some(id) || self.roles.iter().any(|role| role.id == id)
+        self.life.id() == Some(id)
+            || self.past.contains(&id)
+            || self.roles.iter().any(|role| role.id == id)
     }
 
     fn deliver_local(&mut self, now: Instant) {
--- a/crates/core/src/process/node_machine/fold_step.rs
+++ b/crates/core/src/process/node_machine/fold_step.rs
@@ -130,7 +130,8 @@
         for partition in partitions {
             self.actions.push(NodeAction::Abandon { partition });
         }
-        self.tenures = crate::process::TenureTable::new();
+        let released = std::mem::take(&mut self.tenures.released);
+        self.tenures = crate::process::TenureTable { released, ..Default::default() };
         self.involved.clear();
         self.lease.distrust();
         let life = match self.life {
--- a/crates/core/src/process/node_machine/message_step.rs
+++ b/crates/core/src/process/node_machine/message_step.rs
@@ -25,6 +25,9 @@
             message if to == 0 || self.life.id() == Some(to) => {
                 self.take_own_message(from, message, now);
             }
+            PeerMessage::AskRelease(ask) if self.past.contains(&to) => {
+                self.answer_release(to, from, &ask);
+            }
             // It was meant for an incarnation that ended.
             _ => {}
         }
@@ -38,7 +41,10 @@
             PeerMessage::Moved(reply) => self.lease.moved(from, reply),
             PeerMessage::Lapsed(reply) => self.take_lapse(from, &reply, now),
             PeerMessage::Silent { node } => self.note_silent(node, now),
-            PeerMessage::AskRelease(ask) => self.answer_release(from, &ask),
+            PeerMessage::AskRelease(ask) => {
+                let me = self.life.id().unwrap_or(0);
+                self.answer_release(me, from, &ask);
+            }
             PeerMessage::Release(notice) => self.take_release(from, notice, now),
             PeerMessage::ReleaseSeen { partition, before } => {
                 self.release_seen(from, partition, before);
@@ -146,19 +152,16 @@
         self.settle(now);
     }
 
-    fn answer_release(&mut self, asker: NodeId, ask: &ReleaseAsk) {
+    fn answer_release(&mut self, me: NodeId, asker: NodeId, ask: &ReleaseAsk) {
         let partition = ask.partition;
         if self.tenures.is_active(partition) || self.state.next_offset <= ask.before {
             return;
         }
-        let released = tenure_table::find(&self.tenures.released, partition).ok();
-        let released = released.map(|index| &self.tenures.released[index].state);
-        let memory = released.map(|released| released.memory.clone()).unwrap_or_default();
-        let served = released.map(|released| released.fence);
+        let (served, memory) = self.known_memory(partition);
         self.note_given(partition, ask.before);
         let suspects = self.suspects.clone();
         let notice = ReleaseNotice { partition, before: ask.before, served, memory, suspects };
-        self.send(asker, PeerMessage::Release(notice));
+        self.send_as(me, asker, PeerMessage::Release(notice));
     }
 
     fn take_release(&mut self, from: NodeId, notice: ReleaseNotice, now: Instant) {
--- a/crates/core/src/process/node_machine/tenure_step.rs
+++ b/crates/core/src/process/node_machine/tenure_step.rs
@@ -15,6 +15,9 @@
 /// Time between two requests for the same release.
 const ASK_GAP: Duration = Duration::from_millis(150);
 
+/// Time for which the memory of a node that ended in order is waited for.
+const HANDOVER_PATIENCE: Duration = Duration::from_millis(400);
+
 /// Partitions that a draining node closes in one step.
 const DRAIN_STEP: usize = 8;
 
@@ -223,8 +226,9 @@
             .earlier_rights(me, row)
             .into_iter()
             .filter(|right| {
-                !self.has_ended(right.node, now)
-                    && !self.has_released(row.id, right.node, right.fence.offset)
+                let over = self.has_ended(right.node, now)
+                    || self.has_released(row.id, right.node, right.fence.offset);
+                !over || self.may_hand_over(row.id, right, now)
             })
             .map(|right| {
                 let is_current = right.fence.offset == current;
@@ -330,14 +334,8 @@
         let me = self.life.id().unwrap_or(0);
         let row = self.state.partition(partition);
         let rights = row.map(|row| self.earlier_rights(me, row)).unwrap_or_default();
-        let own = tenure_table::find(&self.tenures.released, partition).ok();
-        let own = own.map(|index| self.tenures.released[index].state.fence);
-        let heard = self.releases.iter().filter(|row| row.partition == partition);
-        let last = heard.filter_map(|row| row.served).chain(own).max();
-        let clean = rights.iter().all(|right| {
-            self.has_released(partition, right.node, right.fence.offset)
-                || last.is_some_and(|last| right.fence < last)
-        });
+        let last = self.last_served(partition);
+        let clean = rights.iter().all(|right| self.is_remembered(partition, right, last));
         let mut memory = Vec::new();
         for row in self.releases.iter_mut().filter(|row| row.partition == partition) {
             memory.push(std::mem::take(&mut row.memory));
@@ -348,6 +346,54 @@
         (memory, clean)
     }
 
+    /// Whether nothing that the right allowed is missing in the memories at hand.
+    fn is_remembered(
+        &self,
+        partition: PartitionId,
+        right: &EarlierRight,
+        last: Option<FenceToken>,
+    ) -> bool {
+        self.has_released(partition, right.node, right.fence.offset)
+            || last.is_some_and(|last| right.fence < last)
+    }
+
+    /// Highest fence whose holder's memory is at hand.
+    fn last_served(&self, partition: PartitionId) -> Option<FenceToken> {
+        let own = tenure_table::find(&self.tenures.released, partition).ok();
+        let own = own.map(|index| self.tenures.released[index].state.fence);
+        let heard = self.releases.iter().filter(|row| row.partition == partition);
+        heard.filter_map(|row| row.served).chain(own).max()
+    }
+
+    /// Memory of the partition that this node can hand on, and the fence up to which it goes.
+    pub(super) fn known_memory(
+        &self,
+        partition: PartitionId,
+    ) -> (Option<FenceToken>, HandoverMemory) {
+        let mut memory = HandoverMemory::default();
+        for row in self.releases.iter().filter(|row| row.partition == partition) {
+            memory.extend(&row.memory);
+        }
+        if let Ok(index) = tenure_table::find(&self.tenures.released, partition) {
+            memory.extend(&self.tenures.released[index].state.memory);
+        }
+        (self.last_served(partition), memory)
+    }
+
+    /// Whether a node that released and ended may still hand its memory over.
+    fn may_hand_over(
+        &self,
+        partition: PartitionId,
+        right: &EarlierRight,
+        now: Instant,
+    ) -> bool {
+        let reason = self.state.departed(right.node).map(|row| row.reason);
+        let orderly = matches!(reason, Some(DepartReason::Left | DepartReason::Retired));
+        let ended_at = self.lapses.ended_at(right.node);
+        let recent = ended_at.is_some_and(|at| now < at + HANDOVER_PATIENCE);
+        orderly && recent && !self.is_remembered(partition, right, self.last_served(partition))
+    }
+
     /// Whether the rights of a node have provably ended.
     ///
     /// An upstream that checks grants stops at the grant's deadline. For one that does not, a
--- a/crates/core/src/version/plan_builder.rs
+++ b/crates/core/src/version/plan_builder.rs
@@ -107,7 +107,8 @@
         let mut owners = self.keep_owners(rows, &mut table);
         table.place_orphans(&mut owners);
         let step = self.step_moves && !self.is_first_plan(rows);
-        table.even_out(&mut owners, step);
+        let fixed = Self::fixed_owners(rows, &owners, &table);
+        table.even_out(&mut owners, &fixed, step);
         self.write_lines(rows, &owners, &mut table, lines);
     }
 
@@ -163,6 +164,19 @@
         owners
     }
 
+    /// Partitions that a successor takes over now; moving them on would hand over twice.
+    fn fixed_owners(
+        rows: &[PartitionRow],
+        owners: &[Option<usize>],
+        table: &ServiceTable<'_>,
+    ) -> Vec<bool> {
+        let fixed = |(row, owner): (&PartitionRow, &Option<usize>)| {
+            let first = row.current().and_then(|line| line.nodes.first().copied());
+            first.is_some_and(|first| table.index_of(first) != *owner)
+        };
+        rows.iter().zip(owners).map(fixed).collect()
+    }
+
     fn write_lines(
         &self,
         rows: &[PartitionRow],
@@ -287,12 +301,12 @@
     }
 
     /// Moves partitions from nodes above their share to nodes below it, least moves first.
-    fn even_out(&mut self, owners: &mut [Option<usize>], step: bool) {
+    fn even_out(&mut self, owners: &mut [Option<usize>], fixed: &[bool], step: bool) {
         let total = owners.len();
         let mut taken = vec![0; self.nodes.len()];
-        for slot in owners.iter_mut() {
+        for (slot, fixed) in owners.iter_mut().zip(fixed) {
             let Some(owner) = *slot else { continue };
-            if !self.is_donor(owner, total) {
+            if *fixed || !self.is_donor(owner, total) {
                 continue;
             }
             let Some(taker) = self.choose_taker(&taken, total, step) else { return };
