--- a/crates/core/src/process.rs
+++ b/crates/core/src/process.rs
@@ -28,5 +28,7 @@
 pub use peer_log::PeerLog;
 pub use planner_desk::PlannerDesk;
 pub use safety_guards::SafetyGuards;
-pub use tenure_table::{HeldGrant, PendingGrant, ReleasedGrant, ReleasingGrant, Tenure, TenureTable};
+pub use tenure_table::{
+    HeldGrant, PendingGrant, ReleasedGrant, ReleasingGrant, Tenure, TenureTable,
+};
 pub use witness_table::WitnessTable;
--- a/crates/core/src/process/lapse_table.rs
+++ b/crates/core/src/process/lapse_table.rs
@@ -131,9 +131,7 @@
         if self.proven_at(target).is_some() {
             return;
         }
-        if let Err(index) =
-            self.pursuits.binary_search_by_key(&target, |pursuit| pursuit.target)
-        {
+        if let Err(index) = self.pursuits.binary_search_by_key(&target, |pursuit| pursuit.target) {
             let pursuit = LapsePursuit { target, answers: Vec::new(), ask_at: now };
             self.pursuits.insert(index, pursuit);
         }
@@ -146,8 +144,7 @@
 
     /// Takes a witness's answer; returns whether it shows the holder alive.
     pub fn answered(&mut self, witness: NodeId, reply: &LapseReply) -> bool {
-        let Ok(index) =
-            self.pursuits.binary_search_by_key(&reply.target, |pursuit| pursuit.target)
+        let Ok(index) = self.pursuits.binary_search_by_key(&reply.target, |pursuit| pursuit.target)
         else {
             return false;
         };
@@ -165,9 +162,7 @@
             None => pursuit.answers.push(row),
         }
         let half = self.timing.lease / 2;
-        let fresh = |answer: &&WitnessAnswer| {
-            matches!(answer.answer, LapseAnswer::NotYet { remaining } if remaining > half)
-        };
+        let fresh = |answer: &&WitnessAnswer| matches!(answer.answer, LapseAnswer::NotYet { remaining } if remaining > half);
         pursuit.answers.iter().filter(fresh).count() >= 2
     }
 
@@ -192,9 +187,8 @@
         pursuit.ask_at = now + self.timing.resend;
         let answers = &pursuit.answers;
         let promised = |node: &NodeId| {
-            let done = |row: &WitnessAnswer| {
-                row.witness == *node && row.answer == LapseAnswer::Promised
-            };
+            let done =
+                |row: &WitnessAnswer| row.witness == *node && row.answer == LapseAnswer::Promised;
             answers.iter().any(done)
         };
         let mut open: Vec<_> =
@@ -229,12 +223,10 @@
             if self.closed_since(**node, now).is_some() {
                 return true;
             }
-            pursuit.answers.iter().filter(|row| row.witness == **node).any(|row| {
-                match row.answer {
-                    LapseAnswer::Promised => true,
-                    LapseAnswer::Superseded => is_older && row.newest_set == newest,
-                    LapseAnswer::NotYet { .. } | LapseAnswer::TakerBehind => false,
-                }
+            pursuit.answers.iter().filter(|row| row.witness == **node).any(|row| match row.answer {
+                LapseAnswer::Promised => true,
+                LapseAnswer::Superseded => is_older && row.newest_set == newest,
+                LapseAnswer::NotYet { .. } | LapseAnswer::TakerBehind => false,
             })
         };
         set.nodes.iter().filter(counts).count() >= set.majority()
--- a/crates/core/src/process/lease_timing.rs
+++ b/crates/core/src/process/lease_timing.rs
@@ -29,7 +29,7 @@
 impl LeaseTiming {
     /// Time that a holder counts on, on its own clock: the lease less the drift margin.
     pub fn holder_lease(&self) -> Duration {
-        self.lease - self.margin()
+        self.lease.saturating_sub(self.margin())
     }
 
     /// Time after which a lease granted by anyone has run out, on any clock.
--- a/crates/core/src/process/node_action.rs
+++ b/crates/core/src/process/node_action.rs
@@ -1,8 +1,8 @@
 //! What the machine asks its surroundings to do.
 
+use crate::PartitionId;
 use crate::connection::{Envelope, HandoverMemory};
 use crate::version::LogRecord;
-use crate::PartitionId;
 
 use super::FenceToken;
 
@@ -58,4 +58,3 @@
     /// Everything is released and recorded; the process may end.
     Finished,
 }
-
--- a/crates/core/src/process/node_machine.rs
+++ b/crates/core/src/process/node_machine.rs
@@ -14,8 +14,8 @@
 use std::time::{Duration, Instant};
 
 use super::{
-    DrainReason, FenceToken, LapseTable, LeaseTable, LeaseTiming, Life, LifeCycle, NodeAction, PeerLog,
-    PlannerDesk, SafetyGuards, TenureTable, WitnessTable,
+    DrainReason, FenceToken, LapseTable, LeaseTable, LeaseTiming, Life, LifeCycle, NodeAction,
+    PeerLog, PlannerDesk, SafetyGuards, TenureTable, WitnessTable,
 };
 use crate::connection::{Envelope, HandoverMemory, PeerMessage, SuspectRow};
 use crate::version::{FoldState, LogRecord, ManifestSpec, MemberInfo, RecordBody};
--- a/crates/core/src/process/node_machine/fold_step.rs
+++ b/crates/core/src/process/node_machine/fold_step.rs
@@ -116,7 +116,8 @@
     fn retain_roles(&mut self, now: Instant) {
         let me = self.life.id();
         let state = &self.state;
-        let named = |id| state.witnesses.iter().any(|row| row.sets.iter().any(|set| set.contains(id)));
+        let named =
+            |id| state.witnesses.iter().any(|row| row.sets.iter().any(|set| set.contains(id)));
         self.roles.retain(|role| Some(role.id) == me || named(role.id));
         for role in &mut self.roles {
             role.table.retain_members(state, now);
--- a/crates/core/src/process/node_machine/message_step.rs
+++ b/crates/core/src/process/node_machine/message_step.rs
@@ -86,13 +86,7 @@
         }
     }
 
-    fn answer_renewal(
-        &mut self,
-        me: NodeId,
-        holder: NodeId,
-        request: &RenewRequest,
-        now: Instant,
-    ) {
+    fn answer_renewal(&mut self, me: NodeId, holder: NodeId, request: &RenewRequest, now: Instant) {
         let Some(index) = self.roles.iter().position(|role| role.id == me) else { return };
         self.merge_suspects(&request.suspects);
         let table = &mut self.roles[index].table;
--- a/crates/core/src/process/node_machine/tenure_step.rs
+++ b/crates/core/src/process/node_machine/tenure_step.rs
@@ -381,12 +381,7 @@
     }
 
     /// Whether a node that released and ended may still hand its memory over.
-    fn may_hand_over(
-        &self,
-        partition: PartitionId,
-        right: &EarlierRight,
-        now: Instant,
-    ) -> bool {
+    fn may_hand_over(&self, partition: PartitionId, right: &EarlierRight, now: Instant) -> bool {
         let reason = self.state.departed(right.node).map(|row| row.reason);
         let orderly = matches!(reason, Some(DepartReason::Left | DepartReason::Retired));
         let ended_at = self.lapses.ended_at(right.node);
@@ -439,9 +434,10 @@
         self.tenures.pending.clear();
         self.drain_step_at = now;
         log::info!(node = life.state.id, reason:?; "draining");
-        self.append(super::AppendKind::Drain, crate::version::RecordBody::Drain {
-            node: life.state.id,
-        });
+        self.append(
+            super::AppendKind::Drain,
+            crate::version::RecordBody::Drain { node: life.state.id },
+        );
         if !reason.is_gradual() {
             self.close_held(usize::MAX);
         }
--- a/crates/core/src/process/node_machine/tick_step.rs
+++ b/crates/core/src/process/node_machine/tick_step.rs
@@ -69,8 +69,7 @@
     }
 
     fn settle_pending(&mut self, now: Instant) {
-        let waiting: Vec<_> =
-            self.tenures.pending.iter().map(|tenure| tenure.partition).collect();
+        let waiting: Vec<_> = self.tenures.pending.iter().map(|tenure| tenure.partition).collect();
         for partition in waiting {
             self.settle_partition(partition, now);
         }
@@ -209,7 +208,8 @@
         let spec = self.spec.as_deref();
         let needed = || {
             spec.is_some_and(|spec| !PlanBuilder::new(state, spec).build().is_empty())
-                || spec.is_none() && state.members.iter().any(|row| state.witness_row(row.id).is_none())
+                || spec.is_none()
+                    && state.members.iter().any(|row| state.witness_row(row.id).is_none())
         };
         if self.desk.claim_due(state, me, needed, now) {
             let term = self.state.term.number + 1;
@@ -305,9 +305,11 @@
         let since = *self.drained_at.get_or_insert(now);
         let late = now.duration_since(since) >= DRAIN_GRACE;
         let seen = self.tenures.released.iter().all(|tenure| tenure.state.unseen.is_empty());
-        let named = self.state.witnesses.iter().any(|row| {
-            row.member != me && row.sets.iter().any(|set| set.contains(me))
-        });
+        let named = self
+            .state
+            .witnesses
+            .iter()
+            .any(|row| row.member != me && row.sets.iter().any(|set| set.contains(me)));
         let ends = self.drain_reason == Some(DrainReason::ProcessEnds);
         let lost = self.drain_reason == Some(DrainReason::LeaseLost);
         if !ends && (lost || late || seen) {
--- a/crates/core/src/process/planner_desk.rs
+++ b/crates/core/src/process/planner_desk.rs
@@ -106,7 +106,10 @@
 
     /// Whether raising the floor alone is worth a record now; notes the time if so.
     pub fn floor_due(&mut self, state: &FoldState, floor: LogOffset, now: Instant) -> bool {
-        let useful = state.partitions.iter().any(|row| row.lines.len() > 1 && row.lines[1].offset <= floor)
+        let useful = state
+            .partitions
+            .iter()
+            .any(|row| row.lines.len() > 1 && row.lines[1].offset <= floor)
             || state.witnesses.iter().any(|row| row.sets.len() > 1 && row.sets[1].offset <= floor);
         if !useful || now < self.floor_at {
             return false;
--- a/crates/core/src/process/tenure_table.rs
+++ b/crates/core/src/process/tenure_table.rs
@@ -121,12 +121,7 @@
 impl TenureTable {
     /// An empty table.
     pub const fn new() -> Self {
-        Self {
-            pending: Vec::new(),
-            held: Vec::new(),
-            releasing: Vec::new(),
-            released: Vec::new(),
-        }
+        Self { pending: Vec::new(), held: Vec::new(), releasing: Vec::new(), released: Vec::new() }
     }
 
     /// Grant under which a partition is served.
--- a/crates/core/src/process/witness_table.rs
+++ b/crates/core/src/process/witness_table.rs
@@ -59,9 +59,9 @@
         if request.set < newest_offset && self.guards.old_set_refuses {
             return RenewVerdict::Superseded;
         }
-        let in_set = state
-            .witness_row(holder)
-            .is_some_and(|row| row.sets.iter().any(|set| set.offset == request.set && set.contains(me)));
+        let in_set = state.witness_row(holder).is_some_and(|row| {
+            row.sets.iter().any(|set| set.offset == request.set && set.contains(me))
+        });
         if !in_set {
             return RenewVerdict::Superseded;
         }
--- a/crates/core/src/request/admission_queue.rs
+++ b/crates/core/src/request/admission_queue.rs
@@ -116,8 +116,7 @@
     /// A running request ended after `took`; `None` if it says nothing of the upstream's speed.
     pub fn finish(&mut self, took: Option<Duration>, now: Instant) -> Departure {
         if let Some(took) = took {
-            self.service_time =
-                (self.service_time * (SMOOTHING - 1) + took) / SMOOTHING;
+            self.service_time = (self.service_time * (SMOOTHING - 1) + took) / SMOOTHING;
         }
         self.running = self.running.saturating_sub(1);
         let mut departure = Departure::default();
--- a/crates/core/src/request/request_failure.rs
+++ b/crates/core/src/request/request_failure.rs
@@ -118,7 +118,9 @@
     /// When to come back, for a refusal that may pass.
     pub const fn retry_after(&self) -> Option<Duration> {
         match self {
-            Self::Overloaded { retry_after } | Self::Poisonous { retry_after } => Some(*retry_after),
+            Self::Overloaded { retry_after } | Self::Poisonous { retry_after } => {
+                Some(*retry_after)
+            }
             Self::NoOwner | Self::NotOwner | Self::UpstreamRefused => Some(Duration::from_secs(1)),
             _ => None,
         }
--- a/crates/core/src/request/route_table.rs
+++ b/crates/core/src/request/route_table.rs
@@ -106,8 +106,7 @@
 }
 
 fn service_nodes(state: &FoldState, name: &str) -> Vec<NodeId> {
-    let runs = |row: &&crate::version::MemberRow| {
-        *row.info.upstream.service == *name && !row.draining
-    };
+    let runs =
+        |row: &&crate::version::MemberRow| *row.info.upstream.service == *name && !row.draining;
     state.members.iter().filter(runs).map(|row| row.id).collect()
 }
--- a/crates/core/src/version.rs
+++ b/crates/core/src/version.rs
@@ -22,7 +22,7 @@
 pub use key_hash::{partition_id, partition_index, partition_of_key, partition_service};
 pub use log_record::{CheckpointBody, LogRecord, RecordBody};
 pub use manifest_spec::{
-    ManifestSpec, OperationSpec, PolicyChoice, PriorityClass, ServiceSpec, ServiceDivision,
+    ManifestSpec, OperationSpec, PolicyChoice, PriorityClass, ServiceDivision, ServiceSpec,
 };
 pub use member_row::{DepartReason, DepartedRow, MemberInfo, MemberRow, UpstreamInfo};
 pub use partition_row::{LineRow, PartitionRow};
--- a/crates/core/src/version/fold_state.rs
+++ b/crates/core/src/version/fold_state.rs
@@ -7,9 +7,7 @@
     CheckpointBody, DepartReason, DepartedRow, LineRow, LogRecord, ManifestSpec, MemberInfo,
     MemberRow, PartitionRow, PlanRecord, RecordBody, WitnessRow, WitnessSet, partition_id,
 };
-use crate::{
-    LogOffset, ManifestVersion, NodeId, PartitionId, RecordId, ServiceId, TermNumber,
-};
+use crate::{LogOffset, ManifestVersion, NodeId, PartitionId, RecordId, ServiceId, TermNumber};
 
 /// Record ids remembered for dropping repeated appends; preconditions drop what is older.
 const RECENT_IDS: usize = 1024;
@@ -129,6 +127,10 @@
     }
 
     /// Skips an offset whose bytes are no record.
+    ///
+    /// # Panics
+    ///
+    /// If `offset` is not [`FoldState::next_offset`].
     pub fn skip(&mut self, offset: LogOffset) {
         assert_eq!(offset, self.next_offset, "records are folded without a gap");
         self.next_offset += 1;
@@ -339,9 +341,10 @@
             return Err("plan computed from another revision");
         }
         let known = |nodes: &[NodeId]| nodes.iter().all(|node| self.member(*node).is_some());
-        let lines_ok = plan.lines.iter().all(|change| {
-            self.partition_index(change.partition).is_some() && known(&change.nodes)
-        });
+        let lines_ok = plan
+            .lines
+            .iter()
+            .all(|change| self.partition_index(change.partition).is_some() && known(&change.nodes));
         let sets_ok = plan
             .sets
             .iter()
--- a/crates/core/src/version/plan_builder.rs
+++ b/crates/core/src/version/plan_builder.rs
@@ -104,9 +104,9 @@
             return;
         }
         let rows = self.service_rows(service);
-        let mut owners = self.keep_owners(rows, &mut table);
+        let mut owners = keep_owners(rows, &mut table);
         table.place_orphans(&mut owners);
-        let step = self.step_moves && !self.is_first_plan(rows);
+        let step = self.step_moves && !is_first_plan(rows);
         let fixed = Self::fixed_owners(rows, &owners, &table);
         table.even_out(&mut owners, &fixed, step);
         self.write_lines(rows, &owners, &mut table, lines);
@@ -120,10 +120,6 @@
         &rows[start..end.min(rows.len())]
     }
 
-    fn is_first_plan(&self, rows: &[PartitionRow]) -> bool {
-        rows.iter().all(|row| row.lines.is_empty())
-    }
-
     fn service_table(&self, service: &ServiceRow, spec: &'a ServiceSpec) -> ServiceTable<'a> {
         let runs_service = |row: &&MemberRow| row.info.upstream.service == service.name;
         let ready = |row: &&MemberRow| !row.draining && self.has_witnesses(row.id);
@@ -143,27 +139,6 @@
         self.state.witness_row(node).is_some()
     }
 
-    /// Each partition's holder, if it stays eligible.
-    ///
-    /// The holder is the first node of the line that is still a member; one that drains has
-    /// released to the next.
-    fn keep_owners(
-        &self,
-        rows: &[PartitionRow],
-        table: &mut ServiceTable<'_>,
-    ) -> Vec<Option<usize>> {
-        let mut owners = Vec::with_capacity(rows.len());
-        for row in rows {
-            let nodes = row.current().map_or(&[][..], |line| &line.nodes);
-            let holder = nodes.iter().find_map(|node| table.index_of(*node));
-            if let Some(index) = holder {
-                table.held[index] += 1;
-            }
-            owners.push(holder);
-        }
-        owners
-    }
-
     /// Partitions that a successor takes over now; moving them on would hand over twice.
     fn fixed_owners(
         rows: &[PartitionRow],
@@ -395,6 +370,27 @@
     }
 }
 
+fn is_first_plan(rows: &[PartitionRow]) -> bool {
+    rows.iter().all(|row| row.lines.is_empty())
+}
+
+/// Each partition's holder, if it stays eligible.
+///
+/// The holder is the first node of the line that is still a member; one that drains has
+/// released to the next.
+fn keep_owners(rows: &[PartitionRow], table: &mut ServiceTable<'_>) -> Vec<Option<usize>> {
+    let mut owners = Vec::with_capacity(rows.len());
+    for row in rows {
+        let nodes = row.current().map_or(&[][..], |line| &line.nodes);
+        let holder = nodes.iter().find_map(|node| table.index_of(*node));
+        if let Some(index) = holder {
+            table.held[index] += 1;
+        }
+        owners.push(holder);
+    }
+    owners
+}
+
 /// Weight of a node for a partition under rendezvous hashing.
 pub(super) fn rendezvous_weight(partition: PartitionId, node: NodeId) -> u64 {
     let mut bytes = [0; 12];
--- a/crates/core/src/version/spec_error.rs
+++ b/crates/core/src/version/spec_error.rs
@@ -35,13 +35,18 @@
     }
 
     /// A refused value at `span` of `text`.
-    pub fn value(text: &str, span: &Range<usize>, field: &str, reason: impl Into<Box<str>>) -> Self {
+    pub fn value(
+        text: &str,
+        span: &Range<usize>,
+        field: &str,
+        reason: impl Into<Box<str>>,
+    ) -> Self {
         Self::Value { line: line_of_offset(text, span), field: field.into(), reason: reason.into() }
     }
 }
 
 /// Line number, from 1, at which a span of bytes begins.
 pub fn line_of_offset(text: &str, span: &Range<usize>) -> usize {
-    let end = span.start.min(text.len());
-    text.as_bytes()[..end].iter().filter(|byte| **byte == b'\n').count() + 1
+    let end = text.floor_char_boundary(span.start);
+    text[..end].matches('\n').count() + 1
 }
--- a/crates/core/tests/ownership/main.rs
+++ b/crates/core/tests/ownership/main.rs
@@ -22,7 +22,8 @@
 }
 
 fn runner(cases: u32, seed: u8) -> TestRunner {
-    let config = Config { cases, max_shrink_iters: 0, failure_persistence: None, ..Config::default() };
+    let config =
+        Config { cases, max_shrink_iters: 0, failure_persistence: None, ..Config::default() };
     TestRunner::new_with_rng(config, TestRng::from_seed(RngAlgorithm::ChaCha, &[seed; 32]))
 }
 
--- a/crates/core/tests/ownership/world.rs
+++ b/crates/core/tests/ownership/world.rs
@@ -67,7 +67,8 @@
 /// Weights suit the protocol's times: leases of 1.5 s, takeovers of about 2 s.
 pub fn steps() -> impl Strategy<Value = Vec<Step>> {
     let node = 0..NODES;
-    let nodes = || proptest::sample::subsequence((0..NODES).collect::<Vec<_>>(), 1..=3).prop_shuffle();
+    let nodes =
+        || proptest::sample::subsequence((0..NODES).collect::<Vec<_>>(), 1..=3).prop_shuffle();
     let set = proptest::sample::subsequence((0..NODES).collect::<Vec<_>>(), 3);
     let step = Union::new_weighted(vec![
         (12, (50u64..1500).prop_map(Step::Run).boxed()),
@@ -213,8 +214,7 @@
         let now = self.base + self.now;
         // Clocks drift ten times as much as the product allows, and so does its margin.
         let timing = LeaseTiming { drift_permille: 100, ..LeaseTiming::default() };
-        NodeMachine::new(info, FoldState::default(), timing, gap, now)
-            .with_guards(self.guards)
+        NodeMachine::new(info, FoldState::default(), timing, gap, now).with_guards(self.guards)
     }
 
     fn local(&self, index: usize, at: Duration) -> Instant {
@@ -294,7 +294,7 @@
         self.check()
     }
 
-    fn node_ids(&self, state: &FoldState, indices: &[usize]) -> Vec<u64> {
+    fn node_ids(state: &FoldState, indices: &[usize]) -> Vec<u64> {
         let id = |index: &usize| {
             let address: Box<str> = index.to_string().into();
             state.members.iter().find(|row| row.info.peer_address == address).map(|row| row.id)
@@ -304,7 +304,7 @@
 
     fn plan_line(&mut self, partition: u32, line: &[usize]) {
         let state = self.end_state();
-        let nodes = self.node_ids(&state, line);
+        let nodes = Self::node_ids(&state, line);
         if !nodes.is_empty() {
             self.plan(&state, vec![LineChange { partition, nodes }], Vec::new());
         }
@@ -312,9 +312,9 @@
 
     fn plan_set(&mut self, node: usize, set: &[usize]) {
         let state = self.end_state();
-        let mut nodes = self.node_ids(&state, set);
+        let mut nodes = Self::node_ids(&state, set);
         nodes.sort_unstable();
-        let Some(member) = self.node_ids(&state, &[node]).first().copied() else { return };
+        let Some(member) = Self::node_ids(&state, &[node]).first().copied() else { return };
         if !nodes.is_empty() {
             self.plan(&state, Vec::new(), vec![SetChange { member, nodes }]);
         }
@@ -371,7 +371,7 @@
         if self.nodes[index].reads_log && self.log_up {
             let next = self.nodes[index].machine.state().next_offset;
             for offset in next..=self.log.len() as u64 {
-                let record = self.log[offset as usize - 1].clone();
+                let record = self.log[usize::try_from(offset).expect("short logs") - 1].clone();
                 self.nodes[index].machine.take_record(offset, Some(&record), now);
                 self.act(index)?;
             }
@@ -384,17 +384,16 @@
         self.report_idle(index, now)?;
         self.nodes[index].machine.tick(now);
         self.act(index)?;
-        self.renew_incarnation(index)
+        self.renew_incarnation(index);
+        Ok(())
     }
 
     fn report_failures(&mut self, index: usize, _now: Instant) -> Result<(), Fault> {
         let node = &mut self.nodes[index];
         let next = node.machine.state().next_offset;
         let at = self.now;
-        let due: Vec<_> = node
-            .failed
-            .extract_if(.., |row| row.0 <= at && next > row.2 as u64)
-            .collect();
+        let due: Vec<_> =
+            node.failed.extract_if(.., |row| row.0 <= at && next > row.2 as u64).collect();
         for (_, record, _) in due {
             self.nodes[index].machine.append_failed(record);
             self.act(index)?;
@@ -414,13 +413,13 @@
     }
 
     /// The surroundings start another incarnation after one ended.
-    fn renew_incarnation(&mut self, index: usize) -> Result<(), Fault> {
+    fn renew_incarnation(&mut self, index: usize) {
         if !matches!(self.nodes[index].machine.life(), LifeCycle::Gone(_)) {
-            return Ok(());
+            return;
         }
         if self.nodes[index].drained {
             self.nodes[index].alive = false;
-            return Ok(());
+            return;
         }
         // What the ended incarnation sent runs under its own grant at most.
         self.leave_ghosts(index);
@@ -435,7 +434,6 @@
         node.in_flight.clear();
         node.failed.clear();
         node.drained = false;
-        Ok(())
     }
 
     fn act(&mut self, index: usize) -> Result<(), Fault> {
@@ -456,9 +454,8 @@
                     self.nodes[index].in_flight.push((end, partition));
                     self.nodes[index].idle_at.push((idle, partition));
                 }
-                NodeAction::Abandon { .. }
-                | NodeAction::Suspects { .. }
-                | NodeAction::Finished => {}
+                NodeAction::Abandon { .. } | NodeAction::Suspects { .. } | NodeAction::Finished => {
+                }
             }
         }
         Ok(())
--- a/crates/firspindle/src/connection/http_pool.rs
+++ b/crates/firspindle/src/connection/http_pool.rs
@@ -128,6 +128,10 @@
 }
 
 /// A header value of a number or other plain text.
+///
+/// # Panics
+///
+/// If the text holds characters that a header may not.
 pub fn plain_value(value: impl std::fmt::Display) -> HeaderValue {
     HeaderValue::try_from(value.to_string()).expect("plain text is a header value")
 }
--- a/crates/firspindle/src/process/admin_service.rs
+++ b/crates/firspindle/src/process/admin_service.rs
@@ -162,7 +162,8 @@
     }
     let _ = state.tx.send(ControlEvent::Announce(body));
     // An upstream that leaves may stop once nothing is routed to it.
-    let released = view.gates.is_empty() && view.upstream.as_ref().is_none_or(|link| link.in_flight() == 0);
+    let released =
+        view.gates.is_empty() && view.upstream.as_ref().is_none_or(|link| link.in_flight() == 0);
     Ok(json(StatusCode::OK, &serde_json::json!({ "released": released })))
 }
 
--- a/crates/firspindle/src/process/command_line.rs
+++ b/crates/firspindle/src/process/command_line.rs
@@ -82,7 +82,9 @@
     /// Runs the command.
     pub fn run(self) -> ExitCode {
         let result = match self.command {
-            NodeCommand::Node { settings } => read_settings(&settings).and_then(run_node).map(|()| 0),
+            NodeCommand::Node { settings } => {
+                read_settings(&settings).and_then(run_node).map(|()| 0)
+            }
             NodeCommand::Check(args) => check(&args).map(|()| 0),
             NodeCommand::Publish { manifest, log } => publish_file(&manifest, &log),
             NodeCommand::Status { node, json } => show_status(&node, json).map(|()| 0),
@@ -157,9 +159,8 @@
 
 fn show_status(url: &str, json: bool) -> Result<(), ProcessError> {
     let refuse = |reason: &str| ProcessError::NoAnswer { url: url.into(), reason: reason.into() };
-    let uri: Uri = format!("{}/status", url.trim_end_matches('/'))
-        .parse()
-        .map_err(|_| refuse("not a URL"))?;
+    let uri: Uri =
+        format!("{}/status", url.trim_end_matches('/')).parse().map_err(|_| refuse("not a URL"))?;
     let request =
         PoolRequest { method: Method::GET, uri, headers: HeaderMap::new(), body: Bytes::new() };
     let response = runtime()?.block_on(async {
--- a/crates/firspindle/src/process/control_thread.rs
+++ b/crates/firspindle/src/process/control_thread.rs
@@ -10,7 +10,9 @@
 use std::time::{Duration, Instant};
 
 use firspindle_core::connection::HandoverMemory;
-use firspindle_core::process::{DrainReason, FenceToken, LeaseTiming, LifeCycle, NodeAction, NodeMachine};
+use firspindle_core::process::{
+    DrainReason, FenceToken, LeaseTiming, LifeCycle, NodeAction, NodeMachine,
+};
 use firspindle_core::request::{IdMemory, RouteTable, SuspectTable};
 use firspindle_core::version::{FoldState, MemberInfo, UpstreamInfo};
 use firspindle_core::{LogOffset, PartitionId};
@@ -186,7 +188,7 @@
     fn check_clock(&mut self) {
         let offset = self.wall_offset();
         if offset > self.wall_lead + CLOCK_LEAD {
-            log::warn!(ahead_ms = (offset - self.wall_lead).as_millis(); "clocks disagree; lease distrusted");
+            log::warn!(ahead_ms = offset.saturating_sub(self.wall_lead).as_millis(); "clocks disagree; lease distrusted");
             if let Some(machine) = &mut self.machine {
                 machine.distrust_clock();
             }
@@ -284,7 +286,8 @@
     fn freeze_upstream(&mut self, now: Instant) {
         let Some(body) = &self.announced else { return };
         let granted = self.granted.unwrap_or(now);
-        self.hold_idle = Some(if body.checks_grants { HoldIdle::Until(granted) } else { HoldIdle::Gone });
+        self.hold_idle =
+            Some(if body.checks_grants { HoldIdle::Until(granted) } else { HoldIdle::Gone });
         self.lose_upstream("it is frozen", now);
         self.carry_out();
         for row in &self.gates {
@@ -369,9 +372,10 @@
 
     /// After an incarnation ended, the next one begins if the upstream is still there.
     fn restart_incarnation(&mut self, now: Instant) {
-        let gone = self.machine.as_ref().is_some_and(|machine| {
-            matches!(machine.life(), LifeCycle::Gone(_))
-        });
+        let gone = self
+            .machine
+            .as_ref()
+            .is_some_and(|machine| matches!(machine.life(), LifeCycle::Gone(_)));
         if !gone {
             return;
         }
@@ -459,8 +463,8 @@
         let routes_old = self.routes_at != Some(state.revision);
         let gates_same = view.gates.len() == self.gates.len()
             && view.gates.iter().zip(&self.gates).all(|(a, b)| Arc::ptr_eq(&a.gate, &b.gate));
-        let upstream_same = view.upstream.as_ref().map(Arc::as_ptr)
-            == self.upstream.as_ref().map(Arc::as_ptr);
+        let upstream_same =
+            view.upstream.as_ref().map(Arc::as_ptr) == self.upstream.as_ref().map(Arc::as_ptr);
         let suspects_same = self.suspects == machine.suspects().len();
         let same = !routes_old
             && gates_same
--- a/crates/firspindle/src/process/node_process.rs
+++ b/crates/firspindle/src/process/node_process.rs
@@ -100,8 +100,7 @@
 }
 
 fn watch_signals(tx: Sender<ControlEvent>) -> Result<(), ProcessError> {
-    let mut signals =
-        signal_hook::iterator::Signals::new([SIGTERM, SIGINT]).context(StartSnafu)?;
+    let mut signals = signal_hook::iterator::Signals::new([SIGTERM, SIGINT]).context(StartSnafu)?;
     std::thread::spawn(move || {
         for _ in signals.forever() {
             let _ = tx.send(ControlEvent::Shutdown);
@@ -130,10 +129,8 @@
     context: &Arc<TrafficContext>,
     orders: UnboundedReceiver<IoOrder>,
 ) -> Result<(), ProcessError> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .context(StartSnafu)?;
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().context(StartSnafu)?;
     let (log, tx, folded, context) = (log.clone(), tx.clone(), folded.clone(), context.clone());
     std::thread::spawn(move || {
         let tasks = tokio::task::LocalSet::new();
--- a/crates/firspindle/src/process/publish_command.rs
+++ b/crates/firspindle/src/process/publish_command.rs
@@ -37,7 +37,8 @@
     };
     let version = fold.state.manifest_version();
     if version != spec.replaces {
-        let reason = format!("it replaces version {}, version {version} is in force", spec.replaces);
+        let reason =
+            format!("it replaces version {}, version {version} is in force", spec.replaces);
         return PublishVerdict::Refused(reason.into());
     }
     let mut unknown: Box<str> = "the log did not show the record".into();
@@ -74,8 +75,7 @@
         let bounds = log.bounds().await?;
         let mut reader = Self { state: FoldState::default() };
         if bounds.first > 1 {
-            let found =
-                super::log_reader::find_checkpoint(log, bounds.first, bounds.next).await?;
+            let found = super::log_reader::find_checkpoint(log, bounds.first, bounds.next).await?;
             reader.state = found.map_or_else(FoldState::default, |body| body.state);
         }
         while reader.state.next_offset < bounds.next {
--- a/crates/firspindle/src/request.rs
+++ b/crates/firspindle/src/request.rs
@@ -11,5 +11,5 @@
 pub use caller_answer::CallerAnswer;
 pub use caller_request::CallerRequest;
 pub use traffic_context::TrafficContext;
-pub use traffic_service::{StopServer, serve_requests};
 pub(crate) use traffic_service::run_server;
+pub use traffic_service::{StopServer, serve_requests};
--- a/crates/firspindle/src/request/caller_answer.rs
+++ b/crates/firspindle/src/request/caller_answer.rs
@@ -1,7 +1,6 @@
 //! An answer on its way to the caller.
 
 use bytes::Bytes;
-use firspindle_core::NodeId;
 use firspindle_core::connection::RunState;
 use firspindle_core::process::FenceToken;
 use firspindle_core::request::{RequestFailure, RequestVerdict};
@@ -9,6 +8,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 
 use crate::connection::{PoolResponse, is_connection_header, plain_value};
+use crate::version::TrafficView;
 
 /// Verdict header.
 pub const VERDICT: HeaderName = HeaderName::from_static("firspindle-verdict");
@@ -59,6 +59,10 @@
     }
 
     /// Final answer to a request without an upstream's answer.
+    ///
+    /// # Panics
+    ///
+    /// Never: failures have valid statuses.
     pub fn failed(failure: &RequestFailure) -> Self {
         let verdict = failure.verdict();
         let mut headers = HeaderMap::new();
@@ -98,19 +102,28 @@
         }
     }
 
-    /// Node that is more likely to serve, if the answer names one.
+    /// Whether another node may serve the request.
     pub fn is_not_owner(&self) -> bool {
         self.verdict == RequestVerdict::NotRun && self.headers.contains_key(NOT_OWNER)
     }
 
-    /// Marks a refusal of a node that does not serve the partition.
+    /// Whether the node that answered is about to end.
+    pub fn is_stopping(&self) -> bool {
+        self.headers.get(NOT_OWNER).is_some_and(|value| value == STOPPING)
+    }
+
+    /// Refusal of a node that does not serve the partition.
     #[must_use]
-    pub fn not_owner(node: Option<NodeId>) -> Self {
+    pub fn not_owner(view: &TrafficView) -> Self {
         let mut answer = Self::failed(&RequestFailure::NotOwner);
-        answer.headers.insert(NOT_OWNER, plain_value(node.unwrap_or(0)));
+        let state = if view.stopping { STOPPING } else { "serving" };
+        answer.headers.insert(NOT_OWNER, HeaderValue::from_static(state));
         answer
     }
 }
 
 /// Header, between nodes only, of a refusal that another node may not repeat.
 const NOT_OWNER: HeaderName = HeaderName::from_static("firspindle-not-owner");
+
+/// Value of that header from a node that is about to end.
+const STOPPING: &str = "stopping";
--- a/crates/firspindle/src/request/caller_request.rs
+++ b/crates/firspindle/src/request/caller_request.rs
@@ -5,7 +5,9 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use firspindle_core::request::{RequestFailure, RouteTable, ServiceRoute, content_hash, id_unix_ms};
+use firspindle_core::request::{
+    RequestFailure, RouteTable, ServiceRoute, content_hash, id_unix_ms,
+};
 use firspindle_core::version::{OperationSpec, ServiceDivision, ServiceSpec};
 use firspindle_core::{PartitionId, RequestId};
 use http::{HeaderMap, Method};
--- a/crates/firspindle/src/request/entry_step.rs
+++ b/crates/firspindle/src/request/entry_step.rs
@@ -34,7 +34,8 @@
     let mut broken = 0;
     loop {
         let view = context.view.load_full();
-        for node in candidates(&view, request) {
+        let nodes = candidates(&view, request);
+        for node in nodes.into_iter().filter(|node| !context.is_avoided(*node)) {
             match try_node(context, &view, request, node).await {
                 TryResult::Final(answer) => return answer,
                 TryResult::Next => {}
@@ -114,7 +115,12 @@
         }
     };
     match result {
-        ForwardResult::Answer(answer) => judge(request, answer),
+        ForwardResult::Answer(answer) => {
+            if answer.is_stopping() {
+                context.avoid(node);
+            }
+            judge(request, answer)
+        }
         ForwardResult::Unreachable => TryResult::Next,
         ForwardResult::Failed(failure) if failure.verdict() == RequestVerdict::NotRun => {
             TryResult::Final(CallerAnswer::failed(&failure))
@@ -169,12 +175,7 @@
     TryResult::Final(answer)
 }
 
-fn log_route(
-    context: &TrafficContext,
-    view: &TrafficView,
-    request: &CallerRequest,
-    node: NodeId,
-) {
+fn log_route(context: &TrafficContext, view: &TrafficView, request: &CallerRequest, node: NodeId) {
     if !log::log_enabled!(log::Level::Info) {
         return;
     }
--- a/crates/firspindle/src/request/owner_step.rs
+++ b/crates/firspindle/src/request/owner_step.rs
@@ -28,12 +28,12 @@
 /// Runs a request here, if this node may.
 pub async fn run_here(context: &TrafficContext, request: &CallerRequest) -> CallerAnswer {
     let view = context.view.load_full();
-    let Some(upstream) = view.upstream.clone() else { return CallerAnswer::not_owner(view.node) };
+    let Some(upstream) = view.upstream.clone() else { return CallerAnswer::not_owner(&view) };
     match request.partition {
         None => run_anywhere(context, &view, &upstream, request).await,
         Some(partition) => {
             let Some(pass) = view.gate(partition).and_then(PartitionGate::enter) else {
-                return CallerAnswer::not_owner(view.node);
+                return CallerAnswer::not_owner(&view);
             };
             run_owned(context, &view, &upstream, request, pass).await
         }
@@ -68,7 +68,7 @@
     pass: GatePass,
 ) -> CallerAnswer {
     if context.lease.deadline_micros().is_none() {
-        return CallerAnswer::not_owner(view.node);
+        return CallerAnswer::not_owner(view);
     }
     if let Some(failure) = suspicion(view, request) {
         return CallerAnswer::failed(&failure);
@@ -105,7 +105,7 @@
                 note.state = Some(NotedState::NotRun);
             }
             if failure == RequestFailure::NotOwner {
-                return CallerAnswer::not_owner(view.node);
+                return CallerAnswer::not_owner(view);
             }
             CallerAnswer::failed(&failure)
         }
--- a/crates/firspindle/src/request/traffic_context.rs
+++ b/crates/firspindle/src/request/traffic_context.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use arc_swap::ArcSwap;
+use firspindle_core::NodeId;
 use firspindle_core::request::RetryBudget;
 
 use crate::process::{ControlEvent, DecisionLog, LeaseCell, MetricsSet};
@@ -25,6 +26,8 @@
     pub tx: Sender<ControlEvent>,
     budget: Mutex<RetryBudget>,
     in_flight: AtomicU64,
+    /// Nodes that said that they are about to end, sorted.
+    stopping: ArcSwap<Vec<NodeId>>,
 }
 
 impl TrafficContext {
@@ -38,9 +41,29 @@
             tx,
             budget: Mutex::default(),
             in_flight: AtomicU64::new(0),
+            stopping: ArcSwap::default(),
         }
     }
 
+    /// Sends no more requests to an incarnation that is about to end.
+    ///
+    /// Its server may close a connection just as a request goes out on it, and then nobody
+    /// could tell whether the request ran.
+    pub fn avoid(&self, node: NodeId) {
+        self.stopping.rcu(|nodes| {
+            let mut nodes = Vec::clone(nodes);
+            if let Err(index) = nodes.binary_search(&node) {
+                nodes.insert(index, node);
+            }
+            nodes
+        });
+    }
+
+    /// Whether an incarnation said that it is about to end.
+    pub fn is_avoided(&self, node: NodeId) -> bool {
+        self.stopping.load().binary_search(&node).is_ok()
+    }
+
     /// Counts a request for the retry budget.
     pub fn deposit(&self) {
         self.budget.lock().unwrap_or_else(PoisonError::into_inner).deposit();
--- a/crates/firspindle/src/request/traffic_service.rs
+++ b/crates/firspindle/src/request/traffic_service.rs
@@ -96,7 +96,9 @@
         now_ms: unix_ms(),
     };
     let (service, answer) = match read_request(context, &head, body).await {
-        Ok(request) if state.forwarded => (request.service.name.clone(), run_here(context, &request).await),
+        Ok(request) if state.forwarded => {
+            (request.service.name.clone(), run_here(context, &request).await)
+        }
         Ok(request) => (request.service.name.clone(), route(context, &request).await),
         Err(failure) => ("".into(), CallerAnswer::failed(&failure)),
     };
@@ -124,9 +126,7 @@
 ) -> Result<CallerRequest, RequestFailure> {
     let routes = context.view.load().routes.clone();
     let mut body = pin!(body);
-    let checked = head
-        .route(&routes)
-        .and_then(|(route, path)| head.read(&routes, route, path));
+    let checked = head.route(&routes).and_then(|(route, path)| head.read(&routes, route, path));
     let mut request = match checked {
         Ok(request) => request,
         Err(failure) => {
--- a/crates/firspindle/tests/failures/bench_fleet.rs
+++ b/crates/firspindle/tests/failures/bench_fleet.rs
@@ -51,9 +51,9 @@
     wait_until("the fleet settles", SETTLE, || {
         let counts: Vec<_> = living.iter().map(|host| fleet.partitions(*host).len()).collect();
         let even = counts.iter().all(|count| *count >= share);
-        let settled = living.iter().all(|host| {
-            fleet.status(*host).is_some_and(|status| status["open_history"] == 0)
-        });
+        let settled = living
+            .iter()
+            .all(|host| fleet.status(*host).is_some_and(|status| status["open_history"] == 0));
         (even && settled && counts.iter().sum::<usize>() == PARTITIONS).then_some(())
     });
 }
--- a/crates/firspindle/tests/failures/log_faults.rs
+++ b/crates/firspindle/tests/failures/log_faults.rs
@@ -5,7 +5,9 @@
 use harness::{Fleet, FleetSpec, HttpCaller, wait_until};
 use rustix::process::Signal;
 
-use crate::bench_fleet::{LONG, PARTITIONS, SETTLE, check, load, manifest, run_for, serving, settle};
+use crate::bench_fleet::{
+    LONG, PARTITIONS, SETTLE, check, load, manifest, run_for, serving, settle,
+};
 
 /// Bound for a manifest to be in force everywhere, of today's target.
 const MANIFEST_BOUND: Duration = Duration::from_secs(3);
--- a/crates/firspindle/tests/failures/losses.rs
+++ b/crates/firspindle/tests/failures/losses.rs
@@ -5,8 +5,8 @@
 use harness::{Fleet, FleetSpec, longest_gap};
 use rustix::process::Signal;
 
-use crate::bench_fleet::{SHORT, 
-    LOSS_BOUND, SETTLE, check, load, run_for, serving, serving_with, settle,
+use crate::bench_fleet::{
+    LOSS_BOUND, SETTLE, SHORT, check, load, run_for, serving, serving_with, settle,
 };
 
 /// Time that callers run before and after a fault.
@@ -152,7 +152,13 @@
     fleet.kill_host(victim);
     run_for(AFTER);
     assert_eq!(fleet.owner("registre", "garage-1"), None, "it must stay unavailable");
-    let reply = fleet.call((victim + 1) % 4, "POST", "/registre/orders", &[("firspindle-key", "garage-1")], "");
+    let reply = fleet.call(
+        (victim + 1) % 4,
+        "POST",
+        "/registre/orders",
+        &[("firspindle-key", "garage-1")],
+        "",
+    );
     let reply = reply.expect("a whole answer");
     assert_eq!((reply.status, reply.verdict()), (503, "not-run"));
     assert!(!reply.header("retry-after").is_empty());
--- a/crates/firspindle/tests/failures/requests.rs
+++ b/crates/firspindle/tests/failures/requests.rs
@@ -121,7 +121,9 @@
     wait_until("every node refuses it", SETTLE, || {
         let refused = |host| {
             let reply = order(&fleet, host, "/registre/orders?crash=1", &fresh_id());
-            reply.status == 422 && reply.verdict() == "not-run" && !reply.header("retry-after").is_empty()
+            reply.status == 422
+                && reply.verdict() == "not-run"
+                && !reply.header("retry-after").is_empty()
         };
         (0..5).all(refused).then_some(())
     });
--- /dev/null
+++ b/crates/firspindle/tests/session.rs
@@ -0,0 +1,98 @@
+//! The golden file of one whole session: publish, announce, assign, request, answer, drain.
+
+use std::fmt::Write as _;
+use std::time::Duration;
+
+use harness::{Fleet, FleetSpec, Reply, wait_until};
+
+const MANIFEST: &str = include_str!("../../../examples/manifest-registre.toml");
+
+/// Longest wait of one stage.
+const LIMIT: Duration = Duration::from_secs(20);
+
+/// Ids as a caller would make them; the same in each session.
+const IDS: [&str; 2] =
+    ["01900000-0000-7000-8000-000000000001", "01900000-0000-7000-8000-000000000002"];
+
+#[derive(Default)]
+struct Transcript {
+    text: String,
+}
+
+impl Transcript {
+    fn line(&mut self, line: &str) {
+        writeln!(self.text, "{line}").expect("strings take text");
+    }
+
+    fn reply(&mut self, what: &str, reply: &Reply) {
+        let fence = if reply.header("firspindle-fence").is_empty() { "none" } else { "given" };
+        let body = reply.body.trim();
+        self.line(&format!("> {what}"));
+        self.line(&format!("< {} verdict={} fence={fence}", reply.status, reply.verdict()));
+        self.line(&format!("  {body}"));
+    }
+}
+
+fn call(fleet: &Fleet, host: usize, method: &str, path: &str, headers: &[(&str, &str)]) -> Reply {
+    fleet.call(host, method, path, headers, "2 blanks").expect("a whole answer")
+}
+
+fn served(fleet: &Fleet, host: usize) -> usize {
+    fleet.partitions(host).len()
+}
+
+#[test]
+fn a_whole_session() {
+    let mut spec = FleetSpec::one_service("registre", 2, 2);
+    let second = spec.nodes.pop().expect("two nodes");
+    let mut fleet = Fleet::start(spec);
+    let mut transcript = Transcript::default();
+    transcript.line("# publish");
+    let early = wait_until("the node listens", LIMIT, || {
+        fleet.call(0, "GET", "/registre/checks", &[("firspindle-key", "garage-7")], "").ok()
+    });
+    transcript.reply("GET /registre/checks before any manifest", &early);
+    let output = fleet.publish(MANIFEST);
+    transcript.line(&format!("exit {:?}", output.status.code()));
+    transcript.line(String::from_utf8_lossy(&output.stdout).trim());
+
+    transcript.line("# announce and assign");
+    wait_until("the first node serves", LIMIT, || (served(&fleet, 0) == 64).then_some(()));
+    transcript.line("host-0 serves 64 partitions");
+
+    transcript.line("# request and answer");
+    let key = ("firspindle-key", "garage-7");
+    let order = [key, ("idempotency-key", IDS[0])];
+    // The caller's id is old, so it is refused by age: nobody can tell whether it ran.
+    transcript.reply(
+        "POST /registre/orders with an old id",
+        &call(&fleet, 0, "POST", "/registre/orders", &order),
+    );
+    let check = [key, ("idempotency-key", IDS[1])];
+    transcript.reply("GET /registre/checks", &call(&fleet, 0, "GET", "/registre/checks", &check));
+
+    transcript.line("# a second host joins");
+    fleet.spec.nodes.push(second);
+    fleet.nodes.push(None);
+    fleet.upstreams.push(None);
+    fleet.start_node(1);
+    fleet.start_upstream(1);
+    wait_until("both serve evenly", LIMIT, || {
+        (served(&fleet, 0) == 32 && served(&fleet, 1) == 32).then_some(())
+    });
+    transcript.line("host-0 serves 32 partitions, host-1 serves 32 partitions");
+    for entry in 0..2 {
+        let reply = call(&fleet, entry, "GET", "/registre/checks", &check);
+        transcript.reply(&format!("GET /registre/checks at host-{entry}"), &reply);
+    }
+
+    transcript.line("# drain");
+    fleet.nodes[0].as_ref().expect("it runs").terminate();
+    let status = fleet.nodes[0].as_mut().expect("it runs").wait(LIMIT);
+    transcript.line(&format!("host-0 exits {:?}", status.and_then(|status| status.code())));
+    wait_until("the second serves all", LIMIT, || (served(&fleet, 1) == 64).then_some(()));
+    transcript.line("host-1 serves 64 partitions");
+    let reply = call(&fleet, 1, "GET", "/registre/checks", &check);
+    transcript.reply("GET /registre/checks at host-1", &reply);
+    insta::assert_snapshot!(transcript.text);
+}
--- a/crates/harness/src/fleet.rs
+++ b/crates/harness/src/fleet.rs
@@ -141,7 +141,7 @@
             folder,
         };
         eprintln!("fleet: {}", fleet.folder.display());
-        fleet.wait_for(fleet.log_address());
+        Self::wait_for(fleet.log_address());
         for host in 0..count {
             fleet.nodes.push(None);
             fleet.upstreams.push(None);
@@ -157,7 +157,7 @@
         &self.folder
     }
 
-    fn wait_for(&self, address: SocketAddr) {
+    fn wait_for(address: SocketAddr) {
         wait_until("the process listens", START_LIMIT, || {
             std::net::TcpStream::connect(address).ok()
         });
@@ -177,7 +177,7 @@
             link(self.addresses.of(host, PEER_LINK_PORT), self.addresses.of(host, PEER_PORT));
         self.log_links.push(log_link);
         self.peer_links.push(peer_link);
-        self.wait_for(self.addresses.of(host, LOG_LINK_PORT));
+        Self::wait_for(self.addresses.of(host, LOG_LINK_PORT));
     }
 
     /// Writes the settings of a host and gives their path.
@@ -325,7 +325,8 @@
                 .filter(|host| self.nodes[*host].is_some())
                 .map(|host| self.partitions(host).len())
                 .collect();
-            (counts.iter().sum::<usize>() == partitions && counts.iter().all(|n| *n > 0)).then_some(())
+            (counts.iter().sum::<usize>() == partitions && counts.iter().all(|n| *n > 0))
+                .then_some(())
         });
     }
 
@@ -373,10 +374,9 @@
 
     /// Kills the node and the upstream of a host.
     pub fn kill_host(&mut self, host: usize) {
-        for process in [self.nodes[host].take(), self.upstreams[host].take()] {
-            if let Some(mut process) = process {
-                process.kill();
-            }
+        let ended = [self.nodes[host].take(), self.upstreams[host].take()];
+        for mut process in ended.into_iter().flatten() {
+            process.kill();
         }
     }
 }
--- a/crates/harness/src/fleet_address.rs
+++ b/crates/harness/src/fleet_address.rs
@@ -17,6 +17,10 @@
     }
 
     /// Address of a port on a host; hosts count from 0.
+    ///
+    /// # Panics
+    ///
+    /// From host 254 on.
     pub fn of(&self, host: usize, port: u16) -> SocketAddr {
         let last = u8::try_from(host + 1).expect("a fleet has under 255 hosts");
         SocketAddr::from((Ipv4Addr::new(127, self.high, self.low, last), port))
--- a/crates/harness/src/fleet_process.rs
+++ b/crates/harness/src/fleet_process.rs
@@ -34,6 +34,10 @@
     }
 
     /// Sends a signal.
+    ///
+    /// # Panics
+    ///
+    /// Never: a child has an id.
     pub fn signal(&self, signal: Signal) {
         let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
         let _ = kill_process(pid.expect("a child has an id"), signal);
--- a/crates/harness/src/journal_check.rs
+++ b/crates/harness/src/journal_check.rs
@@ -52,10 +52,16 @@
         let later = sorted[index + 1..].iter().take_while(|other| other.key == row.key);
         for other in later.filter(|other| other.host != row.host) {
             if other.start < row.end {
-                faults.push(JournalFault::Overlap(Box::new((*row).clone()), Box::new((*other).clone())));
+                faults.push(JournalFault::Overlap(
+                    Box::new((*row).clone()),
+                    Box::new((*other).clone()),
+                ));
             }
             if fence(&other.fence) <= fence(&row.fence) {
-                faults.push(JournalFault::FenceFell(Box::new((*row).clone()), Box::new((*other).clone())));
+                faults.push(JournalFault::FenceFell(
+                    Box::new((*row).clone()),
+                    Box::new((*other).clone()),
+                ));
             }
         }
     }
--- a/crates/harness/src/load_probe.rs
+++ b/crates/harness/src/load_probe.rs
@@ -59,7 +59,8 @@
     pub fn start(spec: &LoadSpec, entries: Vec<SocketAddr>) -> Self {
         let stop = Arc::new(AtomicBool::new(false));
         let next = Arc::new(AtomicUsize::new(0));
-        let closed: Arc<Vec<_>> = Arc::new(entries.iter().map(|_| AtomicBool::new(false)).collect());
+        let closed: Arc<Vec<_>> =
+            Arc::new(entries.iter().map(|_| AtomicBool::new(false)).collect());
         let entries = Arc::new(entries);
         let caller = |_| {
             let (spec, entries) = (spec.clone(), entries.clone());
--- a/crates/standin/src/http_server.rs
+++ b/crates/standin/src/http_server.rs
@@ -37,8 +37,8 @@
                     }
                 }
             });
-            let connection =
-                hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            let connection = hyper::server::conn::http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service);
             if let Err(error) = connection.await {
                 log::debug!("connection ended: {error}");
             }
--- a/crates/standin/src/log_server.rs
+++ b/crates/standin/src/log_server.rs
@@ -111,9 +111,7 @@
         return answer(503, "the log is down");
     }
     match state.store.borrow_mut().read(from) {
-        Some(records) => {
-            answer(200, postcard::to_stdvec(&records).expect("records always encode"))
-        }
+        Some(records) => answer(200, postcard::to_stdvec(&records).expect("records always encode")),
         None => answer(410, "the offset has expired"),
     }
 }
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -7,8 +7,8 @@
 mod grant_check;
 mod http_server;
 mod link_server;
-mod log_store;
 mod log_server;
+mod log_store;
 mod upstream_journal;
 mod upstream_server;
 
--- a/xtask/src/demo_task.rs
+++ b/xtask/src/demo_task.rs
@@ -53,7 +53,11 @@
     );
     print_reply(&reply);
     let faults = check_journals(&fleet.journals());
-    println!("runs on the upstreams' journals: {}, faults: {}", fleet.journals().len(), faults.len());
+    println!(
+        "runs on the upstreams' journals: {}, faults: {}",
+        fleet.journals().len(),
+        faults.len()
+    );
     assert!(faults.is_empty(), "{faults:?}");
     println!("logs and settings: {}", fleet.folder().display());
 }
