perf: bound the planner's work by nodes plus changes

Change: shares are computed once per plan, needy nodes are counted, a settled revision only compares floors.

--- a/crates/core/src/connection/peer_message.rs
+++ b/crates/core/src/connection/peer_message.rs
@@ -21,6 +21,17 @@
     pub message: PeerMessage,
 }
 
+impl Envelope {
+    /// Encoded length, in bytes.
+    ///
+    /// # Panics
+    ///
+    /// Never: every message has an encoding.
+    pub fn encoded_len(&self) -> usize {
+        postcard::to_stdvec(self).expect("messages always encode").len()
+    }
+}
+
 /// What nodes say to each other.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum PeerMessage {
--- a/crates/core/src/process/node_machine/tick_step.rs
+++ b/crates/core/src/process/node_machine/tick_step.rs
@@ -247,12 +247,16 @@
             return;
         }
         let floor = self.desk.floor(&self.state);
-        let Some(plan) = self.compute_plan(floor) else { return };
+        let plan = if self.planned == Some(self.state.revision) {
+            PlanRecord::floor_only(&self.state, floor)
+        } else {
+            self.compute_plan(floor)
+        };
         if plan.is_empty() {
             self.planned = Some(self.state.revision);
-        }
-        if plan.is_empty() && !self.desk.floor_due(&self.state, floor, now) {
-            return;
+            if !self.desk.floor_due(&self.state, floor, now) {
+                return;
+            }
         }
         log::info!(
             term = plan.term, base = plan.base, floor, lines = plan.lines.len(),
@@ -262,17 +266,14 @@
         self.append(AppendKind::Plan, RecordBody::Plan(plan));
     }
 
-    fn compute_plan(&self, floor: LogOffset) -> Option<PlanRecord> {
-        if self.planned == Some(self.state.revision) && floor == self.state.floor {
-            return None;
-        }
+    fn compute_plan(&self, floor: LogOffset) -> PlanRecord {
         let empty = crate::version::ManifestSpec {
             replaces: 0,
             lost_hosts: Vec::new(),
             services: Vec::new(),
         };
         let spec = self.spec.as_deref().unwrap_or(&empty);
-        Some(PlanBuilder::new(&self.state, spec).floor(floor).build())
+        PlanBuilder::new(&self.state, spec).floor(floor).build()
     }
 
     /// A node that cannot win its lease back starts over as a new incarnation.
--- a/crates/core/src/process/planner_desk.rs
+++ b/crates/core/src/process/planner_desk.rs
@@ -106,12 +106,13 @@
 
     /// Whether raising the floor alone is worth a record now; notes the time if so.
     pub fn floor_due(&mut self, state: &FoldState, floor: LogOffset, now: Instant) -> bool {
-        let useful = state
-            .partitions
-            .iter()
-            .any(|row| row.lines.len() > 1 && row.lines[1].offset <= floor)
-            || state.witnesses.iter().any(|row| row.sets.len() > 1 && row.sets[1].offset <= floor);
-        if !useful || now < self.floor_at {
+        if floor <= state.floor || now < self.floor_at {
+            return false;
+        }
+        let lines = state.partitions.iter().filter_map(|row| row.lines.get(1));
+        let sets = state.witnesses.iter().filter_map(|row| row.sets.get(1));
+        let superseded = lines.map(|line| line.offset).chain(sets.map(|set| set.offset));
+        if !superseded.into_iter().any(|offset| offset <= floor) {
             return false;
         }
         self.floor_at = now + FLOOR_GAP;
--- a/crates/core/src/request/request_failure.rs
+++ b/crates/core/src/request/request_failure.rs
@@ -12,6 +12,9 @@
     /// No such service.
     #[snafu(display("no service of this name"))]
     UnknownService,
+    /// No manifest is in force yet.
+    #[snafu(display("no manifest is in force"))]
+    NoManifest,
     /// The key is missing.
     #[snafu(display("the Firspindle-Key header is missing"))]
     MissingKey,
@@ -110,7 +113,11 @@
             Self::Poisonous { .. } => 422,
             Self::HeadTooLarge { .. } => 431,
             Self::ConnectionLost | Self::AnswerCutShort => 502,
-            Self::Overloaded { .. } | Self::NoOwner | Self::NotOwner | Self::UpstreamRefused => 503,
+            Self::Overloaded { .. }
+            | Self::NoManifest
+            | Self::NoOwner
+            | Self::NotOwner
+            | Self::UpstreamRefused => 503,
             Self::Expired | Self::DeadlinePassed => 504,
         }
     }
@@ -121,7 +128,9 @@
             Self::Overloaded { retry_after } | Self::Poisonous { retry_after } => {
                 Some(*retry_after)
             }
-            Self::NoOwner | Self::NotOwner | Self::UpstreamRefused => Some(Duration::from_secs(1)),
+            Self::NoManifest | Self::NoOwner | Self::NotOwner | Self::UpstreamRefused => {
+                Some(Duration::from_secs(1))
+            }
             _ => None,
         }
     }
--- a/crates/core/src/version/plan_builder.rs
+++ b/crates/core/src/version/plan_builder.rs
@@ -41,6 +41,16 @@
 struct ServiceTable<'a> {
     spec: &'a ServiceSpec,
     nodes: Vec<&'a MemberRow>,
+    /// Slots, by index into `nodes`.
+    slots: Vec<usize>,
+    /// Number of the data centre, by index into `nodes`.
+    centres: Vec<usize>,
+    /// Least partitions that a node should hold, by index into `nodes`.
+    low: Vec<usize>,
+    /// Most partitions that a node may hold, by index into `nodes`.
+    high: Vec<usize>,
+    /// Nodes that hold so few that others give some up.
+    needy: usize,
     /// Partitions held, by index into `nodes`.
     held: Vec<usize>,
     /// First successions, by owner index times `nodes.len()` plus successor index.
@@ -124,14 +134,7 @@
         let runs_service = |row: &&MemberRow| row.info.upstream.service == service.name;
         let ready = |row: &&MemberRow| !row.draining && self.has_witnesses(row.id);
         let nodes: Vec<_> = self.state.members.iter().filter(runs_service).filter(ready).collect();
-        let count = nodes.len();
-        ServiceTable {
-            spec,
-            nodes,
-            held: vec![0; count],
-            succession: vec![0; count * count],
-            successions: vec![0; count],
-        }
+        ServiceTable::new(spec, nodes, usize::from(service.partitions))
     }
 
     /// A node without witnesses has no lease and can serve nothing.
@@ -230,7 +233,35 @@
     }
 }
 
-impl ServiceTable<'_> {
+impl<'a> ServiceTable<'a> {
+    fn new(spec: &'a ServiceSpec, nodes: Vec<&'a MemberRow>, partitions: usize) -> Self {
+        let count = nodes.len();
+        let slots: Vec<_> =
+            nodes.iter().map(|row| row.info.upstream.slots.max(1) as usize).collect();
+        let total: usize = slots.iter().sum::<usize>().max(1);
+        let mut names: Vec<_> = nodes.iter().map(|row| &row.info.data_centre).collect();
+        names.sort_unstable();
+        names.dedup();
+        let centre = |row: &&MemberRow| names.binary_search(&&row.info.data_centre).unwrap_or(0);
+        let centres = nodes.iter().map(centre).collect();
+        let share = |slots: &usize| partitions * slots;
+        let low = slots.iter().map(|slots| share(slots) / total).collect();
+        let high =
+            slots.iter().map(|slots| upper_bound(spec.policy, share(slots), total)).collect();
+        Self {
+            spec,
+            nodes,
+            slots,
+            centres,
+            low,
+            high,
+            needy: 0,
+            held: vec![0; count],
+            succession: vec![0; count * count],
+            successions: vec![0; count],
+        }
+    }
+
     fn index_of(&self, node: NodeId) -> Option<usize> {
         self.nodes.binary_search_by_key(&node, |row| row.id).ok()
     }
@@ -245,80 +276,67 @@
 
     /// Node with the fewest partitions for its slots.
     fn least_held(&self) -> usize {
-        let by_share = |index: &usize| (self.share_of(*index, 1), self.nodes[*index].id);
+        let by_share = |index: &usize| (self.share_of(*index, 1), *index);
         (0..self.nodes.len()).min_by_key(by_share).expect("table has nodes")
     }
 
     /// Held partitions and `extra` more, scaled by slots.
     fn share_of(&self, index: usize, extra: usize) -> usize {
         const SCALE: usize = 1 << 16;
-        (self.held[index] + extra) * SCALE / self.nodes[index].info.upstream.slots.max(1) as usize
-    }
-
-    fn slots(&self) -> usize {
-        self.nodes.iter().map(|row| row.info.upstream.slots.max(1) as usize).sum()
-    }
-
-    /// Partitions that a node may hold before others take some: its share rounded up, and under
-    /// the churn policy a tenth more.
-    fn upper_bound(&self, index: usize, partitions: usize) -> usize {
-        let slots = self.nodes[index].info.upstream.slots.max(1) as usize;
-        let share = (partitions * slots).div_ceil(self.slots());
-        match self.spec.policy {
-            PolicyChoice::Availability => share,
-            PolicyChoice::Churn => share + share / 10,
-        }
-    }
-
-    fn lower_bound(&self, index: usize, partitions: usize) -> usize {
-        let slots = self.nodes[index].info.upstream.slots.max(1) as usize;
-        partitions * slots / self.slots()
+        (self.held[index] + extra) * SCALE / self.slots[index]
     }
 
     /// Moves partitions from nodes above their share to nodes below it, least moves first.
     fn even_out(&mut self, owners: &mut [Option<usize>], fixed: &[bool], step: bool) {
-        let total = owners.len();
+        self.needy = (0..self.nodes.len()).filter(|index| self.is_needy(*index)).count();
         let mut taken = vec![0; self.nodes.len()];
         for (slot, fixed) in owners.iter_mut().zip(fixed) {
             let Some(owner) = *slot else { continue };
-            if *fixed || !self.is_donor(owner, total) {
+            if *fixed || !self.is_donor(owner) {
                 continue;
             }
-            let Some(taker) = self.choose_taker(&taken, total, step) else { return };
+            let Some(taker) = self.choose_taker(&taken, step) else { return };
             if taker == owner {
                 continue;
             }
-            self.held[owner] -= 1;
-            self.held[taker] += 1;
+            self.shift(owner, taker);
             taken[taker] += 1;
             *slot = Some(taker);
         }
     }
 
+    fn shift(&mut self, from: usize, to: usize) {
+        let before = self.is_needy(to);
+        self.held[from] -= 1;
+        self.held[to] += 1;
+        if before && !self.is_needy(to) {
+            self.needy -= 1;
+        }
+        if self.is_needy(from) {
+            self.needy += 1;
+        }
+    }
+
     /// Whether a node gives one up: it is above its bound, or above its lower bound while
     /// another is below its own.
-    fn is_donor(&self, index: usize, total: usize) -> bool {
+    fn is_donor(&self, index: usize) -> bool {
         let held = self.held[index];
-        if held > self.upper_bound(index, total) {
-            return true;
-        }
-        let needy = (0..self.nodes.len()).any(|other| self.is_needy(other, total));
-        held > self.lower_bound(index, total) && needy
+        held > self.high[index] || (held > self.low[index] && self.needy > 0)
     }
 
-    fn is_needy(&self, index: usize, total: usize) -> bool {
-        let low = self.lower_bound(index, total);
+    fn is_needy(&self, index: usize) -> bool {
+        let low = self.low[index];
         match self.spec.policy {
             PolicyChoice::Availability => self.held[index] < low,
             PolicyChoice::Churn => self.held[index] < low - low / 10,
         }
     }
 
-    fn choose_taker(&self, taken: &[usize], total: usize, step: bool) -> Option<usize> {
+    fn choose_taker(&self, taken: &[usize], step: bool) -> Option<usize> {
         let open = |index: &usize| {
-            let low = self.lower_bound(*index, total);
-            let most = if step { (low / COLD_STEP_DIVISOR).max(1) } else { total };
-            taken[*index] < most && self.held[*index] < self.upper_bound(*index, total)
+            let low = self.low[*index];
+            let most = if step { (low / COLD_STEP_DIVISOR).max(1) } else { usize::MAX };
+            taken[*index] < most && self.held[*index] < self.high[*index]
         };
         (0..self.nodes.len()).filter(open).min_by_key(|index| self.share_of(*index, 1))
     }
@@ -362,14 +380,24 @@
     /// then few successions in all.
     fn rank(&self, line: &[usize], index: usize) -> (usize, u32, u32, usize) {
         const SCALE: u32 = 1 << 12;
-        let slots = self.nodes[index].info.upstream.slots.max(1);
+        let slots = u32::try_from(self.slots[index]).unwrap_or(u32::MAX);
         let behind = self.succession[line[0] * self.nodes.len() + index] * SCALE / slots;
-        let centre = &self.nodes[index].info.data_centre;
-        let same = line.iter().filter(|other| self.nodes[**other].info.data_centre == *centre);
+        let centre = self.centres[index];
+        let same = line.iter().filter(|other| self.centres[**other] == centre);
         (same.count(), behind, self.successions[index] * SCALE / slots, index)
     }
 }
 
+/// Partitions that a node may hold before others take some: its share rounded up, and under the
+/// churn policy a tenth more.
+fn upper_bound(policy: PolicyChoice, weighted: usize, total: usize) -> usize {
+    let share = weighted.div_ceil(total);
+    match policy {
+        PolicyChoice::Availability => share,
+        PolicyChoice::Churn => share + share / 10,
+    }
+}
+
 fn is_first_plan(rows: &[PartitionRow]) -> bool {
     rows.iter().all(|row| row.lines.is_empty())
 }
--- a/crates/core/src/version/plan_record.rs
+++ b/crates/core/src/version/plan_record.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::FoldState;
 use crate::{LogOffset, NodeId, PartitionId, TermNumber};
 
 /// Changes of lines and witness sets.
@@ -40,6 +41,17 @@
 }
 
 impl PlanRecord {
+    /// A plan that only raises the floor.
+    pub const fn floor_only(state: &FoldState, floor: LogOffset) -> Self {
+        Self {
+            term: state.term.number,
+            base: state.revision,
+            floor,
+            lines: Vec::new(),
+            sets: Vec::new(),
+        }
+    }
+
     /// Whether the plan changes nothing but the floor.
     pub fn is_empty(&self) -> bool {
         self.lines.is_empty() && self.sets.is_empty()
--- a/crates/firspindle/src/request/caller_request.rs
+++ b/crates/firspindle/src/request/caller_request.rs
@@ -83,6 +83,9 @@
         let path = self.path_and_query.trim_start_matches('/');
         let end = path.find(['/', '?']).unwrap_or(path.len());
         let (name, rest) = path.split_at(end);
+        if routes.version == 0 {
+            return Err(RequestFailure::NoManifest);
+        }
         let route = routes.service(name).ok_or(RequestFailure::UnknownService)?;
         let rest = if rest.starts_with('/') { rest.into() } else { format!("/{rest}").into() };
         Ok((route, rest))
--- a/crates/standin/src/upstream_server.rs
+++ b/crates/standin/src/upstream_server.rs
@@ -69,6 +69,8 @@
     grants: RefCell<GrantCheck>,
     journal: RefCell<Vec<JournalRow>>,
     running: Cell<u32>,
+    /// Work runs in this many slots; the rest waits in order of arrival.
+    slots: tokio::sync::Semaphore,
     leaving: Cell<bool>,
     misreport: Cell<bool>,
 }
@@ -88,6 +90,7 @@
 /// Serves the upstream until it is told to leave.
 pub async fn serve(args: UpstreamArgs) -> std::io::Result<()> {
     let listen = args.listen;
+    let args_slots = args.slots as usize;
     let state = Rc::new(UpstreamState {
         args,
         boot_id: uuid::Uuid::new_v4().as_u128(),
@@ -95,6 +98,7 @@
         grants: RefCell::default(),
         journal: RefCell::default(),
         running: Cell::new(0),
+        slots: tokio::sync::Semaphore::new(args_slots),
         leaving: Cell::new(false),
         misreport: Cell::new(false),
     });
@@ -193,8 +197,9 @@
     if state.running.get() >= state.args.connections {
         return Some(refuse("shedding load"));
     }
-    let start = boot_micros();
     let in_flight = RunningCount::new(state);
+    let slot = state.slots.acquire().await.ok()?;
+    let start = boot_micros();
     if query::<u8>(&parts.uri, "crash").is_some() {
         std::process::abort();
     }
@@ -223,6 +228,7 @@
     };
     let text = format!("{} {} {} {}", row.method, row.path, row.key, row.id);
     state.keep_row(row);
+    drop(slot);
     drop(in_flight);
     Some(finish(&parts.uri, &text, &body))
 }
--- a/xtask/src/demo_task.rs
+++ b/xtask/src/demo_task.rs
@@ -66,9 +66,10 @@
     let id = fresh_id();
     let headers = [("firspindle-key", "garage-7"), ("idempotency-key", id.as_str())];
     loop {
-        // Until the manifest is in force the service is unknown.
         match fleet.call(host, "POST", "/registre/orders", &headers, "2 blanks") {
-            Ok(reply) if reply.status == 404 => std::thread::sleep(Duration::from_millis(5)),
+            Ok(reply) if reply.status == 503 && reply.body.contains("no manifest") => {
+                std::thread::sleep(Duration::from_millis(5))
+            }
             Ok(reply) => return reply,
             Err(error) => panic!("no answer: {error}"),
         }
--- /dev/null
+++ b/xtask/src/fleet_cost.rs
@@ -0,0 +1,117 @@
+//! Cost of real idle nodes, at several fleet sizes.
+
+use std::time::{Duration, Instant};
+
+use harness::{Fleet, FleetSpec, HttpCaller, wait_until};
+
+/// Fleet sizes; each node has an upstream beside it.
+const SIZES: [usize; 4] = [5, 10, 20, 40];
+
+/// Partitions for each node, as at the target.
+const PARTITIONS_PER_NODE: usize = 39;
+
+/// Time over which an idle fleet is measured.
+const WINDOW: Duration = Duration::from_secs(5);
+
+/// Longest wait for a fleet to settle.
+const LIMIT: Duration = Duration::from_secs(60);
+
+/// Clock ticks in a second, of processor times in `/proc`.
+const CLOCK_TICKS: f64 = 100.0;
+
+/// Measures fleets and prints a table.
+pub fn measure_fleets() {
+    println!(
+        "| nodes | start to settled ms | cpu % of a core, mean / planner | RSS MB mean / most | sent msg/s | sent B/s | manifest in force ms | records |"
+    );
+    println!("|---|---|---|---|---|---|---|---|");
+    for size in SIZES {
+        measure_fleet(size);
+    }
+}
+
+fn measure_fleet(size: usize) {
+    let started = Instant::now();
+    let fleet = Fleet::start(FleetSpec::one_service("orders", size, 5));
+    let partitions = size * PARTITIONS_PER_NODE;
+    let manifest = |replaces: u64| {
+        format!(
+            "replaces = {replaces}\n[[service]]\nname = \"orders\"\npartitions = {partitions}\n"
+        )
+    };
+    assert!(fleet.publish(&manifest(0)).status.success(), "the manifest is accepted");
+    wait_until("the fleet settles", LIMIT, || {
+        (0..size)
+            .all(|host| {
+                let even = fleet.partitions(host).len() == PARTITIONS_PER_NODE;
+                even && fleet.status(host).is_some_and(|status| status["open_history"] == 0)
+            })
+            .then_some(())
+    });
+    let settled = started.elapsed();
+    let planner = planner_host(&fleet);
+    let before: Vec<_> = (0..size).map(|host| cost(&fleet, host)).collect();
+    std::thread::sleep(WINDOW);
+    let after: Vec<_> = (0..size).map(|host| cost(&fleet, host)).collect();
+    let seconds = WINDOW.as_secs_f64();
+    let mean = |field: fn(&NodeCost) -> f64| {
+        let change = before.iter().zip(&after).map(|(a, b)| field(b) - field(a));
+        change.sum::<f64>() / size as f64 / seconds
+    };
+    let cpu = mean(|cost| cost.cpu_seconds) * 100.0;
+    let planner_cpu = (after[planner].cpu_seconds - before[planner].cpu_seconds) / seconds * 100.0;
+    let resident: Vec<_> = after.iter().map(|cost| cost.resident_mb).collect();
+    let most = resident.iter().copied().fold(0.0, f64::max);
+    let resident = resident.iter().sum::<f64>() / size as f64;
+    let published = Instant::now();
+    assert!(fleet.publish(&manifest(1)).status.success(), "the manifest is accepted");
+    wait_until("the manifest is in force everywhere", LIMIT, || {
+        (0..size)
+            .all(|host| fleet.status(host).is_some_and(|page| page["manifest_version"] == 2))
+            .then_some(())
+    });
+    let in_force = published.elapsed();
+    println!(
+        "| {size} | {} | {cpu:.2} / {planner_cpu:.2} | {resident:.1} / {most:.1} | {:.1} | {:.0} | {} | {} |",
+        settled.as_millis(),
+        mean(|cost| cost.messages),
+        mean(|cost| cost.bytes),
+        in_force.as_millis(),
+        fleet.status(0).map_or(0, |page| page["next_offset"].as_u64().unwrap_or(0)),
+    );
+}
+
+struct NodeCost {
+    cpu_seconds: f64,
+    resident_mb: f64,
+    messages: f64,
+    bytes: f64,
+}
+
+fn planner_host(fleet: &Fleet) -> usize {
+    let page = fleet.status(0).expect("the node answers");
+    let planner = page["planner"].clone();
+    (0..fleet.nodes.len())
+        .find(|host| fleet.status(*host).is_some_and(|page| page["node"] == planner))
+        .unwrap_or(0)
+}
+
+fn cost(fleet: &Fleet, host: usize) -> NodeCost {
+    let id = fleet.nodes[host].as_ref().expect("it runs").id();
+    let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
+    let fields: Vec<_> = stat.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
+    let ticks = |index: usize| fields.get(index).and_then(|text| text.parse().ok()).unwrap_or(0.0);
+    let pages: f64 = ticks(21);
+    let reply = HttpCaller::call(fleet.admin(host), "GET", "/metrics", &[], "");
+    let text = reply.map(|reply| reply.body).unwrap_or_default();
+    let metric = |name: &str| {
+        let line = text.lines().find(|line| line.starts_with(name));
+        line.and_then(|line| line.rsplit(' ').next()?.parse().ok()).unwrap_or(0.0)
+    };
+    NodeCost {
+        cpu_seconds: (ticks(11) + ticks(12)) / CLOCK_TICKS,
+        resident_mb: pages * 4096.0 / 1e6,
+        messages: metric("firspindle_peer_messages_total"),
+        bytes: metric("firspindle_peer_bytes_total"),
+    }
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,6 +1,8 @@
 //! Tasks of the repository: the demonstration and the measurements.
 
+mod capacity_task;
 mod demo_task;
+mod fleet_cost;
 
 use clap::{Parser, Subcommand};
 
@@ -16,10 +18,13 @@
 enum TaskCommand {
     /// Runs the whole path on loopback: publish, announce, assign, request, kill, answer.
     Demo,
+    /// Measures the control state against the number of nodes.
+    Capacity,
 }
 
 fn main() {
     match CommandLine::parse().task {
         TaskCommand::Demo => demo_task::run(),
+        TaskCommand::Capacity => capacity_task::run(),
     }
 }
