--- a/crates/core/src/version.rs
+++ b/crates/core/src/version.rs
@@ -26,7 +26,7 @@
 };
 pub use member_row::{DepartReason, DepartedRow, MemberInfo, MemberRow, UpstreamInfo};
 pub use partition_row::{LineRow, PartitionRow};
-pub use plan_builder::{PlanBuilder, SuccessorChoice};
+pub use plan_builder::{PlanBuilder, SuccessorChoice, rendezvous_weight};
 pub use plan_record::{LineChange, PlanRecord, SetChange};
 pub use spec_error::{SpecError, line_of_offset};
 pub use witness_chooser::choose_witnesses;
--- a/crates/core/src/version/plan_builder.rs
+++ b/crates/core/src/version/plan_builder.rs
@@ -304,10 +304,7 @@
             if *fixed || !self.is_donor(owner) {
                 continue;
             }
-            let Some(taker) = self.choose_taker(&taken, step) else { return };
-            if taker == owner {
-                continue;
-            }
+            let Some(taker) = self.choose_taker(owner, &taken, step) else { continue };
             self.shift(owner, taker);
             taken[taker] += 1;
             *slot = Some(taker);
@@ -341,11 +338,16 @@
         }
     }
 
-    fn choose_taker(&self, taken: &[usize], step: bool) -> Option<usize> {
+    /// Who takes a partition of `owner`: a needy node, or any below its bound if the owner is
+    /// above its own.
+    fn choose_taker(&self, owner: usize, taken: &[usize], step: bool) -> Option<usize> {
+        let must_give = self.held[owner] > self.high[owner];
         let open = |index: &usize| {
             let low = self.low[*index];
             let most = if step { (low / COLD_STEP_DIVISOR).max(1) } else { usize::MAX };
-            taken[*index] < most && self.held[*index] < self.high[*index]
+            let wants =
+                self.is_needy(*index) || (must_give && self.held[*index] < self.high[*index]);
+            *index != owner && taken[*index] < most && wants
         };
         (0..self.nodes.len()).filter(open).min_by_key(|index| self.share_of(*index, 1))
     }
@@ -429,7 +431,7 @@
 }
 
 /// Weight of a node for a partition under rendezvous hashing.
-pub(super) fn rendezvous_weight(partition: PartitionId, node: NodeId) -> u64 {
+pub fn rendezvous_weight(partition: PartitionId, node: NodeId) -> u64 {
     let mut bytes = [0; 12];
     bytes[..4].copy_from_slice(&partition.to_le_bytes());
     bytes[4..].copy_from_slice(&node.to_le_bytes());
