--- a/crates/core/src/process/node_machine/tick_step.rs
+++ b/crates/core/src/process/node_machine/tick_step.rs
@@ -23,6 +23,9 @@
 /// Greatest delay before a proven lapse is written, which spares repeated records.
 const LAPSE_SPREAD_MS: u64 = 600;
 
+/// Lines of one plan that are logged one by one.
+const PLACEMENT_LINES: usize = 200;
+
 /// Time between two requests for records.
 const FETCH_GAP: Duration = Duration::from_millis(200);
 
@@ -263,9 +266,31 @@
             sets = plan.sets.len();
             "plan written"
         );
+        self.log_placements(&plan);
         self.append(AppendKind::Plan, RecordBody::Plan(plan));
     }
 
+    fn log_placements(&self, plan: &PlanRecord) {
+        for change in plan.lines.iter().take(PLACEMENT_LINES) {
+            let line = self.state.partition(change.partition).and_then(|row| row.current());
+            let before = line.and_then(|line| line.nodes.first().copied());
+            let owner = change.nodes.first().copied();
+            let reason = match before {
+                None => "first assignment",
+                before if before == owner => "new successors",
+                Some(before) if self.state.member(before).is_none() => "the owner ended",
+                Some(_) => "evens out",
+            };
+            let service = crate::version::partition_service(change.partition);
+            let name = self.state.service(service).map_or("", |row| &*row.name);
+            log::info!(
+                service = name, partition = change.partition, node = owner.unwrap_or(0),
+                successors:? = change.nodes.get(1..), reason;
+                "placed"
+            );
+        }
+    }
+
     fn compute_plan(&self, floor: LogOffset) -> PlanRecord {
         let empty = crate::version::ManifestSpec {
             replaces: 0,
--- a/crates/core/tests/ownership/main.rs
+++ b/crates/core/tests/ownership/main.rs
@@ -16,6 +16,12 @@
 /// Histories within which a missing guard must show.
 const GUARD_HISTORIES: u32 = 6000;
 
+/// Histories after which everything must be served again.
+const RETURN_HISTORIES: u32 = 300;
+
+/// Time for that: a stuck holder starts over after three lease times, and others wait for it.
+const RETURN_TIME: Duration = Duration::from_secs(15);
+
 /// Number from the environment, for longer explorations.
 fn number(name: &str, default: u32) -> u32 {
     std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
@@ -120,6 +126,28 @@
     shows_without(SafetyGuards { idle_release: false, ..SafetyGuards::all() });
 }
 
+/// No assignment is lost for good: whatever happened, once all is mended every partition is
+/// served again.
+#[test]
+fn every_partition_is_served_again_after_any_history() {
+    let cases = number("RETURN_CASES", RETURN_HISTORIES);
+    let strategy = (any::<u64>(), steps());
+    let result = runner(cases, 11).run(&strategy, |(seed, steps)| {
+        let mut world =
+            run_history(seed, &steps, SafetyGuards::all()).map_err(TestCaseError::fail)?;
+        world.mend().map_err(TestCaseError::fail)?;
+        world.run(RETURN_TIME).map_err(TestCaseError::fail)?;
+        for partition in 0..PARTITIONS {
+            let what = || format!("partition {partition}: {}", world.describe(partition));
+            prop_assert!(world.is_served(partition), "not served: {}", what());
+        }
+        Ok(())
+    });
+    if let Err(TestError::Fail(reason, (seed, steps))) = result {
+        panic!("{reason}\nseed {seed}\nsteps {steps:?}");
+    }
+}
+
 #[test]
 fn a_fleet_without_faults_serves_every_partition() {
     let mut world = World::start(1, SafetyGuards::all()).expect("no fault");
--- a/crates/core/tests/ownership/world.rs
+++ b/crates/core/tests/ownership/world.rs
@@ -564,6 +564,28 @@
         lease && node.in_flight.iter().any(|row| row.1 == partition && row.0 > self.now)
     }
 
+    /// Mends everything, and starts the processes that ended.
+    pub fn mend(&mut self) -> Result<(), Fault> {
+        self.links = vec![vec![true; NODES]; NODES];
+        self.log_up = true;
+        self.lose_answers = false;
+        for index in 0..NODES {
+            self.nodes[index].reads_log = true;
+            self.nodes[index].paused_until = self.now;
+            if !self.nodes[index].alive {
+                self.apply(&Step::Restart(index))?;
+            }
+        }
+        Ok(())
+    }
+
+    /// What a node holds of a partition, for reports.
+    pub fn describe(&self, partition: u32) -> String {
+        let row = self.end_state().partition(partition).cloned();
+        let lives: Vec<_> = self.nodes.iter().map(|node| node.machine.life().name()).collect();
+        format!("{row:?}, lives {lives:?}")
+    }
+
     /// Whether some living node may run the partition.
     pub fn is_served(&self, partition: u32) -> bool {
         (0..NODES).any(|index| {
