--- /dev/null
+++ b/crates/core/src/version/fold_state/plan_step.rs
@@ -0,0 +1,91 @@
+//! Folds plans, and drops what they supersede.
+
+use super::{FoldOutcome, FoldState};
+use crate::version::{LineRow, PlanRecord, WitnessRow, WitnessSet};
+use crate::{LogOffset, NodeId};
+
+impl FoldState {
+    pub(super) fn apply_plan(&mut self, offset: LogOffset, plan: &PlanRecord) -> FoldOutcome {
+        if let Err(reason) = self.check_plan(plan) {
+            return FoldOutcome::Dropped(reason.into());
+        }
+        for change in &plan.lines {
+            let index = self.partition_index(change.partition).expect("plan was checked");
+            let line = LineRow { offset, nodes: change.nodes.clone() };
+            self.partitions[index].lines.push(line);
+        }
+        for change in &plan.sets {
+            let set = WitnessSet { offset, nodes: change.nodes.clone() };
+            match self.witnesses.binary_search_by_key(&change.member, |row| row.member) {
+                Ok(index) => self.witnesses[index].sets.push(set),
+                Err(index) => {
+                    let row = WitnessRow { member: change.member, sets: vec![set] };
+                    self.witnesses.insert(index, row);
+                }
+            }
+        }
+        self.raise_floor(plan.floor);
+        FoldOutcome::Applied
+    }
+
+    fn check_plan(&self, plan: &PlanRecord) -> Result<(), &'static str> {
+        if plan.term != self.term.number {
+            return Err("plan of another term");
+        }
+        if plan.base != self.revision {
+            return Err("plan computed from another revision");
+        }
+        let known = |nodes: &[NodeId]| nodes.iter().all(|node| self.member(*node).is_some());
+        let lines_ok = plan
+            .lines
+            .iter()
+            .all(|change| self.partition_index(change.partition).is_some() && known(&change.nodes));
+        let sets_ok = plan
+            .sets
+            .iter()
+            .all(|change| known(&change.nodes) && self.member(change.member).is_some());
+        if lines_ok && sets_ok { Ok(()) } else { Err("plan names an unknown node or partition") }
+    }
+
+    fn raise_floor(&mut self, floor: LogOffset) {
+        if floor <= self.floor {
+            return;
+        }
+        self.floor = floor;
+        self.compact();
+    }
+
+    pub(super) fn compact(&mut self) {
+        let open: Vec<_> =
+            self.departed.iter().filter(|row| !row.settled).map(|row| row.id).collect();
+        for row in &mut self.partitions {
+            row.compact(self.floor, &open);
+        }
+        for row in &mut self.witnesses {
+            row.compact(self.floor);
+        }
+        self.drop_unnamed();
+    }
+
+    /// Forgets ended members that no line or witness set names any more.
+    fn drop_unnamed(&mut self) {
+        let mut named: Vec<NodeId> = Vec::new();
+        for row in &self.partitions {
+            named.extend(row.lines.iter().flat_map(|line| &line.nodes));
+        }
+        for row in &self.witnesses {
+            if self.member(row.member).is_some() {
+                named.extend(row.sets.iter().flat_map(|set| &set.nodes));
+            }
+        }
+        named.sort_unstable();
+        named.dedup();
+        self.departed.retain(|row| named.binary_search(&row.id).is_ok());
+        let members = &self.members;
+        let departed = &self.departed;
+        self.witnesses.retain(|row| {
+            members.binary_search_by_key(&row.member, |member| member.id).is_ok()
+                || departed.binary_search_by_key(&row.member, |gone| gone.id).is_ok()
+        });
+    }
+}
--- a/crates/firspindle/src/connection.rs
+++ b/crates/firspindle/src/connection.rs
@@ -5,7 +5,8 @@
 mod upstream_link;
 
 pub use http_pool::{
-    HttpPool, PoolFailure, PoolRequest, PoolResponse, is_connection_header, plain_value,
+    HttpPool, PoolFailure, PoolRequest, PoolResponse, is_connection_header, passed_headers,
+    plain_value,
 };
 pub use partition_gate::{GatePass, PartitionGate};
 pub use upstream_link::{SlotPass, UpstreamLink};
--- a/crates/firspindle/src/connection/http_pool.rs
+++ b/crates/firspindle/src/connection/http_pool.rs
@@ -111,6 +111,17 @@
     collected.map(http_body_util::Collected::to_bytes).map_err(|_| PoolFailure::CutShort)
 }
 
+/// Headers to pass on, with room for `more`.
+pub fn passed_headers(headers: &HeaderMap, more: usize) -> HeaderMap {
+    let mut passed = HeaderMap::with_capacity(headers.len() + more);
+    for (name, value) in headers {
+        if !is_connection_header(name) {
+            passed.append(name.clone(), value.clone());
+        }
+    }
+    passed
+}
+
 /// Whether a header belongs to one connection and is not passed on.
 pub fn is_connection_header(name: &HeaderName) -> bool {
     const NAMES: [&str; 9] = [
--- a/crates/firspindle/src/request/forward_step.rs
+++ b/crates/firspindle/src/request/forward_step.rs
@@ -3,10 +3,10 @@
 use std::time::Instant;
 
 use firspindle_core::request::{RequestFailure, TargetRow};
-use http::{HeaderMap, HeaderName, HeaderValue, Uri};
+use http::{HeaderName, HeaderValue, Uri};
 
 use super::{CallerAnswer, CallerRequest};
-use crate::connection::{HttpPool, PoolFailure, PoolRequest, is_connection_header, plain_value};
+use crate::connection::{HttpPool, PoolFailure, PoolRequest, passed_headers, plain_value};
 
 /// Result of one try at another node.
 #[derive(Debug)]
@@ -40,12 +40,7 @@
     const ID: HeaderName = HeaderName::from_static("idempotency-key");
     const FRESH: HeaderName = HeaderName::from_static("firspindle-fresh");
     const DEADLINE: HeaderName = HeaderName::from_static("firspindle-deadline");
-    let mut headers = HeaderMap::with_capacity(request.headers.len() + 3);
-    for (name, value) in &request.headers {
-        if !is_connection_header(name) {
-            headers.append(name.clone(), value.clone());
-        }
-    }
+    let mut headers = passed_headers(&request.headers, 3);
     headers.insert(ID, plain_value(request.id_text()));
     headers.insert(DEADLINE, plain_value(request.deadline_ms));
     headers.remove(FRESH);
--- a/crates/firspindle/src/request/owner_step.rs
+++ b/crates/firspindle/src/request/owner_step.rs
@@ -11,13 +11,13 @@
 use firspindle_core::connection::{RunState, SuspectRow};
 use firspindle_core::process::FenceToken;
 use firspindle_core::request::{IdDecision, RequestFailure, RequestVerdict};
-use http::{HeaderMap, HeaderName, Uri};
+use http::{HeaderName, Uri};
 use uuid::Uuid;
 
 use super::{CallerAnswer, CallerRequest, TrafficContext};
 use crate::connection::{
     GatePass, HttpPool, PartitionGate, PoolFailure, PoolRequest, SlotPass, UpstreamLink,
-    is_connection_header, plain_value,
+    passed_headers, plain_value,
 };
 use crate::process::{ControlEvent, unix_ms};
 use crate::version::TrafficView;
@@ -196,12 +196,7 @@
     const PARTITION: HeaderName = HeaderName::from_static("firspindle-partition");
     const DEADLINE: HeaderName = HeaderName::from_static("firspindle-deadline");
     const ID: HeaderName = HeaderName::from_static("idempotency-key");
-    let mut headers = HeaderMap::with_capacity(request.headers.len() + 6);
-    for (name, value) in &request.headers {
-        if !is_connection_header(name) {
-            headers.append(name.clone(), value.clone());
-        }
-    }
+    let mut headers = passed_headers(&request.headers, 6);
     headers.insert(FENCE, plain_value(fence));
     headers.insert(GRANT, plain_value(grant));
     headers.insert(HOLDER, plain_value(view.node.unwrap_or(0)));
