fix: witness sets spread over data centres once members allow it

Ruled out: succession itself (lapses were proven at 1.6 s). Change: a set that spans fewer data centres than it could is replaced. A test joins nodes one by one and looks at every set.

--- a/crates/core/src/version/plan_builder.rs
+++ b/crates/core/src/version/plan_builder.rs
@@ -166,9 +166,10 @@
     fn plan_sets(&self) -> Vec<SetChange> {
         let members = &self.state.members;
         let mut uses = self.witness_uses();
+        let centres = self.centre_counts();
         let mut sets = Vec::new();
         for member in members {
-            if !self.set_needs_change(member.id) {
+            if !self.set_needs_change(member.id) && !self.set_is_crowded(member, &centres) {
                 continue;
             }
             let nodes = choose_witnesses(members, &uses, member);
@@ -200,6 +201,29 @@
         uses
     }
 
+    /// Data centres of members that stay, with their numbers, sorted.
+    fn centre_counts(&self) -> Vec<(&'a str, usize)> {
+        let open = self.state.members.iter().filter(|row| !row.draining);
+        let mut names: Vec<_> = open.map(|row| &*row.info.data_centre).collect();
+        names.sort_unstable();
+        names.chunk_by(|a, b| a == b).map(|chunk| (chunk[0], chunk.len())).collect()
+    }
+
+    /// Whether a set spans fewer data centres than it could, so that the loss of one takes more
+    /// witnesses than it must. Sets from when few members had joined are so.
+    fn set_is_crowded(&self, member: &MemberRow, centres: &[(&str, usize)]) -> bool {
+        let Some(row) = self.state.witness_row(member.id) else { return false };
+        let Some(set) = row.newest().filter(|_| row.sets.len() == 1) else { return false };
+        let own: &str = &member.info.data_centre;
+        let alone = centres.iter().any(|(name, count)| *name == own && *count == 1);
+        let possible = (centres.len() - usize::from(alone)).min(set.nodes.len());
+        let members = set.nodes.iter().filter_map(|node| self.state.member(*node));
+        let mut spanned: Vec<_> = members.map(|row| &*row.info.data_centre).collect();
+        spanned.sort_unstable();
+        spanned.dedup();
+        spanned.len() < possible
+    }
+
     fn set_needs_change(&self, member: NodeId) -> bool {
         let Some(row) = self.state.witness_row(member) else { return true };
         // One change at a time: the member first leaves the older set.
