--- a/crates/core/tests/ownership/main.rs
+++ b/crates/core/tests/ownership/main.rs
@@ -1,6 +1,7 @@
 //! Exclusive ownership under drops, delays, duplicates, pauses, restarts, clock drift, cuts, log
 //! outages and racing records, and each guard shown needed.
 
+mod schedule;
 mod world;
 
 use std::time::Duration;
@@ -8,7 +9,8 @@
 use firspindle_core::process::SafetyGuards;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestError, TestRng, TestRunner};
-use world::{PARTITIONS, World, run_history, steps};
+use schedule::steps;
+use world::{PARTITIONS, World, run_history};
 
 /// Histories with all guards in place.
 const SAFE_HISTORIES: u32 = 1500;
--- a/crates/firspindle/tests/failures/losses.rs
+++ b/crates/firspindle/tests/failures/losses.rs
@@ -25,11 +25,14 @@
     assert!(gap <= LOSS_BOUND, "a key was not served for {gap:?}");
 }
 
-#[test]
-fn a_killed_owner_is_succeeded() {
+fn kill_owner(log_down: bool) {
     let mut fleet = serving(FleetSpec::one_service("registre", 4, 3));
     let probe = load(&fleet, "/registre/orders?work_ms=5", SHORT);
     run_for(CALM);
+    if log_down {
+        fleet.log_faults(r#"{"down": true}"#);
+        run_for(CALM);
+    }
     let victim = owner(&fleet, "garage-1");
     let killed = Instant::now();
     probe.close_entry(victim);
@@ -39,20 +42,14 @@
     assert_gap(&check(&fleet, probe), killed, end);
 }
 
+#[test]
+fn a_killed_owner_is_succeeded() {
+    kill_owner(false);
+}
+
 #[test]
 fn a_killed_owner_is_succeeded_while_the_log_is_down() {
-    let mut fleet = serving(FleetSpec::one_service("registre", 4, 3));
-    let probe = load(&fleet, "/registre/orders?work_ms=5", SHORT);
-    run_for(CALM);
-    fleet.log_faults(r#"{"down": true}"#);
-    run_for(CALM);
-    let victim = owner(&fleet, "garage-1");
-    let killed = Instant::now();
-    probe.close_entry(victim);
-    fleet.kill_host(victim);
-    run_for(AFTER);
-    let end = Instant::now();
-    assert_gap(&check(&fleet, probe), killed, end);
+    kill_owner(true);
 }
 
 #[test]
