--- a/crates/core/src/connection.rs
+++ b/crates/core/src/connection.rs
@@ -4,10 +4,14 @@
 //! An [`Envelope`] names the incarnations at both ends, so a message meant for an earlier
 //! process in the same slot is dropped.
 
+mod gossip_message;
 mod peer_message;
+mod upstream_report;
 
+pub use gossip_message::{EchoRow, EndedRowList, GossipMessage, UpstreamLoad};
 pub use peer_message::{
     Envelope, HandoverMemory, HeldRequest, LapseAnswer, LapseQuery, LapseReply, MoveReply,
     MoveRequest, MoveVerdict, PeerMessage, PeerRecord, ReleaseAsk, ReleaseNotice, RenewReply,
     RenewRequest, RenewVerdict, RunState, SuspectRow,
 };
+pub use upstream_report::{FreedRow, GrantReply, GrantRow, HeldRow, UpstreamReport};
--- a/crates/core/src/process.rs
+++ b/crates/core/src/process.rs
@@ -5,7 +5,10 @@
 //! the partitions that it serves ([`TenureTable`]). Nothing here survives the process, and no
 //! promise relies on it surviving.
 
+mod confirm_clock;
 mod fence_token;
+mod grant_book;
+mod grant_timing;
 mod lapse_table;
 mod lease_table;
 mod lease_timing;
@@ -14,11 +17,15 @@
 mod node_machine;
 mod peer_log;
 mod planner_desk;
+mod range_planner;
 mod safety_guards;
 mod tenure_table;
 mod witness_table;
 
+pub use confirm_clock::ConfirmClock;
 pub use fence_token::FenceToken;
+pub use grant_book::{EndedRow, GrantBook};
+pub use grant_timing::GrantTiming;
 pub use lapse_table::{LapseCheck, LapseTable};
 pub use lease_table::LeaseTable;
 pub use lease_timing::LeaseTiming;
@@ -27,6 +34,7 @@
 pub use node_machine::{NodeMachine, OwnedRow};
 pub use peer_log::PeerLog;
 pub use planner_desk::PlannerDesk;
+pub use range_planner::{RangeCandidate, ServiceCandidates, plan_ranges};
 pub use safety_guards::SafetyGuards;
 pub use tenure_table::{
     HeldGrant, PendingGrant, ReleasedGrant, ReleasingGrant, Tenure, TenureTable,
--- /dev/null
+++ b/crates/core/src/process/grant_book.rs
@@ -0,0 +1,454 @@
+//! What the node beside an upstream grants to it, and when.
+//!
+//! Three rules keep one owner for each key:
+//!
+//! 1. A node grants only cells that the newest plan gives to its upstream's life, and only while
+//!    that plan was confirmed by the store within [`GrantTiming::confirm`].
+//! 2. A cell that a plan gives to a new holder is granted there only once each earlier fence of
+//!    the cell has ended: its node told so, or [`GrantTiming::replaced_end`] has passed since
+//!    this node folded the plan that replaced it.
+//! 3. A node tells that a fence has ended only when its upstream freed the cell, reported twice
+//!    in a row that it does not hold it, let the last hold run out, or is known to be dead.
+
+use std::time::Instant;
+
+use serde::{Deserialize, Serialize};
+
+use super::GrantTiming;
+use crate::connection::{GrantReply, GrantRow, UpstreamReport};
+use crate::version::{
+    CELL_KEYS, CELLS, CellIndex, PlanVersion, ServiceRanges, UpstreamLife, keys_of_cells,
+};
+
+/// Fence of an earlier holder that this node cannot name, after a start from a snapshot.
+const UNKNOWN_FENCE: PlanVersion = PlanVersion::MAX;
+
+/// Heartbeats in a row that show a cell as not held before its fence counts as ended. The first
+/// may have been on its way while the last grant was.
+const ABSENT_REPORTS: u32 = 2;
+
+/// Right of an earlier holder that may still run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct PriorRow {
+    fence: PlanVersion,
+    ends_at: Instant,
+}
+
+/// Fence that this node's upstream lost and whose end is still to be shown.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct LosingRow {
+    fence: PlanVersion,
+    /// Times that a heartbeat showed the cell as not held since the last grant.
+    absent: u32,
+    handover: Box<str>,
+    ended: bool,
+    /// Whether the life that held it is the present one, whose heartbeats speak of it.
+    present_life: bool,
+}
+
+/// A handover token, and the fence under which its sender held the cell.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct HandoverRow {
+    fence: PlanVersion,
+    token: Box<str>,
+}
+
+#[derive(Debug, Clone, Default)]
+struct CellState {
+    /// Fence under which this node's upstream is to hold the cell; 0 if it is not to.
+    fence: PlanVersion,
+    priors: Vec<PriorRow>,
+    /// Fences known to have ended, before or after the plan that replaced them was folded.
+    ended: Vec<PlanVersion>,
+    handover: Option<HandoverRow>,
+    losing: Vec<LosingRow>,
+    /// End of the last hold that this process granted.
+    granted_until: Option<Instant>,
+    /// Heartbeat on whose answer the last grant went out.
+    granted_sequence: u64,
+    /// Fence that the upstream last reported; 0 if it did not hold the cell.
+    held: u64,
+}
+
+/// A fence that has ended on some cells; for the node of the next holder.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndedRow {
+    /// First cell.
+    pub first: CellIndex,
+    /// Last cell.
+    pub last: CellIndex,
+    /// Fence that has ended.
+    pub fence: PlanVersion,
+    /// Handover token, or empty.
+    pub handover: Box<str>,
+}
+
+/// Grants of one node.
+#[derive(Debug, Clone)]
+pub struct GrantBook {
+    timing: GrantTiming,
+    host: Box<str>,
+    life: Option<UpstreamLife>,
+    /// Lives that ended; their late heartbeats grant nothing.
+    ended_lives: Vec<UpstreamLife>,
+    /// When the holds of an earlier process of this node have surely ended.
+    earlier_end: Instant,
+    last_sequence: u64,
+    cells: Vec<CellState>,
+    ranges: Option<ServiceRanges>,
+    version: PlanVersion,
+}
+
+impl GrantBook {
+    /// A book without a plan.
+    pub fn new(host: Box<str>, timing: GrantTiming, now: Instant) -> Self {
+        Self {
+            timing,
+            host,
+            life: None,
+            ended_lives: Vec::new(),
+            earlier_end: timing.hold_end(now),
+            last_sequence: 0,
+            cells: vec![CellState::default(); CELLS],
+            ranges: None,
+            version: 0,
+        }
+    }
+
+    /// Life of the upstream beside, once it was heard.
+    pub fn life(&self) -> Option<&UpstreamLife> {
+        self.life.as_ref()
+    }
+
+    /// Folds the division of a newer plan. `whole` says that no plan between the last one and
+    /// this one was missed; the first plan of all is whole too.
+    pub fn fold(&mut self, version: PlanVersion, after: ServiceRanges, whole: bool, now: Instant) {
+        let before = self.ranges.take();
+        let old = before.as_ref().map(ServiceRanges::cells);
+        let ends_at = self.timing.replaced_end(now);
+        for (index, new) in after.cells().into_iter().enumerate() {
+            let cell = &mut self.cells[index];
+            let holder = &after.holders[usize::from(new.holder)];
+            let old_row = old.as_ref().map(|old| old[index]);
+            if old_row.is_some_and(|old| old.fence == new.fence) {
+                continue;
+            }
+            let known = old_row.map_or(0, |row| row.fence);
+            if !whole && new.fence > holder.settled {
+                cell.add_prior(UNKNOWN_FENCE, ends_at);
+            }
+            if known > 0 {
+                cell.add_prior(known, ends_at);
+            }
+            if cell.fence > 0 {
+                cell.lose();
+            }
+            let mine = holder.host == self.host && Some(&holder.life) == self.life.as_ref();
+            cell.fence = 0;
+            if mine {
+                cell.take(new.fence);
+            }
+        }
+        self.ranges = Some(after);
+        self.version = version;
+        self.end_lost_fences(now);
+    }
+
+    /// The upstream's life changed; everything that the former life held has ended if `dead`.
+    fn change_life(&mut self, life: UpstreamLife, now: Instant) {
+        let proven = self.life.as_ref().is_some_and(|old| is_proven_dead(old, &life));
+        if let Some(old) = self.life.replace(life) {
+            self.ended_lives.push(old);
+        }
+        self.last_sequence = 0;
+        for cell in &mut self.cells {
+            cell.held = 0;
+            if cell.fence > 0 {
+                cell.lose();
+            }
+            cell.fence = 0;
+            for row in &mut cell.losing {
+                row.present_life = false;
+                row.ended |= proven;
+            }
+            if proven {
+                cell.granted_until = None;
+            }
+        }
+        self.adopt_own_cells(now);
+    }
+
+    /// The upstream's process was seen gone: what it held has ended.
+    pub fn end_life(&mut self) {
+        self.life = None;
+        for cell in &mut self.cells {
+            cell.held = 0;
+            if cell.fence > 0 {
+                cell.lose();
+            }
+            cell.fence = 0;
+            cell.granted_until = None;
+            for row in &mut cell.losing {
+                row.present_life = false;
+                row.ended = true;
+            }
+        }
+    }
+
+    /// Takes the cells that the plan in force gives to the present life. Cells of an earlier
+    /// life on this host, which the present one proves dead, have ended.
+    fn adopt_own_cells(&mut self, now: Instant) {
+        let (Some(ranges), Some(life)) = (&self.ranges, &self.life) else { return };
+        for (index, row) in ranges.cells().into_iter().enumerate() {
+            let holder = &ranges.holders[usize::from(row.holder)];
+            if holder.host != self.host {
+                continue;
+            }
+            let cell = &mut self.cells[index];
+            if holder.life == *life {
+                cell.take(row.fence);
+            } else if is_proven_dead(&holder.life, life) {
+                cell.note_ended(row.fence);
+            }
+        }
+        self.end_lost_fences(now);
+    }
+
+    /// A fence of an earlier holder has ended.
+    pub fn learn_ended(&mut self, row: &EndedRow) {
+        for index in row.first..=row.last.min(CELLS - 1) {
+            let cell = &mut self.cells[index];
+            cell.note_ended(row.fence);
+            if !row.handover.is_empty() {
+                cell.handover = Some(HandoverRow { fence: row.fence, token: row.handover.clone() });
+            }
+        }
+    }
+
+    /// Takes a heartbeat, and answers with what the upstream is to hold. `confirmed` is when
+    /// the newest plan was last known to be the newest; without a recent one nothing is granted.
+    pub fn take_report(
+        &mut self,
+        report: &UpstreamReport,
+        confirmed: Option<Instant>,
+        now: Instant,
+    ) -> Option<GrantReply> {
+        if self.ended_lives.contains(&report.life) {
+            return None;
+        }
+        if self.life.as_ref() != Some(&report.life) {
+            if self.life.as_ref().is_some_and(|life| is_proven_dead(&report.life, life)) {
+                return None;
+            }
+            self.change_life(report.life.clone(), now);
+        }
+        if report.sequence <= self.last_sequence {
+            return None;
+        }
+        self.last_sequence = report.sequence;
+        self.take_held(report);
+        self.end_lost_fences(now);
+        let fresh = confirmed.is_some_and(|at| now < at + self.timing.confirm);
+        fresh.then(|| self.grant(report.sequence, now))
+    }
+
+    fn take_held(&mut self, report: &UpstreamReport) {
+        let mut held = vec![0; CELLS];
+        for row in &report.holds {
+            for cell in &mut held[cells_of(row.first, row.last)] {
+                *cell = row.fence;
+            }
+        }
+        for (cell, held) in self.cells.iter_mut().zip(held) {
+            cell.take_held(held, report.sequence);
+        }
+        for row in &report.freed {
+            for index in cells_of(row.first, row.last) {
+                self.cells[index].take_freed(&row.handover);
+            }
+        }
+    }
+
+    /// Ends the fences whose last hold has run out or is known to be gone.
+    fn end_lost_fences(&mut self, now: Instant) {
+        let earlier_over = now >= self.earlier_end;
+        for cell in &mut self.cells {
+            if cell.losing.is_empty() {
+                continue;
+            }
+            let granted_over = cell.granted_until.is_some_and(|until| now >= until);
+            let never_granted = cell.granted_until.is_none();
+            for row in &mut cell.losing {
+                row.ended |= granted_over || (never_granted && earlier_over);
+                row.ended |= row.present_life && row.absent >= ABSENT_REPORTS;
+            }
+        }
+    }
+
+    /// Fences that have ended here, for the nodes of the cells' present holders: host and rows.
+    /// The caller sends them until [`Self::forget_ended`].
+    pub fn ended_fences(&mut self, now: Instant) -> Vec<(Box<str>, Vec<EndedRow>)> {
+        self.end_lost_fences(now);
+        let Some(ranges) = &self.ranges else { return Vec::new() };
+        let mut found: Vec<(Box<str>, Vec<EndedRow>)> = Vec::new();
+        for (index, new) in ranges.cells().into_iter().enumerate() {
+            let host = &ranges.holders[usize::from(new.holder)].host;
+            for row in self.cells[index].losing.iter().filter(|row| row.ended) {
+                let position = found.iter().position(|(name, _)| name == host);
+                let position = position.unwrap_or_else(|| {
+                    found.push((host.clone(), Vec::new()));
+                    found.len() - 1
+                });
+                add_ended(&mut found[position].1, index, row);
+            }
+        }
+        found
+    }
+
+    /// Drops fences whose end was acknowledged.
+    pub fn forget_ended(&mut self, rows: &[EndedRow]) {
+        for row in rows {
+            for index in row.first..=row.last.min(CELLS - 1) {
+                self.cells[index].losing.retain(|lost| lost.fence != row.fence || !lost.ended);
+            }
+        }
+    }
+
+    /// Whether the cell may be used at the upstream now.
+    pub fn is_granted(&self, index: CellIndex, now: Instant) -> bool {
+        let cell = &self.cells[index];
+        cell.fence > 0 && cell.granted_until.is_some_and(|until| now < until)
+    }
+
+    /// Cells that may be used now, one flag each.
+    pub fn granted_cells(&self, now: Instant) -> Vec<bool> {
+        (0..CELLS).map(|index| self.is_granted(index, now)).collect()
+    }
+
+    /// Plan version up to which nothing that an earlier holder of this node's cells had can
+    /// still run.
+    pub fn settled(&self, now: Instant) -> PlanVersion {
+        let open = self.cells.iter().filter(|cell| cell.fence > 0 && !cell.is_free(now));
+        let first_open = open.map(|cell| cell.fence).min();
+        first_open.map_or(self.version, |fence| fence - 1)
+    }
+
+    fn grant(&mut self, sequence: u64, now: Instant) -> GrantReply {
+        let until = self.timing.hold_end(now);
+        let mut rows: Vec<GrantRow> = Vec::new();
+        for (index, cell) in self.cells.iter_mut().enumerate() {
+            if cell.fence == 0 || !cell.is_free(now) {
+                continue;
+            }
+            cell.priors.clear();
+            cell.granted_until = Some(until);
+            cell.granted_sequence = sequence;
+            let handover = if cell.held == cell.fence { None } else { cell.handover.as_ref() };
+            let token = handover.map_or("", |row| &*row.token);
+            let (first, last) = keys_of_cells(index, index);
+            match rows.last_mut() {
+                Some(row)
+                    if u32::from(row.last) + 1 == u32::from(first)
+                        && row.fence == cell.fence
+                        && *row.handover == *token =>
+                {
+                    row.last = last;
+                }
+                _ => {
+                    rows.push(GrantRow { first, last, fence: cell.fence, handover: token.into() });
+                }
+            }
+        }
+        GrantReply { rows, hold: self.timing.hold }
+    }
+}
+
+impl CellState {
+    fn add_prior(&mut self, fence: PlanVersion, ends_at: Instant) {
+        if !self.ended.contains(&fence) {
+            self.priors.push(PriorRow { fence, ends_at });
+        }
+    }
+
+    fn note_ended(&mut self, fence: PlanVersion) {
+        self.priors.retain(|row| row.fence != fence);
+        if !self.ended.contains(&fence) {
+            self.ended.push(fence);
+        }
+    }
+
+    /// The cell is to be held under a fence; what was said of that fence's end holds no more.
+    fn take(&mut self, fence: PlanVersion) {
+        self.fence = fence;
+        self.losing.retain(|row| row.fence != fence);
+    }
+
+    fn lose(&mut self) {
+        let handover = "".into();
+        let fence = self.fence;
+        self.losing.push(LosingRow {
+            fence,
+            absent: 0,
+            handover,
+            ended: false,
+            present_life: true,
+        });
+    }
+
+    fn is_free(&self, now: Instant) -> bool {
+        self.priors.iter().all(|row| now >= row.ends_at)
+    }
+
+    fn take_held(&mut self, held: u64, sequence: u64) {
+        self.held = held;
+        if held == 0 {
+            if sequence > self.granted_sequence {
+                self.losing.iter_mut().for_each(|row| row.absent += 1);
+            }
+            return;
+        }
+        self.losing.iter_mut().for_each(|row| row.absent = 0);
+        if held == self.fence {
+            // Only this fence's holder could have been given it, after all before had ended.
+            self.priors.clear();
+        }
+    }
+
+    fn take_freed(&mut self, handover: &str) {
+        for row in self.losing.iter_mut().filter(|row| row.present_life) {
+            row.ended = true;
+            row.handover = handover.into();
+        }
+    }
+}
+
+/// Whether the later life's existence proves that the earlier one has ended: both have the same
+/// place, and the later was born after it.
+fn is_proven_dead(earlier: &UpstreamLife, later: &UpstreamLife) -> bool {
+    earlier.born_ms > 0 && earlier.born_ms < later.born_ms
+}
+
+fn cells_of(first: u16, last: u16) -> std::ops::Range<CellIndex> {
+    if last < first {
+        return 0..0;
+    }
+    usize::from(first) / CELL_KEYS..usize::from(last) / CELL_KEYS + 1
+}
+
+fn add_ended(rows: &mut Vec<EndedRow>, index: CellIndex, lost: &LosingRow) {
+    match rows.last_mut() {
+        Some(row)
+            if row.last + 1 == index
+                && row.fence == lost.fence
+                && row.handover == lost.handover =>
+        {
+            row.last = index;
+        }
+        _ => rows.push(EndedRow {
+            first: index,
+            last: index,
+            fence: lost.fence,
+            handover: lost.handover.clone(),
+        }),
+    }
+}
--- /dev/null
+++ b/crates/core/src/process/range_planner.rs
@@ -0,0 +1,206 @@
+//! Which upstream gets which cells: least movement, shares by weight.
+//!
+//! The plan is computed from the plan in force and the upstreams that take work. Cells of an
+//! upstream that is gone go to those that are furthest below their share, neighbours to
+//! different ones, so that a stretch of busy keys spreads. An upstream that joins takes cells
+//! from those above their share once it is warm.
+
+use crate::version::{
+    CELLS, CellRow, HolderRow, PlanVersion, RangePlan, ServiceRanges, UpstreamLife,
+};
+
+/// Neighbouring cells that are placed together at first. 96 keys: a stretch of 200 busy keys
+/// spreads over three upstreams, and ten upstreams have about 70 ranges each.
+const RUN_CELLS: usize = 3;
+
+/// Part of its share below which an upstream is given cells of others, in percent.
+const NEEDY_PERCENT: usize = 70;
+
+/// An upstream that takes work.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RangeCandidate {
+    /// Host.
+    pub host: Box<str>,
+    /// Life.
+    pub life: UpstreamLife,
+    /// Weight of its share.
+    pub weight: u32,
+    /// Whether it takes cells from others that serve.
+    pub warm: bool,
+    /// Plan version up to which nothing earlier can still run.
+    pub settled: PlanVersion,
+}
+
+/// Upstreams of one divided service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ServiceCandidates {
+    /// Service.
+    pub service: Box<str>,
+    /// Upstreams, sorted by host.
+    pub candidates: Vec<RangeCandidate>,
+}
+
+/// Next plan, if anything is to change. `services` is sorted by name.
+pub fn plan_ranges(current: &RangePlan, services: &[ServiceCandidates]) -> Option<RangePlan> {
+    let version = current.version + 1;
+    let mut changed = false;
+    let mut next = RangePlan { version, services: Vec::new() };
+    for row in services {
+        let before = current.service(&row.service);
+        let after = plan_service(before, row, version);
+        changed |= after.is_some();
+        next.services.extend(after.or_else(|| before.cloned()));
+    }
+    changed.then_some(next)
+}
+
+fn plan_service(
+    before: Option<&ServiceRanges>,
+    service: &ServiceCandidates,
+    version: PlanVersion,
+) -> Option<ServiceRanges> {
+    if service.candidates.is_empty() {
+        return None;
+    }
+    let mut board = CellBoard::new(before, &service.candidates, version);
+    board.place_orphans();
+    board.level();
+    if !board.changed {
+        return None;
+    }
+    Some(board.into_ranges(service, before))
+}
+
+/// Working table of one service.
+struct CellBoard<'a> {
+    candidates: &'a [RangeCandidate],
+    /// Index into the candidates, by cell.
+    owners: Vec<Option<usize>>,
+    fences: Vec<PlanVersion>,
+    held: Vec<usize>,
+    shares: Vec<usize>,
+    version: PlanVersion,
+    changed: bool,
+}
+
+impl<'a> CellBoard<'a> {
+    fn new(
+        before: Option<&ServiceRanges>,
+        candidates: &'a [RangeCandidate],
+        version: PlanVersion,
+    ) -> Self {
+        let total: usize = candidates.iter().map(|row| row.weight.max(1) as usize).sum();
+        let share = |row: &RangeCandidate| CELLS * row.weight.max(1) as usize / total;
+        let mut board = Self {
+            candidates,
+            owners: vec![None; CELLS],
+            fences: vec![0; CELLS],
+            held: vec![0; candidates.len()],
+            shares: candidates.iter().map(share).collect(),
+            version,
+            changed: false,
+        };
+        let Some(before) = before else { return board };
+        let by_host = |host: &str| candidates.iter().position(|row| &*row.host == host);
+        let hosts: Vec<_> = before.holders.iter().map(|row| by_host(&row.host)).collect();
+        for (index, cell) in before.cells().into_iter().enumerate() {
+            let holder = &before.holders[usize::from(cell.holder)];
+            let Some(owner) = hosts[usize::from(cell.holder)] else { continue };
+            board.owners[index] = Some(owner);
+            board.held[owner] += 1;
+            board.fences[index] = cell.fence;
+            if candidates[owner].life != holder.life {
+                board.fences[index] = version;
+                board.changed = true;
+            }
+        }
+        board
+    }
+
+    /// Candidate that is furthest below its share, other than the neighbours' holders.
+    fn neediest(&self, avoid: [Option<usize>; 2]) -> Option<usize> {
+        let open = |index: &usize| !avoid.contains(&Some(*index));
+        let fill = |index: &usize| self.held[*index] * 1000 / self.shares[*index].max(1);
+        (0..self.candidates.len()).filter(open).min_by_key(fill)
+    }
+
+    fn give(&mut self, cell: usize, owner: usize) {
+        if let Some(old) = self.owners[cell] {
+            self.held[old] -= 1;
+        }
+        self.owners[cell] = Some(owner);
+        self.held[owner] += 1;
+        self.fences[cell] = self.version;
+        self.changed = true;
+    }
+
+    fn place_orphans(&mut self) {
+        let mut cell = 0;
+        while cell < CELLS {
+            if self.owners[cell].is_some() {
+                cell += 1;
+                continue;
+            }
+            let limit = CELLS.min(cell + RUN_CELLS);
+            let end = (cell..limit).find(|index| self.owners[*index].is_some()).unwrap_or(limit);
+            let before = cell.checked_sub(1).and_then(|index| self.owners[index]);
+            let after = self.owners.get(end).copied().flatten();
+            let owner = self.neediest([before, after]).or_else(|| self.neediest([None, None]));
+            let Some(owner) = owner else { return };
+            (cell..end).for_each(|index| self.give(index, owner));
+            cell = end;
+        }
+    }
+
+    /// Moves runs from those above their share to warm ones far below theirs.
+    fn level(&mut self) {
+        for needy in 0..self.candidates.len() {
+            let low = self.shares[needy] * NEEDY_PERCENT / 100;
+            if !self.candidates[needy].warm || self.held[needy] >= low {
+                continue;
+            }
+            let mut run_start = 0;
+            while run_start < CELLS && self.held[needy] < self.shares[needy] {
+                let owner = self.owners[run_start];
+                let mut run_end = run_start + 1;
+                while run_end < CELLS && self.owners[run_end] == owner {
+                    run_end += 1;
+                }
+                let cells = run_end - run_start;
+                let rich = owner.filter(|owner| *owner != needy);
+                if rich.is_some_and(|rich| self.held[rich] >= self.shares[rich] + cells) {
+                    (run_start..run_end).for_each(|cell| self.give(cell, needy));
+                }
+                run_start = run_end;
+            }
+        }
+    }
+
+    fn into_ranges(
+        self,
+        service: &ServiceCandidates,
+        before: Option<&ServiceRanges>,
+    ) -> ServiceRanges {
+        let holder = |row: &RangeCandidate| HolderRow {
+            host: row.host.clone(),
+            life: row.life.clone(),
+            settled: settled_of(before, row),
+        };
+        let holders = self.candidates.iter().map(holder).collect();
+        let rows: Vec<_> = self
+            .owners
+            .iter()
+            .zip(&self.fences)
+            .map(|(owner, fence)| CellRow {
+                holder: u16::try_from(owner.unwrap_or(0)).unwrap_or(0),
+                fence: *fence,
+            })
+            .collect();
+        ServiceRanges::new(service.service.clone(), holders, &rows)
+    }
+}
+
+fn settled_of(before: Option<&ServiceRanges>, row: &RangeCandidate) -> PlanVersion {
+    let known = before.and_then(|before| before.holders.iter().find(|old| old.life == row.life));
+    known.map_or(0, |old| old.settled).max(row.settled)
+}
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -5,6 +5,7 @@
 mod request_failure;
 mod request_verdict;
 mod retry_budget;
+mod retry_window;
 mod route_table;
 mod suspect_table;
 
@@ -13,5 +14,6 @@
 pub use request_failure::RequestFailure;
 pub use request_verdict::RequestVerdict;
 pub use retry_budget::RetryBudget;
+pub use retry_window::RetryWindow;
 pub use route_table::{RouteTable, ServiceRoute, TargetRow};
 pub use suspect_table::{SuspectTable, content_hash};
--- /dev/null
+++ b/crates/core/src/request/retry_window.rs
@@ -0,0 +1,58 @@
+//! Bounds retries by a part of the requests in a sliding window.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+/// Slices of the window; a retry is counted until the slice that it fell into has left.
+const SLICES: u32 = 20;
+
+/// Requests and retries of one service at one node.
+#[derive(Debug, Clone)]
+pub struct RetryWindow {
+    slice: Duration,
+    rows: VecDeque<SliceRow>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct SliceRow {
+    ends_at: Instant,
+    first: u32,
+    retries: u32,
+}
+
+impl RetryWindow {
+    /// An empty window of a length.
+    pub fn new(window: Duration) -> Self {
+        Self { slice: window / SLICES, rows: VecDeque::new() }
+    }
+
+    fn row(&mut self, now: Instant) -> &mut SliceRow {
+        while self.rows.len() > SLICES as usize
+            || self.rows.front().is_some_and(|row| row.ends_at + self.slice * SLICES < now)
+        {
+            self.rows.pop_front();
+        }
+        if self.rows.back().is_none_or(|row| row.ends_at <= now) {
+            self.rows.push_back(SliceRow { ends_at: now + self.slice, first: 0, retries: 0 });
+        }
+        self.rows.back_mut().expect("a row was just added")
+    }
+
+    /// Counts the first send of a request.
+    pub fn count_first(&mut self, now: Instant) {
+        self.row(now).first += 1;
+    }
+
+    /// Takes one retry if the window's retries stay within `ratio` of its requests and the
+    /// node's part of the allowance.
+    pub fn take_retry(&mut self, ratio: f64, allowance: f64, now: Instant) -> bool {
+        self.row(now);
+        let first: u32 = self.rows.iter().map(|row| row.first).sum();
+        let retries: u32 = self.rows.iter().map(|row| row.retries).sum();
+        if f64::from(retries + 1) > ratio * f64::from(first) + allowance {
+            return false;
+        }
+        self.row(now).retries += 1;
+        true
+    }
+}
--- a/crates/core/src/version.rs
+++ b/crates/core/src/version.rs
@@ -7,6 +7,7 @@
 //! nothing.
 
 mod fold_state;
+mod host_record;
 mod key_hash;
 mod log_record;
 mod manifest_spec;
@@ -14,12 +15,15 @@
 mod partition_row;
 mod plan_builder;
 mod plan_record;
+mod range_plan;
+mod route_manifest;
 mod service_table;
 mod spec_error;
 mod witness_chooser;
 mod witness_row;
 
 pub use fold_state::{FoldOutcome, FoldState, ManifestRow, ServiceRow, TermRow};
+pub use host_record::{HostRecord, UpstreamRecord, UpstreamState};
 pub use key_hash::{partition_id, partition_index, partition_of_key, partition_service};
 pub use log_record::{CheckpointBody, LogRecord, RecordBody};
 pub use manifest_spec::{
@@ -29,6 +33,13 @@
 pub use partition_row::{LineRow, PartitionRow};
 pub use plan_builder::{PlanBuilder, SuccessorChoice};
 pub use plan_record::{LineChange, PlanRecord, SetChange};
+pub use range_plan::{
+    CELL_KEYS, CELLS, CellIndex, CellRow, HolderRow, PlanVersion, RangePlan, ServiceRanges,
+    UpstreamLife, cell_of_key, keys_of_cells,
+};
+pub use route_manifest::{
+    CallerLimits, MeshService, RequestKind, RouteManifest, RouteRow, SplitRow,
+};
 pub use service_table::rendezvous_weight;
 pub use spec_error::{SpecError, line_of_offset};
 pub use witness_chooser::choose_witnesses;
--- /dev/null
+++ b/crates/edge/src/lib.rs
@@ -0,0 +1,19 @@
+//! The edge of the mesh node: what a platform has to offer.
+//!
+//! [`PlatformCodec`] reads and writes what upstreams, callers and operators send in a platform's
+//! own words; [`StateStore`] keeps records. Each has an in-memory twin or a plain value for
+//! tests: [`MemoryStore`], [`HeaderSet`].
+
+mod boot_clock;
+mod decision_log;
+mod header_set;
+mod memory_store;
+mod platform_codec;
+mod state_store;
+
+pub use boot_clock::{BootClock, boot_time, unix_ms, unix_time};
+pub use decision_log::DecisionLog;
+pub use header_set::HeaderSet;
+pub use memory_store::MemoryStore;
+pub use platform_codec::{DecodeError, PlatformCodec};
+pub use state_store::{ReadBatch, StateStore, StateTopic, StoreError, StoredValue, TopicSnapshot};
--- /dev/null
+++ b/crates/edge/src/memory_store.rs
@@ -0,0 +1,93 @@
+//! A store in memory, for tests.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::Notify;
+
+use super::{ReadBatch, StateStore, StateTopic, StoreError, StoredValue, TopicSnapshot};
+
+#[derive(Debug, Default)]
+struct StoreState {
+    topics: BTreeMap<StateTopic, Vec<StoredValue>>,
+    /// While set, calls fail without an answer.
+    down: bool,
+}
+
+/// A store in memory that can be taken down.
+#[derive(Debug, Clone, Default)]
+pub struct MemoryStore {
+    state: Rc<RefCell<StoreState>>,
+    appended: Rc<Notify>,
+}
+
+impl MemoryStore {
+    /// Takes the store down or brings it back.
+    pub fn set_down(&self, down: bool) {
+        self.state.borrow_mut().down = down;
+    }
+
+    fn check_up(&self) -> Result<(), StoreError> {
+        if self.state.borrow().down {
+            return Err(StoreError::NoAnswer { reason: "the store is down".into() });
+        }
+        Ok(())
+    }
+
+    fn records(&self, topic: StateTopic, from: u64) -> ReadBatch {
+        let state = self.state.borrow();
+        let rows = state.topics.get(&topic).map_or(&[][..], Vec::as_slice);
+        let records = rows.iter().filter(|row| row.offset >= from).cloned().collect();
+        ReadBatch { records, end: rows.len() as u64 }
+    }
+}
+
+impl StateStore for MemoryStore {
+    async fn append(
+        &self,
+        topic: StateTopic,
+        key: &str,
+        value: Vec<u8>,
+        at: Option<u64>,
+    ) -> Result<u64, StoreError> {
+        self.check_up()?;
+        let mut state = self.state.borrow_mut();
+        let rows = state.topics.entry(topic).or_default();
+        let end = rows.len() as u64;
+        if at.is_some_and(|at| at != end) {
+            return Err(StoreError::Conflict { end });
+        }
+        rows.push(StoredValue { key: key.into(), value: value.into(), offset: end });
+        self.appended.notify_waiters();
+        Ok(end + 1)
+    }
+
+    async fn read(
+        &self,
+        topic: StateTopic,
+        from: u64,
+        wait: Duration,
+    ) -> Result<ReadBatch, StoreError> {
+        self.check_up()?;
+        let batch = self.records(topic, from);
+        if !batch.records.is_empty() || wait.is_zero() {
+            return Ok(batch);
+        }
+        let _ = tokio::time::timeout(wait, self.appended.notified()).await;
+        self.check_up()?;
+        Ok(self.records(topic, from))
+    }
+
+    async fn newest(&self, topic: StateTopic) -> Result<TopicSnapshot, StoreError> {
+        self.check_up()?;
+        let batch = self.records(topic, 0);
+        let mut newest: BTreeMap<Box<str>, StoredValue> = BTreeMap::new();
+        for record in batch.records {
+            newest.insert(record.key.clone(), record);
+        }
+        let values = newest.into_values().filter(|row| !row.value.is_empty()).collect();
+        Ok(TopicSnapshot { values, end: batch.end })
+    }
+}
--- a/crates/firspindle/src/process.rs
+++ b/crates/firspindle/src/process.rs
@@ -1,11 +1,9 @@
 //! What lives as long as the process.
 
 mod admin_service;
-mod boot_clock;
 mod command_line;
 mod control_event;
 mod control_thread;
-mod decision_log;
 mod lease_cell;
 mod log_client;
 mod log_reader;
@@ -18,10 +16,10 @@
 mod settings_file;
 mod status_page;
 
-pub use boot_clock::{BootClock, unix_ms};
+pub use firspindle_edge::{BootClock, DecisionLog, unix_ms};
+
 pub use command_line::CommandLine;
 pub use control_event::{AnnounceBody, ControlEvent};
-pub use decision_log::DecisionLog;
 pub use lease_cell::LeaseCell;
 pub use log_client::{LogBounds, LogClient, LogError, StoredRecord};
 pub use metrics_set::MetricsSet;
--- a/crates/firspindle/src/process/admin_service.rs
+++ b/crates/firspindle/src/process/admin_service.rs
@@ -17,11 +17,11 @@
 use xitca_web::route::{get, post};
 use xitca_web::{App, WebContext};
 
-use super::boot_clock::boot_time;
 use super::process_error::{ProcessError, StartSnafu};
 use super::status_page::StatusPage;
 use super::{AnnounceBody, ControlEvent, LogClient, LogError};
 use crate::request::{StopServer, TrafficContext, run_server};
+use firspindle_edge::boot_time;
 
 /// Time for a posted manifest to come into force.
 const VERDICT_LIMIT: Duration = Duration::from_secs(10);
--- a/crates/firspindle/src/process/command_line.rs
+++ b/crates/firspindle/src/process/command_line.rs
@@ -7,11 +7,13 @@
 use bytes::Bytes;
 use clap::{Args, Parser, Subcommand};
 use firspindle_core::version::ManifestSpec;
+use firspindle_mesh::process::{MeshSettings, run_mesh_node};
+use firspindle_platform::{JsonCodec, LogStore};
 use http::{HeaderMap, Method, Uri};
 use snafu::ResultExt;
 
 use super::node_process::run_node;
-use super::process_error::{BadFileSnafu, ReadFileSnafu, StartSnafu};
+use super::process_error::{BadFileSnafu, MeshSnafu, ReadFileSnafu, StartSnafu};
 use super::publish_command::{PublishVerdict, publish};
 use super::status_page::StatusPage;
 use super::{LogClient, ProcessError, SettingsFile};
@@ -45,6 +47,12 @@
         #[arg(long, value_name = "FILE")]
         settings: PathBuf,
     },
+    /// Runs the process beside an upstream on the users' platform; SIGTERM drains it.
+    Mesh {
+        /// Settings of the node, in TOML.
+        #[arg(long, value_name = "FILE")]
+        settings: PathBuf,
+    },
     /// Checks settings or a manifest; exit status 2 with file, line and reason if refused.
     Check(CheckArgs),
     /// Publishes a manifest: exit status 0 accepted, 3 refused, 4 unknown.
@@ -73,6 +81,9 @@
     /// Settings file to check.
     #[arg(long, value_name = "FILE")]
     settings: Option<PathBuf>,
+    /// Settings file of a mesh node to check.
+    #[arg(long, value_name = "FILE")]
+    mesh_settings: Option<PathBuf>,
     /// Manifest to check.
     #[arg(long, value_name = "FILE")]
     manifest: Option<PathBuf>,
@@ -85,6 +96,7 @@
             NodeCommand::Node { settings } => {
                 read_settings(&settings).and_then(run_node).map(|()| 0)
             }
+            NodeCommand::Mesh { settings } => run_mesh(&settings).map(|()| 0),
             NodeCommand::Check(args) => check(&args).map(|()| 0),
             NodeCommand::Publish { manifest, log } => publish_file(&manifest, &log),
             NodeCommand::Status { node, json } => show_status(&node, json).map(|()| 0),
@@ -117,6 +129,16 @@
     SettingsFile::parse(&text).context(BadFileSnafu { path })
 }
 
+fn read_mesh_settings(path: &Path) -> Result<MeshSettings, ProcessError> {
+    let (path, text) = read_file(path)?;
+    MeshSettings::parse(&text).context(BadFileSnafu { path })
+}
+
+fn run_mesh(path: &Path) -> Result<(), ProcessError> {
+    let settings = read_mesh_settings(path)?;
+    run_mesh_node(&settings, JsonCodec::default(), LogStore::new, path).context(MeshSnafu)
+}
+
 fn read_manifest(path: &Path) -> Result<(ManifestSpec, String), ProcessError> {
     let (path, text) = read_file(path)?;
     let spec = ManifestSpec::parse(&text).context(BadFileSnafu { path })?;
@@ -127,6 +149,9 @@
     if let Some(path) = &args.settings {
         read_settings(path)?;
     }
+    if let Some(path) = &args.mesh_settings {
+        read_mesh_settings(path)?;
+    }
     if let Some(path) = &args.manifest {
         read_manifest(path)?;
     }
--- a/crates/firspindle/src/process/control_thread.rs
+++ b/crates/firspindle/src/process/control_thread.rs
@@ -20,13 +20,13 @@
 use tokio::sync::mpsc::UnboundedSender;
 use uuid::Uuid;
 
-use super::boot_clock::{unix_ms, unix_time};
 use super::peer_socket::PeerSocket;
 use super::status_page::StatusPage;
 use super::{AnnounceBody, BootClock, ControlEvent, SettingsFile};
 use crate::connection::{PartitionGate, UpstreamLink};
 use crate::request::TrafficContext;
 use crate::version::GateRow;
+use firspindle_edge::{unix_ms, unix_time};
 
 /// Time between two ticks.
 const TICK: Duration = Duration::from_millis(20);
--- a/crates/firspindle/src/process/lease_cell.rs
+++ b/crates/firspindle/src/process/lease_cell.rs
@@ -3,7 +3,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
-use super::boot_clock::{BootClock, boot_time, unix_time};
+use firspindle_edge::{BootClock, boot_time, unix_time};
 
 /// Difference of the two clocks that is taken for ordinary adjustment.
 const WALL_SLACK: Duration = Duration::from_millis(100);
--- a/crates/firspindle/src/process/process_error.rs
+++ b/crates/firspindle/src/process/process_error.rs
@@ -38,6 +38,12 @@
         /// Cause.
         source: std::io::Error,
     },
+    /// A mesh node cannot start.
+    #[snafu(display("{source}"))]
+    Mesh {
+        /// Cause.
+        source: firspindle_mesh::process::NodeError,
+    },
     /// A node did not answer.
     #[snafu(display("{url}: {reason}"))]
     NoAnswer {
--- /dev/null
+++ b/crates/mesh/src/connection/state_fetch.rs
@@ -0,0 +1,28 @@
+//! Reads the state of a peer.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http::Request;
+use http_body_util::{BodyExt, Full};
+
+use super::LinkPool;
+use crate::version::StateSnapshot;
+
+/// Path of a node's state, on the address for requests of other nodes.
+pub const STATE_PATH: &str = "/-/state";
+
+/// Time for a read of a peer's state.
+const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Reads the state of the peer at an address.
+pub async fn fetch_state(address: SocketAddr) -> Option<StateSnapshot> {
+    let request = Request::get(STATE_PATH).body(Full::default()).ok()?;
+    let fetch = async {
+        let pool = LinkPool::default();
+        let (response, _link, _) = pool.send(address, request, Duration::ZERO).await.ok()?;
+        let body = response.into_body().collect().await.ok()?;
+        StateSnapshot::decode(&body.to_bytes())
+    };
+    tokio::time::timeout(FETCH_TIMEOUT, fetch).await.ok()?
+}
--- /dev/null
+++ b/crates/mesh/src/process.rs
@@ -0,0 +1,17 @@
+//! What lives as long as the process: settings, threads, control state.
+
+mod admin_server;
+mod control_event;
+mod control_state;
+mod control_thread;
+mod gossip_socket;
+mod mesh_metrics;
+mod mesh_node;
+mod mesh_settings;
+mod peer_table;
+mod store_watch;
+
+pub use control_event::ControlEvent;
+pub use mesh_metrics::MeshMetrics;
+pub use mesh_node::{NodeError, run_mesh_node};
+pub use mesh_settings::{MeshBounds, MeshListen, MeshSettings};
--- /dev/null
+++ b/crates/mesh/src/process/admin_server.rs
@@ -0,0 +1,116 @@
+//! Readiness, heartbeats of the upstream, metrics and status.
+
+use std::convert::Infallible;
+use std::net::TcpListener;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use firspindle_core::connection::UpstreamReport;
+use firspindle_edge::DecodeError;
+use http::header::CONTENT_TYPE;
+use http::{HeaderValue, Method, StatusCode};
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::oneshot;
+use xitca_web::body::ResponseBody;
+use xitca_web::handler::handler_service;
+use xitca_web::http::WebResponse;
+use xitca_web::{App, WebContext};
+
+use super::ControlEvent;
+use crate::request::SharedState;
+
+/// Reads a heartbeat: the id in its path, and its body.
+pub(crate) type ReportDecoder =
+    Arc<dyn Fn(&str, &[u8]) -> Result<UpstreamReport, DecodeError> + Send + Sync>;
+
+/// State of the server.
+#[derive(Clone)]
+pub(crate) struct AdminState {
+    pub(crate) shared: Arc<SharedState>,
+    pub(crate) tx: UnboundedSender<ControlEvent>,
+    pub(crate) decode: ReportDecoder,
+    /// Path under which heartbeats come; the id follows it.
+    pub(crate) report_path: &'static str,
+}
+
+/// Serves until the process ends.
+pub(crate) fn serve_admin(listeners: Vec<TcpListener>, state: AdminState) -> std::io::Result<()> {
+    let mut server = App::new()
+        .with_state(state)
+        .at("/{*}", handler_service(answer))
+        .serve()
+        .disable_signal()
+        .worker_threads(1);
+    for listener in listeners {
+        server = server.listen(listener)?;
+    }
+    let future = server.run();
+    std::thread::spawn(move || future.wait());
+    Ok(())
+}
+
+fn reply(status: StatusCode, kind: &'static str, body: impl Into<Bytes>) -> WebResponse {
+    let mut response = WebResponse::new(ResponseBody::bytes(body.into()));
+    *response.status_mut() = status;
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(kind));
+    response
+}
+
+async fn answer(
+    ctx: &WebContext<'_, AdminState>,
+    body: Vec<u8>,
+) -> Result<WebResponse, Infallible> {
+    let state = ctx.state();
+    let path = ctx.req().uri().path().to_owned();
+    let method = ctx.req().method().clone();
+    if let Some(id) = path.strip_prefix(state.report_path) {
+        return Ok(answer_upstream(state, &method, id, &body).await);
+    }
+    Ok(match &*path {
+        "/readyz" => readiness(state),
+        "/healthz" => reply(StatusCode::OK, "text/plain", "ok\n"),
+        "/metrics" => {
+            let text = state.shared.metrics.render();
+            reply(StatusCode::OK, "text/plain; version=0.0.4", text)
+        }
+        _ => reply(StatusCode::NOT_FOUND, "text/plain", "no such page\n"),
+    })
+}
+
+fn readiness(state: &AdminState) -> WebResponse {
+    if state.shared.view.load().ready {
+        return reply(StatusCode::OK, "text/plain", "ready\n");
+    }
+    reply(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "not ready\n")
+}
+
+async fn answer_upstream(
+    state: &AdminState,
+    method: &Method,
+    id: &str,
+    body: &[u8],
+) -> WebResponse {
+    let away = || reply(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "stopping\n");
+    if method == Method::DELETE {
+        let (tx, rx) = oneshot::channel();
+        let _ = state.tx.send(ControlEvent::Leave(id.into(), tx));
+        return match rx.await {
+            Ok(()) => reply(StatusCode::OK, "application/json", "{}"),
+            Err(_) => away(),
+        };
+    }
+    match (state.decode)(id, body) {
+        Ok(report) => {
+            let (tx, rx) = oneshot::channel();
+            let _ = state.tx.send(ControlEvent::Report(Box::new(report), tx));
+            match rx.await {
+                Ok(body) => reply(StatusCode::OK, "application/json", body),
+                Err(_) => away(),
+            }
+        }
+        Err(error) => {
+            log::warn!(id, error:%; "heartbeat refused");
+            reply(StatusCode::BAD_REQUEST, "text/plain", error.to_string())
+        }
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/process/control_event.rs
@@ -0,0 +1,35 @@
+//! What the control thread is told.
+
+use std::time::Instant;
+
+use bytes::Bytes;
+use firspindle_core::connection::UpstreamReport;
+use firspindle_edge::{ReadBatch, StateTopic, TopicSnapshot};
+use tokio::sync::oneshot;
+
+use crate::version::StateSnapshot;
+
+/// What the control thread is told.
+#[derive(Debug)]
+pub enum ControlEvent {
+    /// A heartbeat of the upstream; answered with the body of the reply.
+    Report(Box<UpstreamReport>, oneshot::Sender<Bytes>),
+    /// The upstream of an id leaves; answered once that is in force.
+    Leave(Box<str>, oneshot::Sender<()>),
+    /// Nothing listens at the upstream's address.
+    UpstreamRefused,
+    /// Newest records of a topic, by a call that began at the time.
+    Snapshot(StateTopic, TopicSnapshot, Instant),
+    /// Records of a topic, by a call that began at the time.
+    Records(StateTopic, ReadBatch, Instant),
+    /// A call to the store failed.
+    StoreFailed(StateTopic),
+    /// A datagram of another node.
+    Datagram(Bytes),
+    /// State that another node had.
+    PeerState(StateSnapshot),
+    /// The plan that this node appended is in force, or why not is unknown.
+    PlanAppended(bool),
+    /// The process is to end.
+    Shutdown,
+}
--- /dev/null
+++ b/crates/mesh/src/process/control_state.rs
@@ -0,0 +1,710 @@
+//! Control state of a node: manifest, plan, hosts, grants. No IO.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use firspindle_core::connection::{
+    EchoRow, EndedRowList, GossipMessage, UpstreamLoad, UpstreamReport,
+};
+use firspindle_core::process::{
+    ConfirmClock, EndedRow, GrantBook, GrantTiming, RangeCandidate, ServiceCandidates, plan_ranges,
+};
+use firspindle_core::version::{
+    HostRecord, RangePlan, RouteManifest, UpstreamLife, UpstreamRecord, UpstreamState,
+};
+use firspindle_edge::{PlatformCodec, ReadBatch, StateTopic, StoredValue, TopicSnapshot};
+
+use super::MeshSettings;
+use super::peer_table::PeerTable;
+use crate::version::{MeshView, PeerView, RangeView, StateSnapshot, UpstreamView};
+
+/// Silence after which another node counts as lost: eight datagrams.
+const PEER_SILENCE: Duration = Duration::from_millis(2_000);
+
+/// Silence after which others count as lost while more than half of them are silent: then the
+/// fault may lie here, or all restart at once.
+const MAJORITY_SILENCE: Duration = Duration::from_secs(8);
+
+/// Time after the start before a node plans, so that it has heard the others.
+const PLANNER_DELAY: Duration = Duration::from_millis(2_500);
+
+/// Time after the start until which the first plan waits for all upstreams.
+const FIRST_PLAN_LIMIT: Duration = Duration::from_millis(4_500);
+
+/// Silence of the upstream after which it counts as gone: three heartbeats.
+const UPSTREAM_SILENCE: Duration = Duration::from_millis(2_800);
+
+/// Part of the drain time that is kept as a margin for requests on their way.
+const DRAIN_MARGIN: Duration = Duration::from_millis(400);
+
+/// Time without an answer after which the store counts as away.
+const STORE_SILENCE: Duration = Duration::from_millis(2_500);
+
+/// Rows of ended fences in one datagram; about 1,200 bytes.
+const ENDED_ROWS: usize = 40;
+
+/// Ends behind a peer's for so long are fetched from it.
+const BEHIND_LIMIT: Duration = Duration::from_millis(300);
+
+/// Time between two appends of settled plan versions that nothing else changes.
+const SETTLE_GAP: Duration = Duration::from_secs(3);
+
+/// What the control thread is to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum ControlOrder {
+    /// Append a plan if the plans end there.
+    AppendPlan(RangePlan, u64),
+    /// Write this node's record.
+    PutHost(HostRecord),
+    /// Send a datagram.
+    Send(SocketAddr, Bytes),
+    /// Ask a peer for its state.
+    FetchState(SocketAddr),
+}
+
+/// Control state of a node.
+#[derive(Debug)]
+pub(crate) struct ControlState<C> {
+    settings: MeshSettings,
+    codec: C,
+    started_at: Instant,
+    incarnation: u64,
+    manifest: Option<Arc<RouteManifest>>,
+    manifest_value: Bytes,
+    manifest_end: u64,
+    plan: RangePlan,
+    plan_known: bool,
+    clock: ConfirmClock,
+    planning: bool,
+    planned_at: Instant,
+    hosts: Vec<HostRecord>,
+    hosts_end: u64,
+    own: HostRecord,
+    own_written: Option<HostRecord>,
+    heard_upstream: Option<Instant>,
+    closes_at: Option<Instant>,
+    left: Vec<UpstreamLife>,
+    book: GrantBook,
+    peers: PeerTable,
+    store_at: Option<Instant>,
+    behind_since: Option<Instant>,
+    ranges: Arc<Vec<RangeView>>,
+    snapshot: Arc<StateSnapshot>,
+    stopping: bool,
+    load: UpstreamLoad,
+}
+
+impl<C: PlatformCodec> ControlState<C> {
+    pub(crate) fn new(settings: MeshSettings, codec: C, incarnation: u64, now: Instant) -> Self {
+        let listen = settings.listen;
+        let own = HostRecord {
+            host: settings.host.clone(),
+            data_centre: settings.data_centre.clone(),
+            incarnation,
+            forward: listen.forward,
+            gossip: listen.gossip,
+            service: settings.service.clone(),
+            upstream: None,
+        };
+        let timing = GrantTiming::default();
+        let book = GrantBook::new(settings.host.clone(), timing, now);
+        Self {
+            settings,
+            codec,
+            started_at: now,
+            incarnation,
+            manifest: None,
+            manifest_value: Bytes::new(),
+            manifest_end: 0,
+            plan: RangePlan::default(),
+            plan_known: false,
+            clock: ConfirmClock::default(),
+            planning: false,
+            planned_at: now,
+            hosts: Vec::new(),
+            hosts_end: 0,
+            own,
+            own_written: None,
+            heard_upstream: None,
+            closes_at: None,
+            left: Vec::new(),
+            book,
+            peers: PeerTable::default(),
+            store_at: None,
+            behind_since: None,
+            ranges: Arc::default(),
+            snapshot: Arc::default(),
+            stopping: false,
+            load: UpstreamLoad::default(),
+        }
+    }
+
+    /// Load of the upstream as the gate counts it.
+    pub(crate) fn set_load(&mut self, load: UpstreamLoad) {
+        self.load = load;
+    }
+
+    /// The process is to end.
+    pub(crate) fn stop(&mut self) {
+        self.stopping = true;
+    }
+
+    /// Takes a heartbeat and gives the reply's body.
+    pub(crate) fn take_report(&mut self, report: &UpstreamReport, now: Instant) -> Bytes {
+        let left = self.left.contains(&report.life);
+        let confirmed = self.clock.confirmed_at().filter(|_| self.plan_known);
+        let reply = self.book.take_report(report, confirmed, now);
+        if self.book.life() == Some(&report.life) {
+            self.note_upstream(report, left, now);
+        }
+        if report.service != self.settings.service {
+            log::warn!(service = &*report.service, life = &*report.life.id; "heartbeat of another service");
+            return self.codec.encode_reply(None);
+        }
+        log::debug!(
+            life = &*report.life.id, sequence = report.sequence, held = report.holds.len(),
+            granted = reply.as_ref().map_or(0, |reply| reply.rows.len());
+            "heartbeat answered"
+        );
+        let shown = reply.filter(|_| self.is_divided(&report.service));
+        self.codec.encode_reply(shown.as_ref())
+    }
+
+    fn note_upstream(&mut self, report: &UpstreamReport, left: bool, now: Instant) {
+        self.heard_upstream = Some(now);
+        let state = if left { UpstreamState::Draining } else { report.state };
+        let same = self.own.upstream.as_ref().is_some_and(|row| row.life == report.life);
+        if !same {
+            self.closes_at = None;
+            log::info!(life = &*report.life.id, born_ms = report.life.born_ms; "upstream heard");
+        }
+        if state == UpstreamState::Draining && self.closes_at.is_none() {
+            self.closes_at = Some(now + self.settings.bounds.drain.saturating_sub(DRAIN_MARGIN));
+            log::info!(life = &*report.life.id; "upstream drains");
+        }
+        self.own.upstream = Some(UpstreamRecord {
+            life: report.life.clone(),
+            service: report.service.clone(),
+            slots: report.slots,
+            state,
+        });
+    }
+
+    fn is_divided(&self, service: &str) -> bool {
+        let manifest = self.manifest.as_ref();
+        manifest.and_then(|manifest| manifest.service(service)).is_some_and(|row| row.divided)
+    }
+
+    /// The upstream of an id leaves.
+    pub(crate) fn take_leave(&mut self, id: &str, now: Instant) {
+        log::info!(id; "upstream leaves");
+        let Some(upstream) = &mut self.own.upstream else { return };
+        if &*upstream.life.id != id {
+            return;
+        }
+        self.left.push(upstream.life.clone());
+        upstream.state = UpstreamState::Draining;
+        if self.closes_at.is_none() {
+            self.closes_at = Some(now + self.settings.bounds.drain.saturating_sub(DRAIN_MARGIN));
+        }
+    }
+
+    /// Nothing listens at the upstream's address: its life has ended.
+    pub(crate) fn upstream_refused(&mut self) {
+        let Some(upstream) = &mut self.own.upstream else { return };
+        if upstream.state != UpstreamState::Gone {
+            log::info!(life = &*upstream.life.id; "upstream refuses connections");
+            upstream.state = UpstreamState::Gone;
+            self.book.end_life();
+        }
+    }
+
+    pub(crate) fn take_snapshot(
+        &mut self,
+        topic: StateTopic,
+        state: TopicSnapshot,
+        at: Instant,
+        now: Instant,
+    ) {
+        self.store_at = Some(now);
+        let whole = false;
+        let values = state.values;
+        self.take_values(topic, &values, state.end, at, whole, now);
+    }
+
+    pub(crate) fn take_records(
+        &mut self,
+        topic: StateTopic,
+        batch: &ReadBatch,
+        at: Instant,
+        now: Instant,
+    ) {
+        self.store_at = Some(now);
+        self.take_values(topic, &batch.records, batch.end, at, true, now);
+    }
+
+    fn take_values(
+        &mut self,
+        topic: StateTopic,
+        values: &[StoredValue],
+        end: u64,
+        at: Instant,
+        whole: bool,
+        now: Instant,
+    ) {
+        // A read may be bounded by size: it ends after its last record.
+        let end = if whole { values.last().map_or(end, |row| row.offset + 1) } else { end };
+        match topic {
+            StateTopic::Manifests => {
+                let key = self.codec.manifest_key();
+                for row in values.iter().filter(|row| &*row.key == key) {
+                    self.take_manifest(&row.value);
+                }
+                self.manifest_end = self.manifest_end.max(end);
+            }
+            StateTopic::Hosts => {
+                for row in values {
+                    self.take_host(&row.value);
+                }
+                self.hosts_end = self.hosts_end.max(end);
+            }
+            StateTopic::Plans => {
+                for row in values {
+                    match RangePlan::decode(&row.value) {
+                        Some(plan) => self.take_plan(plan, now),
+                        None => log::error!(offset = row.offset; "unreadable plan"),
+                    }
+                }
+                self.plan_known = true;
+                self.clock.fold(end, at);
+            }
+        }
+        self.refresh_snapshot();
+    }
+
+    fn take_manifest(&mut self, value: &Bytes) {
+        match self.codec.decode_manifest(value) {
+            Ok(manifest) => {
+                let newer =
+                    self.manifest.as_ref().is_none_or(|known| known.version < manifest.version);
+                if newer {
+                    log::info!(version = manifest.version; "manifest in force");
+                    self.manifest = Some(Arc::new(manifest));
+                    self.manifest_value = value.clone();
+                }
+            }
+            Err(error) => log::warn!(error:%; "manifest refused; the last one stays in force"),
+        }
+    }
+
+    fn take_host(&mut self, value: &[u8]) {
+        let Some(record) = HostRecord::decode(value) else {
+            log::warn!("unreadable host record");
+            return;
+        };
+        match self.hosts.binary_search_by(|row| row.host.cmp(&record.host)) {
+            Ok(index) if self.hosts[index].incarnation <= record.incarnation => {
+                self.hosts[index] = record;
+            }
+            Ok(_) => {}
+            Err(index) => self.hosts.insert(index, record),
+        }
+    }
+
+    fn take_plan(&mut self, plan: RangePlan, now: Instant) {
+        if plan.version <= self.plan.version {
+            return;
+        }
+        let whole = self.plan_known && plan.version == self.plan.version + 1;
+        log::info!(version = plan.version, whole; "plan folded");
+        if let Some(ranges) = plan.service(&self.settings.service) {
+            self.book.fold(plan.version, ranges.clone(), whole, now);
+        }
+        self.ranges = Arc::new(plan.services.iter().map(RangeView::new).collect());
+        self.plan = plan;
+    }
+
+    fn refresh_snapshot(&mut self) {
+        self.snapshot = Arc::new(StateSnapshot {
+            manifest_end: self.manifest_end,
+            manifest: self.manifest_value.to_vec(),
+            plan_end: if self.plan_known { self.clock.end() } else { 0 },
+            plan: if self.plan.version > 0 { self.plan.encode() } else { Vec::new() },
+            hosts_end: self.hosts_end,
+            hosts: self.hosts.iter().map(HostRecord::encode).collect(),
+        });
+    }
+
+    /// Takes the state of a peer, where it is newer.
+    pub(crate) fn take_peer_state(&mut self, state: &StateSnapshot, now: Instant) {
+        self.behind_since = None;
+        if state.manifest_end > self.manifest_end && !state.manifest.is_empty() {
+            self.take_manifest(&Bytes::from(state.manifest.clone()));
+            self.manifest_end = state.manifest_end;
+        }
+        if state.hosts_end > self.hosts_end {
+            state.hosts.iter().for_each(|record| self.take_host(record));
+            self.hosts_end = state.hosts_end;
+        }
+        let newer = state.plan_end > self.clock.end() || (!self.plan_known && state.plan_end > 0);
+        if let Some(plan) = RangePlan::decode(&state.plan).filter(|_| newer) {
+            self.take_plan(plan, now);
+            self.plan_known = true;
+            // When the peer read this end is told by its datagrams, not here.
+            self.clock.advance(state.plan_end);
+        }
+        self.refresh_snapshot();
+    }
+
+    /// Offset from which a topic is to be read.
+    pub(crate) fn end_of(&self, topic: StateTopic) -> u64 {
+        match topic {
+            StateTopic::Manifests => self.manifest_end,
+            StateTopic::Hosts => self.hosts_end,
+            StateTopic::Plans => self.clock.end(),
+        }
+    }
+
+    /// Takes a datagram of another node.
+    pub(crate) fn take_datagram(&mut self, bytes: &[u8], now: Instant) {
+        let Some(message) = GossipMessage::decode(bytes) else {
+            log::warn!(length = bytes.len(); "unreadable datagram");
+            return;
+        };
+        if message.host == self.settings.host {
+            return;
+        }
+        let stamp = self.stamp_ms(now);
+        let Some(peer) = self.peers.take(&message, now) else { return };
+        for row in &message.ended {
+            self.book.learn_ended(row);
+            if peer.to_acknowledge.len() < ENDED_ROWS {
+                peer.to_acknowledge.push(row.clone());
+            }
+        }
+        self.book.forget_ended(&message.taken);
+        if let Some(echo) = message.echo {
+            self.take_echo(echo, stamp, now);
+        }
+        let ends = [self.clock.end(), self.hosts_end, self.manifest_end];
+        let behind = ends.iter().zip(message.ends).any(|(own, other)| *own < other);
+        if behind {
+            self.behind_since.get_or_insert(now);
+        }
+    }
+
+    fn take_echo(&mut self, echo: EchoRow, stamp_ms: u64, now: Instant) {
+        if echo.stamp_ms > stamp_ms {
+            return;
+        }
+        let past = Duration::from_millis(stamp_ms - echo.stamp_ms + echo.age_ms);
+        if let Some(at) = now.checked_sub(past) {
+            self.clock.confirm(echo.plan_end, at);
+        }
+    }
+
+    /// Milliseconds since this process started.
+    fn stamp_ms(&self, now: Instant) -> u64 {
+        let passed = now.saturating_duration_since(self.started_at);
+        u64::try_from(passed.as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// Work that time brings.
+    pub(crate) fn tick(&mut self, now: Instant) -> Vec<ControlOrder> {
+        let mut orders = Vec::new();
+        self.watch_upstream(now);
+        self.settle_own_ends(now);
+        if self.own_written.as_ref() != Some(&self.own) {
+            orders.push(ControlOrder::PutHost(self.own.clone()));
+        }
+        orders.extend(self.plan_step(now));
+        orders.extend(self.fetch_step(now));
+        orders
+    }
+
+    /// This node's record was written, or the write's fate is unknown.
+    pub(crate) fn host_written(&mut self, record: HostRecord, done: bool) {
+        self.own_written = done.then_some(record);
+    }
+
+    /// A plan of this node was appended, or failed.
+    pub(crate) fn plan_appended(&mut self) {
+        self.planning = false;
+    }
+
+    fn watch_upstream(&mut self, now: Instant) {
+        let silent = self.heard_upstream.is_some_and(|at| now > at + UPSTREAM_SILENCE);
+        let Some(upstream) = &mut self.own.upstream else { return };
+        if silent && upstream.state != UpstreamState::Gone {
+            log::info!(life = &*upstream.life.id; "upstream silent");
+            upstream.state = UpstreamState::Gone;
+        }
+    }
+
+    /// Ends of fences whose next holder is the upstream beside this node itself.
+    fn settle_own_ends(&mut self, now: Instant) {
+        for (host, rows) in self.book.ended_fences(now) {
+            if host == self.settings.host {
+                for row in &rows {
+                    self.book.learn_ended(row);
+                }
+                self.book.forget_ended(&rows);
+            }
+        }
+    }
+
+    fn fetch_step(&mut self, now: Instant) -> Option<ControlOrder> {
+        let since = self.behind_since?;
+        if now < since + BEHIND_LIMIT {
+            return None;
+        }
+        let own = [self.clock.end(), self.hosts_end, self.manifest_end];
+        let ahead = |row: &&super::peer_table::PeerRow| {
+            now < row.heard_at + PEER_SILENCE
+                && row.ends.iter().zip(own).any(|(other, own)| *other > own)
+        };
+        let peer = self.peers.rows().iter().find(ahead);
+        let address = peer.and_then(|peer| self.host(&peer.host)).map(|record| record.forward);
+        self.behind_since = address.map(|_| now);
+        address.map(ControlOrder::FetchState)
+    }
+
+    fn host(&self, host: &str) -> Option<&HostRecord> {
+        let index = self.hosts.binary_search_by(|row| (*row.host).cmp(host)).ok()?;
+        Some(&self.hosts[index])
+    }
+
+    fn others(&self) -> impl Iterator<Item = &HostRecord> {
+        self.hosts.iter().filter(|row| row.host != self.settings.host)
+    }
+
+    /// Silence after which another node counts as lost now.
+    fn silence_limit(&self, now: Instant) -> Duration {
+        let others = self.others().count();
+        let heard = self
+            .others()
+            .filter(|row| self.peers.heard_within(&row.host, PEER_SILENCE, now))
+            .count();
+        if heard * 2 >= others { PEER_SILENCE } else { MAJORITY_SILENCE }
+    }
+
+    /// Whether a node counts as alive.
+    fn is_alive(&self, host: &str, limit: Duration, now: Instant) -> bool {
+        host == &*self.settings.host
+            || self.peers.heard_within(host, limit, now)
+            || (self.peers.get(host).is_none() && now < self.started_at + limit)
+    }
+
+    fn reaches_store(&self, now: Instant) -> bool {
+        self.store_at.is_some_and(|at| now < at + STORE_SILENCE)
+    }
+
+    /// Whether this node is the first in order of those that live and reach the store.
+    fn is_planner(&self, now: Instant) -> bool {
+        let first = self.others().find(|row| {
+            self.peers.heard_within(&row.host, PEER_SILENCE, now)
+                && self.peers.get(&row.host).is_some_and(|peer| peer.reaches_store)
+        });
+        self.reaches_store(now) && first.is_none_or(|first| first.host > self.settings.host)
+    }
+
+    fn plan_step(&mut self, now: Instant) -> Option<ControlOrder> {
+        if self.planning
+            || self.stopping
+            || !self.plan_known
+            || now < self.started_at + PLANNER_DELAY
+        {
+            return None;
+        }
+        if !self.is_planner(now) {
+            return None;
+        }
+        let services = self.candidates(now)?;
+        let mut plan = plan_ranges(&self.plan, &services);
+        if plan.is_none() && now > self.planned_at + SETTLE_GAP {
+            plan = self.settled_plan(&services);
+        }
+        let plan = plan?;
+        self.planning = true;
+        self.planned_at = now;
+        log::info!(version = plan.version, end = self.clock.end(); "plan computed");
+        Some(ControlOrder::AppendPlan(plan, self.clock.end()))
+    }
+
+    /// The plan in force with newer settled versions, if some holder advanced past its fences.
+    fn settled_plan(&self, services: &[ServiceCandidates]) -> Option<RangePlan> {
+        let mut plan = self.plan.clone();
+        let mut changed = false;
+        for ranges in &mut plan.services {
+            let newest = ranges.cells().iter().map(|cell| cell.fence).max().unwrap_or(0);
+            let row = services.iter().find(|row| row.service == ranges.service);
+            for holder in &mut ranges.holders {
+                let known = row.and_then(|row| {
+                    row.candidates.iter().find(|candidate| candidate.life == holder.life)
+                });
+                let settled = known.map_or(0, |known| known.settled);
+                if holder.settled < newest && settled >= newest {
+                    holder.settled = settled;
+                    changed = true;
+                }
+            }
+        }
+        plan.version += 1;
+        changed.then_some(plan)
+    }
+
+    /// Upstreams of the divided services that take work; `None` while it is too early.
+    fn candidates(&self, now: Instant) -> Option<Vec<ServiceCandidates>> {
+        let manifest = self.manifest.as_ref()?;
+        let limit = self.silence_limit(now);
+        let mut services = Vec::new();
+        for service in manifest.services().iter().filter(|row| row.divided) {
+            let mut candidates = Vec::new();
+            let mut missing = false;
+            for record in self.hosts.iter().filter(|row| row.service == service.name) {
+                if !self.is_alive(&record.host, limit, now) {
+                    continue;
+                }
+                match &record.upstream {
+                    Some(upstream) if upstream.state == UpstreamState::Ready => {
+                        candidates.push(self.candidate(record, upstream, now));
+                    }
+                    Some(_) => {}
+                    None => missing = true,
+                }
+            }
+            let first = self.plan.service(&service.name).is_none();
+            if first && missing && now < self.started_at + FIRST_PLAN_LIMIT {
+                return None;
+            }
+            services.push(ServiceCandidates { service: service.name.clone(), candidates });
+        }
+        Some(services)
+    }
+
+    fn candidate(
+        &self,
+        record: &HostRecord,
+        upstream: &UpstreamRecord,
+        now: Instant,
+    ) -> RangeCandidate {
+        let own = record.host == self.settings.host;
+        let settled = if own {
+            self.book.settled(now)
+        } else {
+            self.peers.get(&record.host).map_or(0, |peer| peer.settled)
+        };
+        RangeCandidate {
+            host: record.host.clone(),
+            life: upstream.life.clone(),
+            weight: upstream.slots.max(1),
+            warm: true,
+            settled,
+        }
+    }
+
+    /// Datagrams for some hosts.
+    pub(crate) fn datagrams(&mut self, hosts: &[Box<str>], now: Instant) -> Vec<ControlOrder> {
+        let ended = self.book.ended_fences(now);
+        let mut orders = Vec::with_capacity(hosts.len());
+        for host in hosts {
+            let Some(address) = self.host(host).map(|record| record.gossip) else { continue };
+            let mut rows: EndedRowList = ended
+                .iter()
+                .find(|(name, _)| name == host)
+                .map_or(Vec::new(), |(_, rows)| rows.clone());
+            rows.truncate(ENDED_ROWS);
+            let message = self.datagram(host, rows, now);
+            orders.push(ControlOrder::Send(address, message.encode().into()));
+        }
+        orders
+    }
+
+    /// Hosts that are to hear of ended fences at once.
+    pub(crate) fn hosts_to_tell(&mut self, now: Instant) -> Vec<Box<str>> {
+        let ended = self.book.ended_fences(now);
+        ended.into_iter().map(|(host, _)| host).filter(|host| *host != self.settings.host).collect()
+    }
+
+    /// All other hosts.
+    pub(crate) fn other_hosts(&self) -> Vec<Box<str>> {
+        self.others().map(|row| row.host.clone()).collect()
+    }
+
+    fn datagram(&mut self, host: &str, ended: Vec<EndedRow>, now: Instant) -> GossipMessage {
+        let stamp_ms = self.stamp_ms(now);
+        let plan_end = self.clock.end();
+        let age = self.clock.age(now).filter(|_| self.plan_known);
+        let peer = self.peers.get_mut(host);
+        let taken = peer.map_or(Vec::new(), |peer| std::mem::take(&mut peer.to_acknowledge));
+        let echo = self.peers.get(host).zip(age).map(|(peer, age)| EchoRow {
+            stamp_ms: peer.stamp_ms,
+            plan_end,
+            age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX) + 1,
+        });
+        let open = self.is_open(now);
+        GossipMessage {
+            host: self.settings.host.clone(),
+            incarnation: self.incarnation,
+            stamp_ms,
+            echo,
+            ends: [plan_end, self.hosts_end, self.manifest_end],
+            reaches_store: self.reaches_store(now),
+            settled: self.book.settled(now),
+            load: UpstreamLoad { slots: if open { self.load.slots } else { 0 }, ..self.load },
+            ended,
+            taken,
+        }
+    }
+
+    fn is_open(&self, now: Instant) -> bool {
+        let upstream = self.own.upstream.as_ref();
+        let ready = upstream.is_some_and(|row| row.state == UpstreamState::Ready);
+        ready && !self.stopping && self.closes_at.is_none_or(|at| now < at)
+    }
+
+    /// The state that traffic reads.
+    pub(crate) fn view(&self, now: Instant) -> MeshView {
+        let peers: Vec<_> = self.hosts.iter().map(|record| self.peer_view(record, now)).collect();
+        let upstream = self.own.upstream.as_ref().map(|row| UpstreamView {
+            life: row.life.clone(),
+            service: row.service.clone(),
+            slots: row.slots,
+            state: row.state,
+            closes_at: self.closes_at,
+        });
+        let known = self.manifest.is_some() && !self.hosts.is_empty();
+        MeshView {
+            manifest: self.manifest.clone(),
+            ranges: self.ranges.clone(),
+            peers,
+            upstream,
+            granted: Arc::new(self.book.granted_cells(now)),
+            stopping: self.stopping,
+            ready: known && !self.stopping,
+            snapshot: self.snapshot.clone(),
+        }
+    }
+
+    fn peer_view(&self, record: &HostRecord, now: Instant) -> PeerView {
+        let own = record.host == self.settings.host;
+        let load = if own {
+            self.load
+        } else {
+            self.peers.get(&record.host).map_or(UpstreamLoad::default(), |peer| peer.load)
+        };
+        let ready = record.upstream.as_ref().is_some_and(|row| row.state == UpstreamState::Ready);
+        let heard = self.peers.heard_within(&record.host, PEER_SILENCE, now);
+        let open = if own { self.is_open(now) } else { ready && heard && load.slots > 0 };
+        PeerView {
+            host: record.host.clone(),
+            data_centre: record.data_centre.clone(),
+            forward: record.forward,
+            service: record.service.clone(),
+            open,
+            load,
+        }
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/process/control_thread.rs
@@ -0,0 +1,272 @@
+//! The thread that holds the control state.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use firspindle_edge::{BootClock, PlatformCodec, StateStore, StateTopic, StoreError};
+use rand::seq::IndexedRandom;
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
+
+use super::control_state::{ControlOrder, ControlState};
+use super::gossip_socket::read_datagrams;
+use super::store_watch::watch_topic;
+use super::{ControlEvent, MeshSettings};
+use crate::connection::fetch_state;
+use crate::request::SharedState;
+
+/// Time between looks at what time brings.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Ticks between datagrams to other nodes.
+const GOSSIP_TICKS: u64 = 3;
+
+/// Nodes that are sent a datagram each time. Among more, they are drawn.
+const GOSSIP_PEERS: usize = 16;
+
+/// What the thread needs.
+pub(crate) struct ControlParts<C, S> {
+    pub(crate) settings: MeshSettings,
+    pub(crate) codec: C,
+    pub(crate) store: S,
+    pub(crate) clock: BootClock,
+    pub(crate) incarnation: u64,
+    pub(crate) tx: UnboundedSender<ControlEvent>,
+    pub(crate) rx: UnboundedReceiver<ControlEvent>,
+    pub(crate) shared: Arc<SharedState>,
+}
+
+/// Offsets of the next reads, shared with the tasks that read.
+#[derive(Default)]
+struct ReadOffsets {
+    rows: [Cell<u64>; 3],
+}
+
+impl ReadOffsets {
+    fn cell(&self, topic: StateTopic) -> &Cell<u64> {
+        match topic {
+            StateTopic::Manifests => &self.rows[0],
+            StateTopic::Hosts => &self.rows[1],
+            StateTopic::Plans => &self.rows[2],
+        }
+    }
+}
+
+/// All topics.
+const TOPICS: [StateTopic; 3] = [StateTopic::Manifests, StateTopic::Hosts, StateTopic::Plans];
+
+struct ControlThread<C, S> {
+    state: ControlState<C>,
+    store: S,
+    clock: BootClock,
+    tx: UnboundedSender<ControlEvent>,
+    socket: Rc<UdpSocket>,
+    offsets: Rc<ReadOffsets>,
+    shared: Arc<SharedState>,
+    writing: Rc<Cell<bool>>,
+    written: Rc<Cell<Option<(firspindle_core::version::HostRecord, bool)>>>,
+    ticks: u64,
+}
+
+/// Runs the control state until the process ends.
+pub(crate) async fn run_control<C: PlatformCodec, S: StateStore>(
+    parts: ControlParts<C, S>,
+) -> std::io::Result<()> {
+    let socket = Rc::new(UdpSocket::bind(parts.settings.listen.gossip).await?);
+    tokio::task::spawn_local(read_datagrams(socket.clone(), parts.tx.clone()));
+    let offsets = Rc::new(ReadOffsets::default());
+    for topic in TOPICS {
+        let offsets = offsets.clone();
+        tokio::task::spawn_local(watch_topic(
+            parts.store.clone(),
+            topic,
+            parts.clock,
+            parts.tx.clone(),
+            move || offsets.cell(topic).get(),
+        ));
+    }
+    let now = parts.clock.now();
+    let state = ControlState::new(parts.settings, parts.codec, parts.incarnation, now);
+    let mut thread = ControlThread {
+        state,
+        store: parts.store,
+        clock: parts.clock,
+        tx: parts.tx,
+        socket,
+        offsets,
+        shared: parts.shared,
+        writing: Rc::default(),
+        written: Rc::default(),
+        ticks: 0,
+    };
+    thread.run(parts.rx).await;
+    Ok(())
+}
+
+impl<C: PlatformCodec, S: StateStore> ControlThread<C, S> {
+    async fn run(&mut self, mut rx: UnboundedReceiver<ControlEvent>) {
+        let mut ticks = tokio::time::interval(TICK);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                event = rx.recv() => match event {
+                    Some(event) => self.take(event),
+                    None => return,
+                },
+                _ = ticks.tick() => self.tick(),
+            }
+        }
+    }
+
+    fn take(&mut self, event: ControlEvent) {
+        let now = self.clock.now();
+        match event {
+            ControlEvent::Report(report, reply) => {
+                let body = self.state.take_report(&report, now);
+                self.publish();
+                let _ = reply.send(body);
+                self.tell_ended();
+                self.step();
+            }
+            ControlEvent::Leave(id, reply) => {
+                self.state.take_leave(&id, now);
+                self.publish();
+                let _ = reply.send(());
+                self.step();
+            }
+            ControlEvent::UpstreamRefused => {
+                self.state.upstream_refused();
+                self.publish();
+                self.step();
+            }
+            ControlEvent::Snapshot(topic, snapshot, at) => {
+                self.state.take_snapshot(topic, snapshot, at, now);
+                self.refreshed();
+            }
+            ControlEvent::Records(topic, batch, at) => {
+                let changed = !batch.records.is_empty();
+                self.state.take_records(topic, &batch, at, now);
+                if changed {
+                    self.refreshed();
+                    self.tell_ended();
+                }
+            }
+            ControlEvent::StoreFailed(_) => {}
+            ControlEvent::Datagram(bytes) => self.state.take_datagram(&bytes, now),
+            ControlEvent::PeerState(snapshot) => {
+                self.state.take_peer_state(&snapshot, now);
+                self.refreshed();
+            }
+            ControlEvent::PlanAppended(_) => self.state.plan_appended(),
+            ControlEvent::Shutdown => {
+                self.state.stop();
+                self.publish();
+            }
+        }
+        for topic in TOPICS {
+            self.offsets.cell(topic).set(self.state.end_of(topic));
+        }
+    }
+
+    fn refreshed(&mut self) {
+        self.publish();
+        self.step();
+    }
+
+    fn tick(&mut self) {
+        self.ticks += 1;
+        self.state.set_load(self.shared.load());
+        if let Some((record, done)) = self.written.take() {
+            self.state.host_written(record, done);
+        }
+        self.publish();
+        self.step();
+        if self.ticks.is_multiple_of(GOSSIP_TICKS) {
+            let hosts = self.state.other_hosts();
+            let now = self.clock.now();
+            let drawn: Vec<_> =
+                hosts.choose_multiple(&mut rand::rng(), GOSSIP_PEERS).cloned().collect();
+            let orders = self.state.datagrams(&drawn, now);
+            self.carry_out(orders);
+        }
+    }
+
+    fn step(&mut self) {
+        let orders = self.state.tick(self.clock.now());
+        self.carry_out(orders);
+    }
+
+    /// Tells at once of fences that have ended, rather than with the next datagrams.
+    fn tell_ended(&mut self) {
+        let now = self.clock.now();
+        let hosts = self.state.hosts_to_tell(now);
+        let orders = self.state.datagrams(&hosts, now);
+        self.carry_out(orders);
+    }
+
+    fn publish(&self) {
+        self.shared.view.store(Arc::new(self.state.view(self.clock.now())));
+    }
+
+    fn carry_out(&mut self, orders: Vec<ControlOrder>) {
+        for order in orders {
+            match order {
+                ControlOrder::Send(address, bytes) => {
+                    if let Err(error) = self.socket.try_send_to(&bytes, address) {
+                        log::debug!(address:%, error:%; "datagram not sent");
+                    }
+                }
+                ControlOrder::FetchState(address) => self.spawn_fetch(address),
+                ControlOrder::PutHost(record) => self.spawn_put(record),
+                ControlOrder::AppendPlan(plan, at) => self.spawn_append(&plan, at),
+            }
+        }
+    }
+
+    fn spawn_fetch(&self, address: std::net::SocketAddr) {
+        let tx = self.tx.clone();
+        tokio::task::spawn_local(async move {
+            match fetch_state(address).await {
+                Some(state) => {
+                    let _ = tx.send(ControlEvent::PeerState(state));
+                }
+                None => log::info!(address:%; "state of a peer not read"),
+            }
+        });
+    }
+
+    fn spawn_put(&self, record: firspindle_core::version::HostRecord) {
+        if self.writing.replace(true) {
+            return;
+        }
+        let (store, writing, written) =
+            (self.store.clone(), self.writing.clone(), self.written.clone());
+        tokio::task::spawn_local(async move {
+            let put = store.append(StateTopic::Hosts, &record.host, record.encode(), None).await;
+            if let Err(error) = &put {
+                log::info!(error:%; "host record not written");
+                tokio::time::sleep(TICK).await;
+            }
+            written.set(Some((record, put.is_ok())));
+            writing.set(false);
+        });
+    }
+
+    fn spawn_append(&self, plan: &firspindle_core::version::RangePlan, at: u64) {
+        let (store, tx, bytes) = (self.store.clone(), self.tx.clone(), plan.encode());
+        tokio::task::spawn_local(async move {
+            let appended = store.append(StateTopic::Plans, "plan", bytes, Some(at)).await;
+            match &appended {
+                Ok(end) => log::info!(end; "plan appended"),
+                Err(StoreError::Conflict { end }) => log::info!(end; "plan lost a race"),
+                Err(error) => log::info!(error:%; "plan append failed"),
+            }
+            if !matches!(appended, Ok(_) | Err(StoreError::Conflict { .. })) {
+                tokio::time::sleep(TICK).await;
+            }
+            let _ = tx.send(ControlEvent::PlanAppended(appended.is_ok()));
+        });
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/process/mesh_metrics.rs
@@ -0,0 +1,74 @@
+//! Metrics in the Prometheus text form.
+
+use prometheus::{
+    HistogramOpts, HistogramVec, IntCounter, IntCounterVec, Opts, Registry, TextEncoder,
+};
+
+/// Latency buckets, in seconds, around the objectives of the services.
+const BUCKETS: [f64; 12] = [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.6, 1.0, 2.0, 4.0, 8.0];
+
+/// All metrics of a mesh node.
+#[derive(Debug)]
+pub struct MeshMetrics {
+    registry: Registry,
+    /// Answers to callers, by route, outcome and status.
+    pub answers: IntCounterVec,
+    /// Time from arrival to answer, by route.
+    pub latency: HistogramVec,
+    /// Time in the queue before the upstream.
+    pub queue_time: HistogramVec,
+    /// Sends beyond the first, by service.
+    pub retries: IntCounterVec,
+    /// Connections opened, by peer or upstream.
+    pub connects: IntCounterVec,
+    /// Requests sent to the upstream.
+    pub sends: IntCounter,
+}
+
+impl Default for MeshMetrics {
+    fn default() -> Self {
+        let registry = Registry::new();
+        let family = |name: &str, help: &str, labels: &[&str]| {
+            let family = IntCounterVec::new(Opts::new(name, help), labels).expect("valid");
+            registry.register(Box::new(family.clone())).expect("the name is new");
+            family
+        };
+        let times = |name: &str, help: &str, labels: &[&str]| {
+            let options = HistogramOpts::new(name, help).buckets(BUCKETS.to_vec());
+            let family = HistogramVec::new(options, labels).expect("valid");
+            registry.register(Box::new(family.clone())).expect("the name is new");
+            family
+        };
+        let sends = IntCounter::new("firspindle_sends_total", "Requests sent to the upstream")
+            .expect("valid");
+        registry.register(Box::new(sends.clone())).expect("the name is new");
+        Self {
+            answers: family(
+                "firspindle_answers_total",
+                "Answers to callers",
+                &["route", "outcome", "status"],
+            ),
+            latency: times(
+                "firspindle_answer_seconds",
+                "Time from a request's arrival to its answer",
+                &["route"],
+            ),
+            queue_time: times(
+                "firspindle_queue_seconds",
+                "Time that a request waits for a slot",
+                &["service"],
+            ),
+            retries: family("firspindle_retries_total", "Sends beyond the first", &["service"]),
+            connects: family("firspindle_connects_total", "Connections opened", &["to"]),
+            sends,
+            registry,
+        }
+    }
+}
+
+impl MeshMetrics {
+    /// Prometheus text.
+    pub fn render(&self) -> String {
+        TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/process/mesh_node.rs
@@ -0,0 +1,223 @@
+//! Starts the threads of a mesh node and ends them in order.
+
+use std::net::{SocketAddr, TcpListener};
+use std::path::Path;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use firspindle_edge::{BootClock, PlatformCodec, StateStore, unix_ms};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use snafu::{ResultExt, Snafu};
+use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
+
+use super::admin_server::{AdminState, serve_admin};
+use super::control_thread::{ControlParts, run_control};
+use super::{ControlEvent, MeshSettings};
+use crate::connection::{ServerKind, serve_connections};
+use crate::request::{SharedState, TrafficContext};
+
+/// Time for which callers are still taken after the node stopped being ready: two readiness
+/// checks, a second apart.
+const LEAVE_TIME: Duration = Duration::from_millis(2_300);
+
+/// Time without requests after which the process ends.
+const QUIET_TIME: Duration = Duration::from_millis(200);
+
+/// Time between looks at what is still under way.
+const LOOK_GAP: Duration = Duration::from_millis(20);
+
+/// Time between updates of the gate's size and load.
+const LOAD_GAP: Duration = Duration::from_millis(50);
+
+/// Time for which idle links are kept.
+const LINK_IDLE: Duration = Duration::from_secs(30);
+
+/// Why a node does not start.
+#[derive(Debug, Snafu)]
+pub enum NodeError {
+    /// An address cannot be listened on.
+    #[snafu(display("cannot listen on {address} for {role}: {source}"))]
+    Listen {
+        /// Address.
+        address: SocketAddr,
+        /// Use.
+        role: &'static str,
+        /// Cause.
+        source: std::io::Error,
+    },
+    /// A thread or runtime cannot be started.
+    #[snafu(display("cannot start: {source}"))]
+    Start {
+        /// Cause.
+        source: std::io::Error,
+    },
+}
+
+/// Runs a node until it is told to stop. `make_store` runs on the control thread.
+///
+/// # Errors
+///
+/// If it cannot start.
+pub fn run_mesh_node<C: PlatformCodec, S: StateStore>(
+    settings: &MeshSettings,
+    codec: C,
+    make_store: impl FnOnce(&str) -> S + Send + 'static,
+    settings_path: &Path,
+) -> Result<(), NodeError> {
+    let listen = settings.listen;
+    let traffic = bind(listen.traffic, "traffic")?;
+    let forward = bind(listen.forward, "forward")?;
+    let admin = [
+        bind(listen.readiness, "readiness")?,
+        bind(listen.heartbeats, "heartbeats")?,
+        bind(listen.admin, "admin")?,
+    ];
+    let shared = Arc::new(SharedState::default());
+    let clock = BootClock::default();
+    let (tx, rx) = unbounded_channel();
+    let report_codec = codec.clone();
+    let state = AdminState {
+        shared: shared.clone(),
+        tx: tx.clone(),
+        decode: Arc::new(move |id, body| report_codec.decode_report(id, body)),
+        report_path: codec.report_path(),
+    };
+    serve_admin(admin.into(), state).context(StartSnafu)?;
+    let headers = codec.headers().clone();
+    spawn_control(
+        ControlSeed { settings: settings.clone(), codec, clock, rx, shared: shared.clone() },
+        tx.clone(),
+        make_store,
+    )?;
+    let context_parts = (settings.clone(), headers, shared.clone(), clock, tx.clone());
+    std::thread::spawn(move || {
+        let (settings, headers, shared, clock, tx) = context_parts;
+        let context = TrafficContext::new(settings, headers, shared, clock, tx);
+        if let Err(error) = run_traffic(traffic, forward, context) {
+            log::error!(error:%; "traffic thread failed");
+            std::process::exit(1);
+        }
+    });
+    log::info!(host = &*settings.host, service = &*settings.service, traffic:% = listen.traffic; "node started");
+    wait_for_signal(settings_path, settings).context(StartSnafu)?;
+    let _ = tx.send(ControlEvent::Shutdown);
+    drain(&shared, settings.bounds.grace);
+    log::info!(host = &*settings.host; "node stopped");
+    Ok(())
+}
+
+fn bind(address: SocketAddr, role: &'static str) -> Result<TcpListener, NodeError> {
+    let listener = TcpListener::bind(address).context(ListenSnafu { address, role })?;
+    listener.set_nonblocking(true).context(ListenSnafu { address, role })?;
+    Ok(listener)
+}
+
+struct ControlSeed<C> {
+    settings: MeshSettings,
+    codec: C,
+    clock: BootClock,
+    rx: tokio::sync::mpsc::UnboundedReceiver<ControlEvent>,
+    shared: Arc<SharedState>,
+}
+
+fn spawn_control<C: PlatformCodec, S: StateStore>(
+    seed: ControlSeed<C>,
+    tx: UnboundedSender<ControlEvent>,
+    make_store: impl FnOnce(&str) -> S + Send + 'static,
+) -> Result<(), NodeError> {
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().context(StartSnafu)?;
+    std::thread::spawn(move || {
+        let tasks = tokio::task::LocalSet::new();
+        let result = tasks.block_on(&runtime, async move {
+            let store = make_store(&seed.settings.store);
+            let parts = ControlParts {
+                settings: seed.settings,
+                codec: seed.codec,
+                store,
+                clock: seed.clock,
+                incarnation: unix_ms(),
+                tx,
+                rx: seed.rx,
+                shared: seed.shared,
+            };
+            run_control(parts).await
+        });
+        // Without its control thread a node must not go on.
+        log::error!(result:?; "control thread ended");
+        std::process::exit(1);
+    });
+    Ok(())
+}
+
+fn run_traffic(
+    traffic: TcpListener,
+    forward: TcpListener,
+    context: TrafficContext,
+) -> std::io::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let tasks = tokio::task::LocalSet::new();
+    tasks.block_on(&runtime, async move {
+        let context = Rc::new(context);
+        let traffic = tokio::net::TcpListener::from_std(traffic)?;
+        let forward = tokio::net::TcpListener::from_std(forward)?;
+        tokio::task::spawn_local(serve_connections(traffic, ServerKind::Callers, context.clone()));
+        tokio::task::spawn_local(serve_connections(forward, ServerKind::Peers, context.clone()));
+        loop {
+            tokio::time::sleep(LOAD_GAP).await;
+            let slots = context.shared.view.load().upstream.as_ref().map(|row| row.slots);
+            if let Some(slots) = slots {
+                context.gate.resize(slots);
+            }
+            context.shared.set_load(context.gate.load());
+            context.peers.sweep(LINK_IDLE);
+        }
+    })
+}
+
+/// Waits for SIGTERM; SIGHUP reads the settings again.
+fn wait_for_signal(path: &Path, settings: &MeshSettings) -> std::io::Result<()> {
+    let mut signals = signal_hook::iterator::Signals::new([SIGTERM, SIGINT, SIGHUP])?;
+    for signal in signals.forever() {
+        if signal != SIGHUP {
+            log::info!(signal; "told to stop");
+            return Ok(());
+        }
+        reload(path, settings);
+    }
+    Ok(())
+}
+
+/// Reads the settings again. Addresses stay those of the start.
+fn reload(path: &Path, settings: &MeshSettings) {
+    let text = match std::fs::read_to_string(path) {
+        Ok(text) => text,
+        Err(error) => {
+            log::warn!(error:%; "settings not read; the last ones stay");
+            return;
+        }
+    };
+    match MeshSettings::parse(&text) {
+        Ok(fresh) => log::info!(changed = fresh != *settings; "settings read again"),
+        Err(error) => log::warn!(error:%; "settings refused; the last ones stay"),
+    }
+}
+
+/// Waits until callers have left and their requests are answered.
+fn drain(shared: &SharedState, grace: Duration) {
+    let started = Instant::now();
+    // The last sixth of the grace time is left for the end of the process.
+    let until = started + grace * 5 / 6;
+    let mut quiet_since = Instant::now();
+    while Instant::now() < until {
+        if shared.in_flight.load(Ordering::Relaxed) > 0 {
+            quiet_since = Instant::now();
+        }
+        if started.elapsed() > LEAVE_TIME && quiet_since.elapsed() > QUIET_TIME {
+            return;
+        }
+        std::thread::sleep(LOOK_GAP);
+    }
+}
--- /dev/null
+++ b/crates/mesh/src/process/mesh_settings.rs
@@ -0,0 +1,166 @@
+//! Settings of a mesh node.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use firspindle_core::version::SpecError;
+use serde::Deserialize;
+use toml::Spanned;
+
+/// Checked settings of a mesh node.
+#[derive(Debug, Clone, PartialEq)]
+pub struct MeshSettings {
+    /// Host name, unique among the hosts.
+    pub host: Box<str>,
+    /// Data centre.
+    pub data_centre: Box<str>,
+    /// Service of the upstream beside the node.
+    pub service: Box<str>,
+    /// Address of the upstream beside the node.
+    pub upstream: SocketAddr,
+    /// Address of the platform's store.
+    pub store: Box<str>,
+    /// Addresses to listen on.
+    pub listen: MeshListen,
+    /// Bounds that the platform sets.
+    pub bounds: MeshBounds,
+}
+
+/// Addresses of a node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct MeshListen {
+    /// For callers.
+    pub traffic: SocketAddr,
+    /// For requests of other nodes.
+    pub forward: SocketAddr,
+    /// For readiness checks.
+    pub readiness: SocketAddr,
+    /// For heartbeats of the upstream.
+    pub heartbeats: SocketAddr,
+    /// For datagrams of other nodes.
+    pub gossip: SocketAddr,
+    /// For metrics and status.
+    pub admin: SocketAddr,
+}
+
+/// Bounds that the platform sets.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct MeshBounds {
+    /// Time after an acknowledged leave in which requests may still reach the upstream.
+    pub drain: Duration,
+    /// Time from SIGTERM to SIGKILL.
+    pub grace: Duration,
+    /// Longest hold that an upstream accepts.
+    pub hold_limit: Duration,
+    /// Retries for each request.
+    pub retry_ratio: f64,
+    /// Window of the retry budget.
+    pub retry_window: Duration,
+    /// Retries in a window that need no requests.
+    pub retry_allowance: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawSettings {
+    host: Spanned<Box<str>>,
+    data_centre: Spanned<Box<str>>,
+    service: Spanned<Box<str>>,
+    upstream: Spanned<Box<str>>,
+    store: Spanned<Box<str>>,
+    listen: RawListen,
+    bounds: RawBounds,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawListen {
+    traffic: Spanned<Box<str>>,
+    forward: Spanned<Box<str>>,
+    readiness: Spanned<Box<str>>,
+    heartbeats: Spanned<Box<str>>,
+    gossip: Spanned<Box<str>>,
+    admin: Spanned<Box<str>>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawBounds {
+    drain_s: Spanned<f64>,
+    grace_s: Spanned<f64>,
+    hold_limit_s: Spanned<f64>,
+    retry_ratio: Spanned<f64>,
+    retry_window_s: Spanned<f64>,
+    retry_allowance: Spanned<f64>,
+}
+
+impl MeshSettings {
+    /// Parses and checks settings.
+    ///
+    /// # Errors
+    ///
+    /// A [`SpecError`] with the line and the reason.
+    pub fn parse(text: &str) -> Result<Self, SpecError> {
+        let raw: RawSettings =
+            toml::from_str(text).map_err(|error| SpecError::from_toml(text, &error))?;
+        let listen = &raw.listen;
+        let bounds = &raw.bounds;
+        Ok(Self {
+            host: filled(text, "host", &raw.host)?,
+            data_centre: filled(text, "data_centre", &raw.data_centre)?,
+            service: filled(text, "service", &raw.service)?,
+            upstream: address(text, "upstream", &raw.upstream)?,
+            store: filled(text, "store", &raw.store)?,
+            listen: MeshListen {
+                traffic: address(text, "traffic", &listen.traffic)?,
+                forward: address(text, "forward", &listen.forward)?,
+                readiness: address(text, "readiness", &listen.readiness)?,
+                heartbeats: address(text, "heartbeats", &listen.heartbeats)?,
+                gossip: address(text, "gossip", &listen.gossip)?,
+                admin: address(text, "admin", &listen.admin)?,
+            },
+            bounds: MeshBounds {
+                drain: seconds(text, "drain_s", &bounds.drain_s)?,
+                grace: seconds(text, "grace_s", &bounds.grace_s)?,
+                hold_limit: seconds(text, "hold_limit_s", &bounds.hold_limit_s)?,
+                retry_ratio: ratio(text, "retry_ratio", &bounds.retry_ratio)?,
+                retry_window: seconds(text, "retry_window_s", &bounds.retry_window_s)?,
+                retry_allowance: ratio(text, "retry_allowance", &bounds.retry_allowance)?,
+            },
+        })
+    }
+}
+
+fn filled(text: &str, field: &str, value: &Spanned<Box<str>>) -> Result<Box<str>, SpecError> {
+    if value.get_ref().is_empty() {
+        return Err(SpecError::value(text, &value.span(), field, "must not be empty"));
+    }
+    Ok(value.get_ref().clone())
+}
+
+fn address(text: &str, field: &str, value: &Spanned<Box<str>>) -> Result<SocketAddr, SpecError> {
+    let refuse = |reason: &str| SpecError::value(text, &value.span(), field, reason);
+    let address: SocketAddr =
+        value.get_ref().parse().map_err(|_| refuse("must be an IP address and a port"))?;
+    if address.port() == 0 {
+        return Err(refuse("the port must not be 0"));
+    }
+    Ok(address)
+}
+
+fn ratio(text: &str, field: &str, value: &Spanned<f64>) -> Result<f64, SpecError> {
+    let number = *value.get_ref();
+    if number.is_finite() && number >= 0.0 {
+        return Ok(number);
+    }
+    Err(SpecError::value(text, &value.span(), field, "must be a number of 0 or more"))
+}
+
+fn seconds(text: &str, field: &str, value: &Spanned<f64>) -> Result<Duration, SpecError> {
+    let number = *value.get_ref();
+    let valid = number > 0.0 && number <= 86_400.0;
+    if !valid {
+        return Err(SpecError::value(text, &value.span(), field, "must be seconds above 0"));
+    }
+    Ok(Duration::from_secs_f64(number))
+}
--- /dev/null
+++ b/crates/mesh/src/process/peer_table.rs
@@ -0,0 +1,87 @@
+//! What a node knows of the others from their datagrams.
+
+use std::time::{Duration, Instant};
+
+use firspindle_core::connection::{EndedRowList, GossipMessage, UpstreamLoad};
+
+/// One other node.
+#[derive(Debug, Clone)]
+pub(crate) struct PeerRow {
+    pub(crate) host: Box<str>,
+    pub(crate) heard_at: Instant,
+    pub(crate) incarnation: u64,
+    /// Newest stamp of the peer, to be echoed.
+    pub(crate) stamp_ms: u64,
+    pub(crate) ends: [u64; 3],
+    pub(crate) reaches_store: bool,
+    pub(crate) settled: u64,
+    pub(crate) load: UpstreamLoad,
+    /// Ends of fences that the peer told, to be acknowledged.
+    pub(crate) to_acknowledge: EndedRowList,
+}
+
+/// Other nodes, sorted by host.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct PeerTable {
+    rows: Vec<PeerRow>,
+}
+
+impl PeerTable {
+    /// Takes a datagram; gives the peer's row, or `None` if it is older than what is known.
+    pub(crate) fn take(&mut self, message: &GossipMessage, now: Instant) -> Option<&mut PeerRow> {
+        let found = self.rows.binary_search_by(|row| row.host.cmp(&message.host));
+        let index = match found {
+            Ok(index) => index,
+            Err(index) => {
+                let row = PeerRow {
+                    host: message.host.clone(),
+                    heard_at: now,
+                    incarnation: 0,
+                    stamp_ms: 0,
+                    ends: [0; 3],
+                    reaches_store: false,
+                    settled: 0,
+                    load: UpstreamLoad::default(),
+                    to_acknowledge: Vec::new(),
+                };
+                self.rows.insert(index, row);
+                index
+            }
+        };
+        let row = &mut self.rows[index];
+        let newer = (message.incarnation, message.stamp_ms) > (row.incarnation, row.stamp_ms);
+        if !newer {
+            return None;
+        }
+        row.heard_at = now;
+        row.incarnation = message.incarnation;
+        row.stamp_ms = message.stamp_ms;
+        row.ends = message.ends;
+        row.reaches_store = message.reaches_store;
+        row.settled = message.settled;
+        row.load = message.load;
+        Some(row)
+    }
+
+    /// Row of a host.
+    pub(crate) fn get(&self, host: &str) -> Option<&PeerRow> {
+        let index = self.rows.binary_search_by(|row| (*row.host).cmp(host)).ok()?;
+        Some(&self.rows[index])
+    }
+
+    /// Row of a host.
+    pub(crate) fn get_mut(&mut self, host: &str) -> Option<&mut PeerRow> {
+        let index = self.rows.binary_search_by(|row| (*row.host).cmp(host)).ok()?;
+        Some(&mut self.rows[index])
+    }
+
+    /// Whether a host was heard within a time.
+    pub(crate) fn heard_within(&self, host: &str, time: Duration, now: Instant) -> bool {
+        self.get(host).is_some_and(|row| now < row.heard_at + time)
+    }
+
+    /// All rows.
+    pub(crate) fn rows(&self) -> &[PeerRow] {
+        &self.rows
+    }
+}
