fix: late requests after SIGTERM are refused, and the process waits for all it took

Ruled out: a longer wait (the platform kills after graceS). Change: 2.3 s after SIGTERM new requests get 503 with Retry-After; forwarded ones count as in flight; a node uses 0.4 of its part of the retry budget.

--- a/crates/mesh/src/process/mesh_node.rs
+++ b/crates/mesh/src/process/mesh_node.rs
@@ -23,7 +23,7 @@
 const LEAVE_TIME: Duration = Duration::from_millis(2_300);
 
 /// Time without requests after which the process ends.
-const QUIET_TIME: Duration = Duration::from_millis(200);
+const QUIET_TIME: Duration = Duration::from_millis(60);
 
 /// Time between looks at what is still under way.
 const LOOK_GAP: Duration = Duration::from_millis(20);
@@ -215,8 +215,11 @@
         if shared.in_flight.load(Ordering::Relaxed) > 0 {
             quiet_since = Instant::now();
         }
-        if started.elapsed() > LEAVE_TIME && quiet_since.elapsed() > QUIET_TIME {
-            return;
+        if started.elapsed() > LEAVE_TIME {
+            shared.leaving.store(true, Ordering::Relaxed);
+            if quiet_since.elapsed() > QUIET_TIME {
+                return;
+            }
         }
         std::thread::sleep(LOOK_GAP);
     }
--- a/crates/mesh/src/request/caller_entry.rs
+++ b/crates/mesh/src/request/caller_entry.rs
@@ -20,7 +20,7 @@
 /// Time between two tries to reach an owner.
 const PLACE_GAP: Duration = Duration::from_millis(50);
 
-/// Time to come back after, before any manifest is known.
+/// Time to come back after, before any manifest is known or while the node restarts.
 const START_RETRY: Duration = Duration::from_secs(1);
 
 /// Time to come back after, while an owner is away.
@@ -125,6 +125,11 @@
     arrived: Instant,
     facts: &mut EntryFacts,
 ) -> Result<PlacedCall, AnswerResponse> {
+    if context.is_leaving() {
+        facts.outcome = "leaving";
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        return Err(own_answer(status, "the node is about to end", Some(START_RETRY)));
+    }
     let manifest = context.shared.view.load().manifest.clone();
     let Some(manifest) = manifest else {
         facts.outcome = "no-manifest";
--- a/crates/mesh/src/request/owner_step.rs
+++ b/crates/mesh/src/request/owner_step.rs
@@ -37,6 +37,11 @@
         let bytes = context.shared.view.load().snapshot.encode();
         return http::Response::new(AnswerBody::whole(bytes));
     }
+    let in_flight = context.begin();
+    if context.is_leaving() {
+        let reason = NotRunReason::Unreachable;
+        return peer_answer(StepOutcome::NotRun { reason, retry_after: Some(MOVE_RETRY) });
+    }
     let now = Instant::now();
     let facts = request.headers().get(FACTS_HEADER).and_then(|value| value.to_str().ok());
     let Some(facts) = facts.and_then(|text| RequestFacts::parse(text, now)) else {
@@ -66,7 +71,9 @@
         deadline: facts.deadline,
         hold_until: facts.hold_until,
     };
-    peer_answer(run_here(context, &request).await)
+    let mut response = peer_answer(run_here(context, &request).await);
+    response.body_mut().hold(in_flight);
+    response
 }
 
 /// Runs a request at the upstream beside this node.
--- a/crates/mesh/src/request/shared_state.rs
+++ b/crates/mesh/src/request/shared_state.rs
@@ -1,6 +1,6 @@
 //! What the control thread and the traffic thread share.
 
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 
 use arc_swap::ArcSwap;
 use firspindle_core::connection::UpstreamLoad;
@@ -18,7 +18,9 @@
     pub metrics: MeshMetrics,
     /// Bounds the lines of decisions.
     pub decisions: DecisionLog,
-    /// Requests of callers that are not answered whole.
+    /// Whether new requests are refused, as the process is about to end.
+    pub leaving: AtomicBool,
+    /// Requests of callers and other nodes that are not answered whole.
     pub in_flight: AtomicU64,
     running: AtomicU32,
     waiting: AtomicU32,
--- a/crates/mesh/src/request/traffic_context.rs
+++ b/crates/mesh/src/request/traffic_context.rs
@@ -70,7 +70,12 @@
         }
     }
 
-    /// Counts a caller's request.
+    /// Whether new requests are refused, as the process is about to end.
+    pub fn is_leaving(&self) -> bool {
+        self.shared.leaving.load(Ordering::Relaxed)
+    }
+
+    /// Counts a request.
     pub fn begin(&self) -> InFlight {
         self.shared.in_flight.fetch_add(1, Ordering::Relaxed);
         InFlight { shared: self.shared.clone() }
@@ -140,7 +145,7 @@
 
 /// Part of the budget of all nodes that is used, as nodes count their own requests only and
 /// calls of repeated runs count as repeats too.
-const BUDGET_PART: f64 = 0.6;
+const BUDGET_PART: f64 = 0.4;
 
 /// Milliseconds since a time, for logs.
 pub(super) fn elapsed_ms(since: Instant) -> u64 {
