feat: a life that answers at the upstream's address proves earlier ones dead

Ruled out: shorter holds (the store's outages last 4 to 9 s). Change: one health check asks who listens at the upstream's address; a restarted node adopts the upstream of its own record; plans that replace lives wait for nobody.

--- a/crates/core/src/process/grant_book.rs
+++ b/crates/core/src/process/grant_book.rs
@@ -17,7 +17,7 @@
 use super::GrantTiming;
 use crate::connection::{GrantReply, GrantRow, UpstreamReport};
 use crate::version::{
-    CELL_KEYS, CELLS, CellIndex, PlanVersion, ServiceRanges, UpstreamLife, keys_of_cells,
+    CELL_KEYS, CELLS, CellIndex, HolderRow, PlanVersion, ServiceRanges, UpstreamLife, keys_of_cells,
 };
 
 /// Fence of an earlier holder that this node cannot name, after a start from a snapshot.
@@ -91,6 +91,8 @@
     life: Option<UpstreamLife>,
     /// Lives that ended; their late heartbeats grant nothing.
     ended_lives: Vec<UpstreamLife>,
+    /// Whether the present life is known to use the upstream's address.
+    proven: bool,
     /// When the holds of an earlier process of this node have surely ended.
     earlier_end: Instant,
     last_sequence: u64,
@@ -107,6 +109,7 @@
             host,
             life: None,
             ended_lives: Vec::new(),
+            proven: false,
             earlier_end: timing.hold_end(now),
             last_sequence: 0,
             cells: vec![CellState::default(); CELLS],
@@ -151,6 +154,7 @@
         }
         self.ranges = Some(after);
         self.version = version;
+        self.end_earlier_lives();
         self.end_lost_fences(now);
     }
 
@@ -161,6 +165,7 @@
             self.ended_lives.push(old);
         }
         self.last_sequence = 0;
+        self.proven = false;
         for cell in &mut self.cells {
             cell.held = 0;
             if cell.fence > 0 {
@@ -178,9 +183,49 @@
         self.adopt_own_cells(now);
     }
 
+    /// Whether cells wait for a proof that an earlier life on this host has ended.
+    pub fn needs_proof(&self) -> bool {
+        let Some(life) = self.life.as_ref().filter(|_| !self.proven) else { return false };
+        let earlier = |row: &HolderRow| row.host == self.host && row.life != *life;
+        let planned = self.ranges.as_ref().is_some_and(|ranges| ranges.holders.iter().any(earlier));
+        let open = |row: &LosingRow| !row.ended && !row.present_life;
+        planned || self.cells.iter().any(|cell| cell.losing.iter().any(open))
+    }
+
+    /// The upstream's address answered as a life of this id: each other life that used the
+    /// address has ended.
+    pub fn prove_present(&mut self, id: &str, now: Instant) {
+        if self.life.as_ref().is_none_or(|life| *life.id != *id) {
+            return;
+        }
+        self.proven = true;
+        for cell in &mut self.cells {
+            for row in cell.losing.iter_mut().filter(|row| !row.present_life) {
+                row.ended = true;
+            }
+        }
+        self.end_earlier_lives();
+        self.end_lost_fences(now);
+    }
+
+    /// Ends what the plan in force gives to other lives on this host, once the present one is
+    /// known to use the address.
+    fn end_earlier_lives(&mut self) {
+        let (Some(ranges), Some(life), true) = (&self.ranges, &self.life, self.proven) else {
+            return;
+        };
+        for (index, row) in ranges.cells().into_iter().enumerate() {
+            let holder = &ranges.holders[usize::from(row.holder)];
+            if holder.host == self.host && holder.life != *life {
+                self.cells[index].note_ended(row.fence);
+            }
+        }
+    }
+
     /// The upstream's process was seen gone: what it held has ended.
     pub fn end_life(&mut self) {
         self.life = None;
+        self.proven = false;
         for cell in &mut self.cells {
             cell.held = 0;
             if cell.fence > 0 {
--- a/crates/edge/src/header_set.rs
+++ b/crates/edge/src/header_set.rs
@@ -13,6 +13,8 @@
     pub signature: HeaderName,
     /// Id of the upstream that is to run the request.
     pub expected_upstream: HeaderName,
+    /// Id of the upstream that answers a health check.
+    pub upstream_id: HeaderName,
     /// Load of the upstream: running, waiting, slots.
     pub load: HeaderName,
     /// Says that the upstream did not run the request.
--- a/crates/mesh/src/connection/state_fetch.rs
+++ b/crates/mesh/src/connection/state_fetch.rs
@@ -1,9 +1,9 @@
-//! Reads the state of a peer.
+//! Short questions of the control thread: a peer's state, who the upstream is.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use http::Request;
+use http::{HeaderName, Request};
 use http_body_util::{BodyExt, Full};
 
 use super::LinkPool;
@@ -26,3 +26,20 @@
     };
     tokio::time::timeout(FETCH_TIMEOUT, fetch).await.ok()?
 }
+
+/// Asks who listens at the upstream's address, by a health check; `None` if nobody says.
+pub fn ask_upstream(
+    address: SocketAddr,
+    path: &str,
+    id_name: &HeaderName,
+) -> impl Future<Output = Option<Box<str>>> + use<> {
+    let request = Request::get(path).body(Full::default());
+    let id_name = id_name.clone();
+    async move {
+        let pool = LinkPool::default();
+        let sent = pool.send(address, request.ok()?, Duration::ZERO);
+        let (response, _link, _) = tokio::time::timeout(FETCH_TIMEOUT, sent).await.ok()?.ok()?;
+        let id = response.headers().get(id_name)?.to_str().ok()?;
+        Some(id.into())
+    }
+}
--- a/crates/mesh/src/process/control_event.rs
+++ b/crates/mesh/src/process/control_event.rs
@@ -18,6 +18,8 @@
     Leave(Box<str>, oneshot::Sender<()>),
     /// Nothing listens at the upstream's address.
     UpstreamRefused,
+    /// The upstream's address answered a health check as this id, if it did.
+    UpstreamSeen(Option<Box<str>>),
     /// Newest records of a topic, by a call that began at the time.
     Snapshot(StateTopic, TopicSnapshot, Instant),
     /// Records of a topic, by a call that began at the time.
--- a/crates/mesh/src/process/control_state.rs
+++ b/crates/mesh/src/process/control_state.rs
@@ -48,6 +48,9 @@
 /// Ends behind a peer's for so long are fetched from it.
 const BEHIND_LIMIT: Duration = Duration::from_millis(300);
 
+/// Time between two questions who listens at the upstream's address.
+const ASK_GAP: Duration = Duration::from_millis(600);
+
 /// Time between two appends of settled plan versions that nothing else changes.
 const SETTLE_GAP: Duration = Duration::from_secs(3);
 
@@ -60,6 +63,8 @@
     PutHost(HostRecord),
     /// Send a datagram.
     Send(SocketAddr, Bytes),
+    /// Ask the upstream beside the node who it is, by a health check of a path.
+    AskUpstream(Box<str>),
     /// Ask a peer for its state.
     FetchState(SocketAddr),
 }
@@ -81,6 +86,8 @@
     planned_at: Instant,
     hosts: Vec<HostRecord>,
     hosts_end: u64,
+    /// Whether the hosts' records were read from the store.
+    hosts_known: bool,
     own: HostRecord,
     own_written: Option<HostRecord>,
     heard_upstream: Option<Instant>,
@@ -94,6 +101,8 @@
     snapshot: Arc<StateSnapshot>,
     stopping: bool,
     load: UpstreamLoad,
+    /// Time before which the upstream is not asked who it is.
+    ask_at: Instant,
 }
 
 impl<C: PlatformCodec> ControlState<C> {
@@ -125,6 +134,7 @@
             planned_at: now,
             hosts: Vec::new(),
             hosts_end: 0,
+            hosts_known: false,
             own,
             own_written: None,
             heard_upstream: None,
@@ -138,6 +148,7 @@
             snapshot: Arc::default(),
             stopping: false,
             load: UpstreamLoad::default(),
+            ask_at: now,
         }
     }
 
@@ -265,6 +276,7 @@
                 self.manifest_end = self.manifest_end.max(end);
             }
             StateTopic::Hosts => {
+                self.hosts_known = true;
                 for row in values {
                     self.take_host(&row.value);
                 }
@@ -304,6 +316,9 @@
             log::warn!("unreadable host record");
             return;
         };
+        if record.host == self.settings.host {
+            self.adopt_own_record(&record);
+        }
         match self.hosts.binary_search_by(|row| row.host.cmp(&record.host)) {
             Ok(index) if self.hosts[index].incarnation <= record.incarnation => {
                 self.hosts[index] = record;
@@ -313,6 +328,16 @@
         }
     }
 
+    /// After a restart the upstream that the former process told of counts as heard, so that
+    /// nothing moves before its next heartbeat is due.
+    fn adopt_own_record(&mut self, record: &HostRecord) {
+        let restarted = record.incarnation < self.incarnation && self.own.upstream.is_none();
+        if restarted && record.upstream.is_some() {
+            self.own.upstream.clone_from(&record.upstream);
+            self.heard_upstream = Some(self.started_at);
+        }
+    }
+
     fn take_plan(&mut self, plan: RangePlan, now: Instant) {
         if plan.version <= self.plan.version {
             return;
@@ -416,9 +441,12 @@
         let mut orders = Vec::new();
         self.watch_upstream(now);
         self.settle_own_ends(now);
-        if self.own_written.as_ref() != Some(&self.own) {
+        // A record without the upstream that the former process told of would move its cells.
+        let complete = self.own.upstream.is_some() || self.hosts_known;
+        if complete && self.own_written.as_ref() != Some(&self.own) {
             orders.push(ControlOrder::PutHost(self.own.clone()));
         }
+        orders.extend(self.ask_step(now));
         orders.extend(self.plan_step(now));
         orders.extend(self.fetch_step(now));
         orders
@@ -434,6 +462,25 @@
         self.planning = false;
     }
 
+    /// Asks who listens at the upstream's address, where keys wait for that.
+    fn ask_step(&mut self, now: Instant) -> Option<ControlOrder> {
+        if now < self.ask_at || !self.book.needs_proof() {
+            return None;
+        }
+        let manifest = self.manifest.as_ref()?;
+        let path = &manifest.service(&self.settings.service)?.health_path;
+        self.ask_at = now + ASK_GAP;
+        Some(ControlOrder::AskUpstream(path.clone()))
+    }
+
+    /// The upstream's address answered a health check as this id, if it did.
+    pub(crate) fn upstream_seen(&mut self, id: Option<&str>, now: Instant) {
+        log::info!(id = id.unwrap_or("-"); "upstream asked who it is");
+        if let Some(id) = id {
+            self.book.prove_present(id, now);
+        }
+    }
+
     fn watch_upstream(&mut self, now: Instant) {
         let silent = self.heard_upstream.is_some_and(|at| now > at + UPSTREAM_SILENCE);
         let Some(upstream) = &mut self.own.upstream else { return };
@@ -511,11 +558,9 @@
     }
 
     fn plan_step(&mut self, now: Instant) -> Option<ControlOrder> {
-        if self.planning
-            || self.stopping
-            || !self.plan_known
-            || now < self.started_at + PLANNER_DELAY
-        {
+        // Until it had time to hear the others, a node counts them as alive; the first plan waits.
+        let early = self.plan.version == 0 && now < self.started_at + PLANNER_DELAY;
+        if self.planning || self.stopping || !self.plan_known || early {
             return None;
         }
         if !self.is_planner(now) {
--- a/crates/mesh/src/process/control_thread.rs
+++ b/crates/mesh/src/process/control_thread.rs
@@ -1,11 +1,13 @@
 //! The thread that holds the control state.
 
 use std::cell::Cell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use firspindle_edge::{BootClock, PlatformCodec, StateStore, StateTopic, StoreError};
+use http::HeaderName;
 use rand::seq::IndexedRandom;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
@@ -14,7 +16,7 @@
 use super::gossip_socket::read_datagrams;
 use super::store_watch::watch_topic;
 use super::{ControlEvent, MeshSettings};
-use crate::connection::fetch_state;
+use crate::connection::{ask_upstream, fetch_state};
 use crate::request::SharedState;
 
 /// Time between looks at what time brings.
@@ -68,6 +70,8 @@
     writing: Rc<Cell<bool>>,
     written: Rc<Cell<Option<(firspindle_core::version::HostRecord, bool)>>>,
     ticks: u64,
+    upstream: SocketAddr,
+    upstream_id: HeaderName,
 }
 
 /// Runs the control state until the process ends.
@@ -88,6 +92,8 @@
         ));
     }
     let now = parts.clock.now();
+    let upstream = parts.settings.upstream;
+    let upstream_id = parts.codec.headers().upstream_id.clone();
     let state = ControlState::new(parts.settings, parts.codec, parts.incarnation, now);
     let mut thread = ControlThread {
         state,
@@ -100,6 +106,8 @@
         writing: Rc::default(),
         written: Rc::default(),
         ticks: 0,
+        upstream,
+        upstream_id,
     };
     thread.run(parts.rx).await;
     Ok(())
@@ -141,6 +149,10 @@
                 self.publish();
                 self.step();
             }
+            ControlEvent::UpstreamSeen(id) => {
+                self.state.upstream_seen(id.as_deref(), now);
+                self.step();
+            }
             ControlEvent::Snapshot(topic, snapshot, at) => {
                 self.state.take_snapshot(topic, snapshot, at, now);
                 self.refreshed();
@@ -218,6 +230,7 @@
                         log::debug!(address:%, error:%; "datagram not sent");
                     }
                 }
+                ControlOrder::AskUpstream(path) => self.spawn_ask(&path),
                 ControlOrder::FetchState(address) => self.spawn_fetch(address),
                 ControlOrder::PutHost(record) => self.spawn_put(record),
                 ControlOrder::AppendPlan(plan, at) => self.spawn_append(&plan, at),
@@ -225,7 +238,14 @@
         }
     }
 
-    fn spawn_fetch(&self, address: std::net::SocketAddr) {
+    fn spawn_ask(&self, path: &str) {
+        let (tx, asked) = (self.tx.clone(), ask_upstream(self.upstream, path, &self.upstream_id));
+        tokio::task::spawn_local(async move {
+            let _ = tx.send(ControlEvent::UpstreamSeen(asked.await));
+        });
+    }
+
+    fn spawn_fetch(&self, address: SocketAddr) {
         let tx = self.tx.clone();
         tokio::task::spawn_local(async move {
             match fetch_state(address).await {
