fix: planners that hear different hosts do not undo each other's plans

Ruled out: an elected planner (compare-and-set makes two harmless, only costly). Change: 0.7 s after a start, 0.8 s after another node's plan and until the end of the own append was folded no plan is computed.

--- a/crates/core/src/process/grant_book.rs
+++ b/crates/core/src/process/grant_book.rs
@@ -378,6 +378,14 @@
         first_open.map_or(self.version, |fence| fence - 1)
     }
 
+    /// Cells that the plan gives to the upstream, and those of them that wait for an earlier
+    /// holder's end.
+    pub fn waiting_cells(&self, now: Instant) -> (usize, usize) {
+        let mine = self.cells.iter().filter(|cell| cell.fence > 0);
+        let waiting = mine.clone().filter(|cell| !cell.is_free(now));
+        (mine.count(), waiting.count())
+    }
+
     fn grant(&mut self, sequence: u64, now: Instant) -> GrantReply {
         let until = self.timing.hold_end(now);
         let mut rows: Vec<GrantRow> = Vec::new();
--- a/crates/mesh/src/process/control_event.rs
+++ b/crates/mesh/src/process/control_event.rs
@@ -30,8 +30,8 @@
     Datagram(Bytes),
     /// State that another node had.
     PeerState(StateSnapshot),
-    /// The plan that this node appended is in force, or why not is unknown.
-    PlanAppended(bool),
+    /// A plan of this node was appended or lost a race; the end of the plans, if it is known.
+    PlanAppended(Option<u64>),
     /// The process is to end.
     Shutdown,
 }
--- a/crates/mesh/src/process/control_state.rs
+++ b/crates/mesh/src/process/control_state.rs
@@ -27,8 +27,15 @@
 /// fault may lie here, or all restart at once.
 const MAJORITY_SILENCE: Duration = Duration::from_secs(8);
 
-/// Time after the start before a node plans, so that it has heard the others.
-const PLANNER_DELAY: Duration = Duration::from_millis(2_500);
+/// Time after the start before a node plans, so that it has heard the others: two datagrams.
+const PLANNER_DELAY: Duration = Duration::from_millis(700);
+
+/// The same before any plan, when the upstreams are still to be heard: two heartbeats.
+const FIRST_PLAN_DELAY: Duration = Duration::from_millis(2_500);
+
+/// Time after a plan of another node before this one plans, so that two that hear different
+/// hosts do not undo each other's plans without end.
+const OTHER_PLAN_GAP: Duration = Duration::from_millis(800);
 
 /// Time after the start until which the first plan waits for all upstreams.
 const FIRST_PLAN_LIMIT: Duration = Duration::from_millis(4_500);
@@ -84,6 +91,10 @@
     clock: ConfirmClock,
     planning: bool,
     planned_at: Instant,
+    /// End of the plans that this node's last append told of.
+    planned_end: u64,
+    /// When a plan of another node was folded.
+    other_plan_at: Instant,
     hosts: Vec<HostRecord>,
     hosts_end: u64,
     /// Whether the hosts' records were read from the store.
@@ -132,6 +143,8 @@
             clock: ConfirmClock::default(),
             planning: false,
             planned_at: now,
+            planned_end: 0,
+            other_plan_at: now.checked_sub(OTHER_PLAN_GAP).unwrap_or(now),
             hosts: Vec::new(),
             hosts_end: 0,
             hosts_known: false,
@@ -174,8 +187,12 @@
             log::warn!(service = &*report.service, life = &*report.life.id; "heartbeat of another service");
             return self.codec.encode_reply(None);
         }
-        log::debug!(
+        let (cells, waiting) = self.book.waiting_cells(now);
+        let level = if waiting > 0 { log::Level::Info } else { log::Level::Debug };
+        log::log!(
+            level,
             life = &*report.life.id, sequence = report.sequence, held = report.holds.len(),
+            cells, waiting, confirmed_ms:? = self.clock.age(now).map(|age| age.as_millis()),
             granted = reply.as_ref().map_or(0, |reply| reply.rows.len());
             "heartbeat answered"
         );
@@ -344,6 +361,9 @@
         }
         let whole = self.plan_known && plan.version == self.plan.version + 1;
         log::info!(version = plan.version, whole; "plan folded");
+        if !self.planning && self.plan_known {
+            self.other_plan_at = now;
+        }
         if let Some(ranges) = plan.service(&self.settings.service) {
             self.book.fold(plan.version, ranges.clone(), whole, now);
         }
@@ -458,8 +478,9 @@
     }
 
     /// A plan of this node was appended, or failed.
-    pub(crate) fn plan_appended(&mut self) {
+    pub(crate) fn plan_appended(&mut self, end: Option<u64>) {
         self.planning = false;
+        self.planned_end = end.unwrap_or(0);
     }
 
     /// Asks who listens at the upstream's address, where keys wait for that.
@@ -558,9 +579,10 @@
     }
 
     fn plan_step(&mut self, now: Instant) -> Option<ControlOrder> {
-        // Until it had time to hear the others, a node counts them as alive; the first plan waits.
-        let early = self.plan.version == 0 && now < self.started_at + PLANNER_DELAY;
-        if self.planning || self.stopping || !self.plan_known || early {
+        let delay = if self.plan.version == 0 { FIRST_PLAN_DELAY } else { PLANNER_DELAY };
+        let early = now < self.started_at + delay || now < self.other_plan_at + OTHER_PLAN_GAP;
+        let behind = self.clock.end() < self.planned_end;
+        if self.planning || self.stopping || !self.plan_known || early || behind {
             return None;
         }
         if !self.is_planner(now) {
--- a/crates/mesh/src/process/control_thread.rs
+++ b/crates/mesh/src/process/control_thread.rs
@@ -171,7 +171,7 @@
                 self.state.take_peer_state(&snapshot, now);
                 self.refreshed();
             }
-            ControlEvent::PlanAppended(_) => self.state.plan_appended(),
+            ControlEvent::PlanAppended(end) => self.state.plan_appended(end),
             ControlEvent::Shutdown => {
                 self.state.stop();
                 self.publish();
@@ -283,10 +283,14 @@
                 Err(StoreError::Conflict { end }) => log::info!(end; "plan lost a race"),
                 Err(error) => log::info!(error:%; "plan append failed"),
             }
-            if !matches!(appended, Ok(_) | Err(StoreError::Conflict { .. })) {
-                tokio::time::sleep(TICK).await;
-            }
-            let _ = tx.send(ControlEvent::PlanAppended(appended.is_ok()));
+            let end = match appended {
+                Ok(end) | Err(StoreError::Conflict { end }) => Some(end),
+                Err(_) => {
+                    tokio::time::sleep(TICK).await;
+                    None
+                }
+            };
+            let _ = tx.send(ControlEvent::PlanAppended(end));
         });
     }
 }
