feat: the queue before an upstream ends where answers would be late

Cause: under lasting overload requests waited until their deadline; each was served late. Ruled out: more slots (the upstream's own queue is the same wait). Change: a request's latest start is its objective less the mean run; a late one waits half a run.

--- a/crates/mesh/src/connection/upstream_gate.rs
+++ b/crates/mesh/src/connection/upstream_gate.rs
@@ -96,6 +96,11 @@
         }
     }
 
+    /// Mean time of a run.
+    pub fn service_time(&self) -> Duration {
+        self.state.borrow().service_time
+    }
+
     /// Waits for a slot; refused at once where the wait would pass the deadline.
     ///
     /// # Errors
--- a/crates/mesh/src/request/caller_entry.rs
+++ b/crates/mesh/src/request/caller_entry.rs
@@ -213,6 +213,7 @@
         class,
         caller_service: context.settings.service.clone(),
         deadline,
+        aim_at: arrived + route.objective,
         hold_until: arrived + (route.objective / HOLD_DIVISOR).min((deadline - arrived) / 4),
     })
 }
--- a/crates/mesh/src/request/owner_step.rs
+++ b/crates/mesh/src/request/owner_step.rs
@@ -28,6 +28,9 @@
 /// forgot may have run.
 const IDLE_LIMIT_ONCE: Duration = Duration::from_millis(1_500);
 
+/// Part of a run's mean time for which a request may wait that cannot be in time any more.
+const LATE_WAIT_DIVISOR: u32 = 2;
+
 /// Time to come back after, while keys move or a node restarts.
 const MOVE_RETRY: Duration = Duration::from_millis(700);
 
@@ -70,6 +73,7 @@
         caller_service: facts.caller_service,
         deadline: facts.deadline,
         hold_until: facts.hold_until,
+        aim_at: facts.aim_at,
     };
     let mut response = peer_answer(run_here(context, &request).await);
     response.body_mut().hold(in_flight);
@@ -85,7 +89,7 @@
     if let Err(outcome) = wait_for_grant(context, request).await {
         return outcome;
     }
-    let latest_start = request.deadline;
+    let latest_start = latest_start(request, context.gate.service_time(), arrived);
     let pass = match context.gate.enter(request.class, latest_start).await {
         Ok(pass) => pass,
         Err(refusal) => {
@@ -111,6 +115,14 @@
     outcome
 }
 
+/// Latest start that is worth a place in the queue: the answer is likely to be in time. Under
+/// lasting overload a longer queue serves no more requests, only each of them late; a request
+/// that is late already gets a short wait.
+fn latest_start(request: &PlacedRequest, service_time: Duration, now: Instant) -> Instant {
+    let in_time = request.aim_at.checked_sub(service_time).unwrap_or(now);
+    in_time.max(now + service_time / LATE_WAIT_DIVISOR).min(request.deadline)
+}
+
 fn log_run(context: &TrafficContext, request: &PlacedRequest, outcome: &str, arrived: Instant) {
     let load = context.gate.load();
     context.log_decision(|left_out| {
--- a/crates/mesh/src/request/placed_request.rs
+++ b/crates/mesh/src/request/placed_request.rs
@@ -34,6 +34,8 @@
     pub(crate) deadline: Instant,
     /// Time until which it may wait for an owner.
     pub(crate) hold_until: Instant,
+    /// Time until which the answer earns its full worth.
+    pub(crate) aim_at: Instant,
 }
 
 impl PlacedRequest {
@@ -48,8 +50,9 @@
         let cell = self.cell.map_or(String::from("-"), |cell| cell.to_string());
         let class = self.class as u8;
         let (service, caller) = (&self.service, &self.caller_service);
-        let (deadline, hold) = (left(self.deadline), left(self.hold_until));
-        let text = format!("{service} {caller} {cell} {kind} {class} {deadline} {hold}");
+        let (deadline, hold, aim) =
+            (left(self.deadline), left(self.hold_until), left(self.aim_at));
+        let text = format!("{service} {caller} {cell} {kind} {class} {deadline} {hold} {aim}");
         HeaderValue::from_str(&text).ok()
     }
 }
@@ -64,6 +67,7 @@
     pub(crate) class: PriorityClass,
     pub(crate) deadline: Instant,
     pub(crate) hold_until: Instant,
+    pub(crate) aim_at: Instant,
 }
 
 impl RequestFacts {
@@ -91,7 +95,7 @@
             let left: u32 = words.next()?.parse().ok()?;
             Some(now + std::time::Duration::from_millis(u64::from(left)))
         };
-        let (deadline, hold_until) = (time()?, time()?);
-        Some(Self { service, caller_service, cell, kind, class, deadline, hold_until })
+        let (deadline, hold_until, aim_at) = (time()?, time()?, time()?);
+        Some(Self { service, caller_service, cell, kind, class, deadline, hold_until, aim_at })
     }
 }
