feat: holders vouch for the plan in force while the store is away

Change: a plan counts as confirmed for 2 s, and on up to 6.5 s while every other holder says by an echoed stamp that it folded no later one; a new holder waits 5.2 s, or 9.7 s where plans that it was no member of may still be acted on. Datagrams carry the sender's host record.

--- a/crates/core/src/connection/gossip_message.rs
+++ b/crates/core/src/connection/gossip_message.rs
@@ -7,6 +7,7 @@
 
 use super::DemandReport;
 use crate::process::EndedRow;
+use crate::version::HostRecord;
 
 /// Ends of fences.
 pub type EndedRowList = Vec<EndedRow>;
@@ -31,17 +32,17 @@
     pub stamp_ms: u64,
     /// End of the plans that the sender folded.
     pub plan_end: u64,
-    /// Age of the sender's confirmation of that end when this was sent.
-    pub age_ms: u64,
+    /// Age of the sender's confirmation of that end when this was sent, if it has one.
+    pub age_ms: Option<u64>,
+    /// Whether the sender vouches that nothing was granted beside it under a later plan.
+    pub vouches: bool,
 }
 
 /// One datagram.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GossipMessage {
-    /// Host of the sender.
-    pub host: Box<str>,
-    /// Incarnation of the sender.
-    pub incarnation: u64,
+    /// Record of the sender, as it will lie on the store.
+    pub sender: HostRecord,
     /// Time on the sender's clock, in milliseconds.
     pub stamp_ms: u64,
     /// Echo of the receiver's newest stamp, if the sender's plan is confirmed.
--- a/crates/core/src/process/grant_book.rs
+++ b/crates/core/src/process/grant_book.rs
@@ -99,6 +99,10 @@
     cells: Vec<CellState>,
     ranges: Option<ServiceRanges>,
     version: PlanVersion,
+    /// Since when each folded plan has named this host as a holder.
+    member_since: Option<Instant>,
+    /// Whether a heartbeat to this process showed that nothing is held under a later plan.
+    shown: bool,
 }
 
 impl GrantBook {
@@ -115,9 +119,22 @@
             cells: vec![CellState::default(); CELLS],
             ranges: None,
             version: 0,
+            member_since: None,
+            shown: false,
         }
     }
 
+    /// Times of the grants.
+    pub fn timing(&self) -> GrantTiming {
+        self.timing
+    }
+
+    /// Whether this process can say that nothing was granted here under a later plan than the
+    /// one folded: neither by itself nor by an earlier process.
+    pub fn vouches(&self) -> bool {
+        self.shown
+    }
+
     /// Life of the upstream beside, once it was heard.
     pub fn life(&self) -> Option<&UpstreamLife> {
         self.life.as_ref()
@@ -128,7 +145,12 @@
     pub fn fold(&mut self, version: PlanVersion, after: ServiceRanges, whole: bool, now: Instant) {
         let before = self.ranges.take();
         let old = before.as_ref().map(ServiceRanges::cells);
-        let ends_at = self.timing.replaced_end(now);
+        let member = after.holder_on(&self.host).is_some();
+        self.member_since = self.member_since.filter(|_| member).or(member.then_some(now));
+        // Nodes under plans that do not name this host did not ask it before they granted on.
+        let asked =
+            whole && self.member_since.is_some_and(|since| now >= since + self.timing.vouched);
+        let ends_at = self.timing.replaced_end(asked, now);
         for (index, new) in after.cells().into_iter().enumerate() {
             let cell = &mut self.cells[index];
             let holder = &after.holders[usize::from(new.holder)];
@@ -270,12 +292,12 @@
         }
     }
 
-    /// Takes a heartbeat, and answers with what the upstream is to hold. `confirmed` is when
-    /// the newest plan was last known to be the newest; without a recent one nothing is granted.
+    /// Takes a heartbeat, and answers with what the upstream is to hold. Nothing is granted
+    /// after `right_until`.
     pub fn take_report(
         &mut self,
         report: &UpstreamReport,
-        confirmed: Option<Instant>,
+        right_until: Option<Instant>,
         now: Instant,
     ) -> Option<GrantReply> {
         if self.ended_lives.contains(&report.life) {
@@ -293,8 +315,8 @@
         self.last_sequence = report.sequence;
         self.take_held(report);
         self.end_lost_fences(now);
-        let fresh = confirmed.is_some_and(|at| now < at + self.timing.confirm);
-        fresh.then(|| self.grant(report.sequence, now))
+        let right = right_until.is_some_and(|until| now < until);
+        right.then(|| self.grant(report.sequence, now))
     }
 
     fn take_held(&mut self, report: &UpstreamReport) {
@@ -307,6 +329,7 @@
         for (cell, held) in self.cells.iter_mut().zip(held) {
             cell.take_held(held, report.sequence);
         }
+        self.shown |= report.holds.iter().all(|row| row.fence <= self.version);
         for row in &report.freed {
             for index in cells_of(row.first, row.last) {
                 self.cells[index].take_freed(&row.handover);
--- a/crates/core/src/process/grant_timing.rs
+++ b/crates/core/src/process/grant_timing.rs
@@ -14,16 +14,23 @@
 pub struct GrantTiming {
     /// Time for which an upstream holds its keys after a heartbeat.
     pub hold: Duration,
-    /// Time for which a node may grant after the store confirmed the plan.
+    /// Time for which a node may grant after the store confirmed the plan, or after every other
+    /// holder vouched for it.
     pub confirm: Duration,
+    /// Longest time since the store confirmed the plan for which holders may vouch for it.
+    pub vouched: Duration,
 }
 
 impl Default for GrantTiming {
-    /// Rides out an outage of the store of about six seconds; a lost host's keys are served
-    /// again after about seven. Both follow from the shortest and longest outages of the
-    /// platform's pages.
+    /// A hold spans three heartbeats. A lost host's keys are served again after about five
+    /// seconds; an outage of the store of eight, the longest on the platform's pages, is ridden
+    /// out while all holders hear each other.
     fn default() -> Self {
-        Self { hold: Duration::from_millis(3_000), confirm: Duration::from_millis(4_000) }
+        Self {
+            hold: Duration::from_millis(2_800),
+            confirm: Duration::from_millis(2_000),
+            vouched: Duration::from_millis(6_500),
+        }
     }
 }
 
@@ -34,7 +41,8 @@
     }
 
     /// When every right under a plan that is replaced now has surely ended.
-    pub fn replaced_end(&self, now: Instant) -> Instant {
-        self.hold_end(now + self.confirm)
+    /// `asked` says that whoever granted on without the store had to ask the host that counts.
+    pub fn replaced_end(&self, asked: bool, now: Instant) -> Instant {
+        self.hold_end(now + if asked { self.confirm } else { self.vouched })
     }
 }
--- a/crates/core/src/version/host_record.rs
+++ b/crates/core/src/version/host_record.rs
@@ -39,6 +39,8 @@
     pub data_centre: Box<str>,
     /// Number of the process: Unix time of its start in milliseconds.
     pub incarnation: u64,
+    /// Number of the record within the incarnation.
+    pub revision: u64,
     /// Address for requests of other nodes.
     pub forward: SocketAddr,
     /// Address for datagrams of other nodes.
@@ -50,6 +52,11 @@
 }
 
 impl HostRecord {
+    /// Whether this record was made after another of the same host.
+    pub fn is_newer(&self, other: &Self) -> bool {
+        (self.incarnation, self.revision) > (other.incarnation, other.revision)
+    }
+
     /// Bytes of the record.
     pub fn encode(&self) -> Vec<u8> {
         postcard::to_allocvec(self).unwrap_or_default()
--- a/crates/mesh/src/process/control_state.rs
+++ b/crates/mesh/src/process/control_state.rs
@@ -130,6 +130,7 @@
             host: settings.host.clone(),
             data_centre: settings.data_centre.clone(),
             incarnation,
+            revision: 0,
             forward: listen.forward,
             gossip: listen.gossip,
             service: settings.service.clone(),
@@ -187,8 +188,8 @@
     /// Takes a heartbeat and gives the reply's body.
     pub(crate) fn take_report(&mut self, report: &UpstreamReport, now: Instant) -> Bytes {
         let left = self.left.contains(&report.life);
-        let confirmed = self.clock.confirmed_at().filter(|_| self.plan_known);
-        let reply = self.book.take_report(report, confirmed, now);
+        let right = self.grant_right(now);
+        let reply = self.book.take_report(report, right, now);
         if self.book.life() == Some(&report.life) {
             self.note_upstream(report, left, now);
         }
@@ -209,6 +210,29 @@
         self.codec.encode_reply(shown.as_ref())
     }
 
+    /// Time until which this node may grant under the plan that it folded: for a short time
+    /// after the store confirmed it, and on for a long time while every other holder of the plan
+    /// vouches that it has not folded a later one.
+    fn grant_right(&self, now: Instant) -> Option<Instant> {
+        let confirmed = self.clock.confirmed_at().filter(|_| self.plan_known)?;
+        let timing = self.book.timing();
+        let short = confirmed + timing.confirm;
+        if now < short {
+            return Some(short);
+        }
+        let end = self.clock.end();
+        let ranges = self.plan.service(&self.settings.service)?;
+        let mut until = confirmed + timing.vouched;
+        for holder in ranges.holders.iter().filter(|row| row.host != self.settings.host) {
+            let (known, at) = self.peers.get(&holder.host)?.vouched?;
+            if known != end {
+                return Some(short);
+            }
+            until = until.min(at + timing.confirm);
+        }
+        Some(until.max(short))
+    }
+
     fn note_upstream(&mut self, report: &UpstreamReport, left: bool, now: Instant) {
         self.heard_upstream = Some(now);
         let state = if left { UpstreamState::Draining } else { report.state };
@@ -345,10 +369,13 @@
         if record.host == self.settings.host {
             self.adopt_own_record(&record);
         }
+        self.keep_host(record);
+    }
+
+    /// Keeps a record of a host if it is the newest.
+    fn keep_host(&mut self, record: HostRecord) {
         match self.hosts.binary_search_by(|row| row.host.cmp(&record.host)) {
-            Ok(index) if self.hosts[index].incarnation <= record.incarnation => {
-                self.hosts[index] = record;
-            }
+            Ok(index) if record.is_newer(&self.hosts[index]) => self.hosts[index] = record,
             Ok(_) => {}
             Err(index) => self.hosts.insert(index, record),
         }
@@ -427,9 +454,10 @@
             log::warn!(length = bytes.len(); "unreadable datagram");
             return;
         };
-        if message.host == self.settings.host {
+        if message.sender.host == self.settings.host {
             return;
         }
+        self.keep_host(message.sender.clone());
         let stamp = self.stamp_ms(now);
         let Some(peer) = self.peers.take(&message, now) else { return };
         for row in &message.ended {
@@ -440,7 +468,7 @@
         }
         self.book.forget_ended(&message.taken);
         if let Some(echo) = message.echo {
-            self.take_echo(echo, stamp, now);
+            self.take_echo(&message.sender.host, echo, stamp, now);
         }
         let ends = [self.clock.end(), self.hosts_end, self.manifest_end];
         let behind = ends.iter().zip(message.ends).any(|(own, other)| *own < other);
@@ -449,12 +477,17 @@
         }
     }
 
-    fn take_echo(&mut self, echo: EchoRow, stamp_ms: u64, now: Instant) {
+    fn take_echo(&mut self, host: &str, echo: EchoRow, stamp_ms: u64, now: Instant) {
         if echo.stamp_ms > stamp_ms {
             return;
         }
-        let past = Duration::from_millis(stamp_ms - echo.stamp_ms + echo.age_ms);
-        if let Some(at) = now.checked_sub(past) {
+        let sent_at = now.checked_sub(Duration::from_millis(stamp_ms - echo.stamp_ms));
+        let Some(sent_at) = sent_at else { return };
+        if let Some(peer) = self.peers.get_mut(host).filter(|_| echo.vouches) {
+            peer.vouched = Some((echo.plan_end, sent_at));
+        }
+        let age = echo.age_ms.map(Duration::from_millis);
+        if let Some(at) = age.and_then(|age| sent_at.checked_sub(age)) {
             self.clock.confirm(echo.plan_end, at);
         }
     }
@@ -470,6 +503,7 @@
         let mut orders = Vec::new();
         self.watch_upstream(now);
         self.settle_own_ends(now);
+        self.revise_own();
         // A record without the upstream that the former process told of would move its cells.
         let complete = self.own.upstream.is_some() || self.hosts_known;
         if complete && self.own_written.as_ref() != Some(&self.own) {
@@ -481,6 +515,18 @@
         orders
     }
 
+    /// Numbers this node's record anew when it changed, and keeps it among the others.
+    fn revise_own(&mut self) {
+        let known = self.host(&self.settings.host);
+        let same = known.is_some_and(|known| {
+            known.incarnation == self.incarnation && known.upstream == self.own.upstream
+        });
+        if !same && (self.own.upstream.is_some() || self.hosts_known) {
+            self.own.revision += 1;
+            self.keep_host(self.own.clone());
+        }
+    }
+
     /// This node's record was written, or the write's fate is unknown.
     pub(crate) fn host_written(&mut self, record: HostRecord, done: bool) {
         self.own_written = done.then_some(record);
@@ -730,15 +776,17 @@
         let age = self.clock.age(now).filter(|_| self.plan_known);
         let peer = self.peers.get_mut(host);
         let taken = peer.map_or(Vec::new(), |peer| std::mem::take(&mut peer.to_acknowledge));
-        let echo = self.peers.get(host).zip(age).map(|(peer, age)| EchoRow {
+        let age_ms = age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX) + 1);
+        let vouches = self.plan_known && self.book.vouches();
+        let echo = self.peers.get(host).map(|peer| EchoRow {
             stamp_ms: peer.stamp_ms,
             plan_end,
-            age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX) + 1,
+            age_ms,
+            vouches,
         });
         let open = self.is_open(now);
         GossipMessage {
-            host: self.settings.host.clone(),
-            incarnation: self.incarnation,
+            sender: self.own.clone(),
             stamp_ms,
             echo,
             ends: [plan_end, self.hosts_end, self.manifest_end],
--- a/crates/mesh/src/process/peer_table.rs
+++ b/crates/mesh/src/process/peer_table.rs
@@ -17,6 +17,8 @@
     pub(crate) settled: u64,
     pub(crate) load: UpstreamLoad,
     pub(crate) demand: DemandReport,
+    /// End of the plans for which the peer vouched last, and a time before it did.
+    pub(crate) vouched: Option<(u64, Instant)>,
     /// Ends of fences that the peer told, to be acknowledged.
     pub(crate) to_acknowledge: EndedRowList,
 }
@@ -30,12 +32,12 @@
 impl PeerTable {
     /// Takes a datagram; gives the peer's row, or `None` if it is older than what is known.
     pub(crate) fn take(&mut self, message: &GossipMessage, now: Instant) -> Option<&mut PeerRow> {
-        let found = self.rows.binary_search_by(|row| row.host.cmp(&message.host));
+        let found = self.rows.binary_search_by(|row| row.host.cmp(&message.sender.host));
         let index = match found {
             Ok(index) => index,
             Err(index) => {
                 let row = PeerRow {
-                    host: message.host.clone(),
+                    host: message.sender.host.clone(),
                     heard_at: now,
                     incarnation: 0,
                     stamp_ms: 0,
@@ -44,6 +46,7 @@
                     settled: 0,
                     load: UpstreamLoad::default(),
                     demand: DemandReport::default(),
+                    vouched: None,
                     to_acknowledge: Vec::new(),
                 };
                 self.rows.insert(index, row);
@@ -51,12 +54,13 @@
             }
         };
         let row = &mut self.rows[index];
-        let newer = (message.incarnation, message.stamp_ms) > (row.incarnation, row.stamp_ms);
+        let incarnation = message.sender.incarnation;
+        let newer = (incarnation, message.stamp_ms) > (row.incarnation, row.stamp_ms);
         if !newer {
             return None;
         }
         row.heard_at = now;
-        row.incarnation = message.incarnation;
+        row.incarnation = incarnation;
         row.stamp_ms = message.stamp_ms;
         row.ends = message.ends;
         row.reaches_store = message.reaches_store;
--- a/crates/mesh/src/request/placed_request.rs
+++ b/crates/mesh/src/request/placed_request.rs
@@ -50,8 +50,7 @@
         let cell = self.cell.map_or(String::from("-"), |cell| cell.to_string());
         let class = self.class as u8;
         let (service, caller) = (&self.service, &self.caller_service);
-        let (deadline, hold, aim) =
-            (left(self.deadline), left(self.hold_until), left(self.aim_at));
+        let (deadline, hold, aim) = (left(self.deadline), left(self.hold_until), left(self.aim_at));
         let text = format!("{service} {caller} {cell} {kind} {class} {deadline} {hold} {aim}");
         HeaderValue::from_str(&text).ok()
     }
