fix: answers to heartbeats stay within 4 KiB, and lost hosts stay lost over a restart

After the kill of all nodes the planner counted hosts as alive that had been lost before, since their records say ready. Ruled out: the queue bound (full was a small part).

--- a/crates/core/src/process/grant_book.rs
+++ b/crates/core/src/process/grant_book.rs
@@ -159,6 +159,18 @@
                 continue;
             }
             let known = old_row.map_or(0, |row| row.fence);
+            let old_holder = before
+                .as_ref()
+                .zip(old_row)
+                .map(|(before, row)| &before.holders[usize::from(row.holder)]);
+            let stays = |old: &HolderRow| old.host == holder.host && old.life == holder.life;
+            if whole && old_holder.is_some_and(stays) {
+                // The same upstream goes on under a higher fence.
+                if cell.fence > 0 {
+                    cell.take(new.fence);
+                }
+                continue;
+            }
             if !whole && new.fence > holder.settled {
                 cell.add_prior(UNKNOWN_FENCE, ends_at);
             }
--- a/crates/core/src/process/range_planner.rs
+++ b/crates/core/src/process/range_planner.rs
@@ -15,6 +15,16 @@
 /// spreads over three upstreams, and ten upstreams have about 70 ranges each.
 const RUN_CELLS: usize = 12;
 
+/// Ranges of each of a few upstreams when all cells are placed at once.
+const PLACED_RANGES: usize = 90;
+
+/// Ranges of an upstream above which its neighbouring cells are joined under one fence.
+const JOIN_RANGES: usize = 100;
+
+/// Most ranges of an upstream. The answer to a heartbeat is at most 4 KiB, a range in it at most
+/// 26 bytes without a handover token and 42 with one.
+const MOST_RANGES: usize = 140;
+
 /// Part of its share below which an upstream is given cells of others, in percent.
 const NEEDY_PERCENT: usize = 70;
 
@@ -77,6 +87,7 @@
     if !board.changed {
         return None;
     }
+    board.join_fences();
     Some(board.into_ranges(service, before))
 }
 
@@ -150,7 +161,7 @@
                 cell += 1;
                 continue;
             }
-            let limit = CELLS.min(cell + RUN_CELLS);
+            let limit = CELLS.min(cell + self.run_cells());
             let end = (cell..limit).find(|index| self.owners[*index].is_some()).unwrap_or(limit);
             let before = cell.checked_sub(1).and_then(|index| self.owners[index]);
             let after = self.owners.get(end).copied().flatten();
@@ -184,6 +195,39 @@
         }
     }
 
+    /// Gives neighbouring cells of one holder one fence, where the holder has many ranges. What
+    /// an upstream holds already it goes on holding under a higher fence.
+    fn join_fences(&mut self) {
+        let ranges = self.ranges_held();
+        for cell in 1..CELLS {
+            let owner = self.owners[cell];
+            let joins = owner.is_some_and(|owner| ranges[owner] > JOIN_RANGES);
+            if joins && owner == self.owners[cell - 1] && self.fences[cell] != self.fences[cell - 1]
+            {
+                self.fences[cell] = self.version;
+                self.fences[cell - 1] = self.version;
+            }
+        }
+    }
+
+    /// Ranges of each candidate: runs of one holder and one fence.
+    fn ranges_held(&self) -> Vec<usize> {
+        let mut ranges = vec![0; self.candidates.len()];
+        for cell in 0..CELLS {
+            let Some(owner) = self.owners[cell] else { continue };
+            let same = cell > 0
+                && self.owners[cell - 1] == Some(owner)
+                && self.fences[cell - 1] == self.fences[cell];
+            ranges[owner] += usize::from(!same);
+        }
+        ranges
+    }
+
+    /// Cells of one run when orphans are placed: the fewer candidates, the longer.
+    fn run_cells(&self) -> usize {
+        RUN_CELLS.max(CELLS / (self.candidates.len() * PLACED_RANGES).max(1))
+    }
+
     /// Moves busy cells where demand and capacity of all are known.
     fn level_demand(&mut self) {
         if self.candidates.iter().any(|row| row.capacity <= 0.0) {
@@ -196,8 +240,14 @@
         };
         let loads: Vec<_> = self.candidates.iter().map(load).collect();
         let owners: Vec<_> = self.owners.iter().map(|owner| owner.unwrap_or(0)).collect();
+        let mut ranges = self.ranges_held();
         for row in level_load(&owners, &loads) {
-            self.give(row.cell, row.to);
+            // A move may split a range in two and begins another.
+            if ranges[row.to] < MOST_RANGES && ranges[owners[row.cell]] < MOST_RANGES {
+                ranges[row.to] += 1;
+                ranges[owners[row.cell]] += 1;
+                self.give(row.cell, row.to);
+            }
         }
     }
 
--- a/crates/mesh/src/process/control_state.rs
+++ b/crates/mesh/src/process/control_state.rs
@@ -12,7 +12,8 @@
     ConfirmClock, EndedRow, GrantBook, GrantTiming, RangeCandidate, ServiceCandidates, plan_ranges,
 };
 use firspindle_core::version::{
-    HostRecord, RangePlan, RouteManifest, UpstreamLife, UpstreamRecord, UpstreamState,
+    HostRecord, RangePlan, RouteManifest, ServiceRanges, UpstreamLife, UpstreamRecord,
+    UpstreamState,
 };
 use firspindle_edge::{PlatformCodec, ReadBatch, StateTopic, StoredValue, TopicSnapshot};
 
@@ -613,11 +614,18 @@
         if heard * 2 >= others { PEER_SILENCE } else { MAJORITY_SILENCE }
     }
 
+    /// Whether a node that this one never heard may live: it was not lost when the plan was made.
+    fn may_live(&self, host: &str) -> bool {
+        let unheard = self.peers.get(host).is_none();
+        let planned = |row: &&ServiceRanges| row.holder_on(host).is_some();
+        unheard && (self.plan.version == 0 || self.plan.services.iter().any(|row| planned(&row)))
+    }
+
     /// Whether a node counts as alive.
     fn is_alive(&self, host: &str, limit: Duration, now: Instant) -> bool {
         host == &*self.settings.host
             || self.peers.heard_within(host, limit, now)
-            || (self.peers.get(host).is_none() && now < self.started_at + limit)
+            || (now < self.started_at + limit && self.may_live(host))
     }
 
     fn reaches_store(&self, now: Instant) -> bool {
