perf: two nodes read the store for the others

Ruled out: longer confirmations (a lost host's keys wait for them). Change: the first two hosts in order that reach the store read often; the others wait 15 s a read, hear of newer records in datagrams and read often only when those fail; hosts' records are read every 20 s.

--- a/crates/mesh/src/process/control_state.rs
+++ b/crates/mesh/src/process/control_state.rs
@@ -19,6 +19,7 @@
 
 use super::MeshSettings;
 use super::peer_table::PeerTable;
+use super::store_watch::ReadPace;
 use crate::version::{MeshView, PeerView, RangeView, StateSnapshot, UpstreamView};
 
 /// Silence after which another node counts as lost: eight datagrams.
@@ -47,9 +48,6 @@
 /// Part of the drain time that is kept as a margin for requests on their way.
 const DRAIN_MARGIN: Duration = Duration::from_millis(400);
 
-/// Time without an answer after which the store counts as away.
-const STORE_SILENCE: Duration = Duration::from_millis(2_500);
-
 /// Nodes that are told the demand, so that the next one can plan at once.
 const PLANNERS: usize = 3;
 
@@ -62,6 +60,25 @@
 /// Time between two plans that level the demand: a handover and a new measurement.
 const LEVEL_GAP: Duration = Duration::from_millis(2_500);
 
+/// Nodes that read the store often, and tell the others.
+const READERS: usize = 2;
+
+/// Time that a reader's read of the plans waits. Each answer confirms the plan, and a connection
+/// that fell silent is noticed soon after.
+const CONFIRM_WAIT: Duration = Duration::from_millis(900);
+
+/// Time that a reader's read of the manifests waits.
+const READER_WAIT: Duration = Duration::from_millis(3_000);
+
+/// Time that other reads wait; a peer that knows more says so in its datagrams.
+const QUIET_WAIT: Duration = Duration::from_secs(15);
+
+/// Time between reads of the hosts' records, which datagrams carry too.
+const HOSTS_GAP: Duration = Duration::from_secs(20);
+
+/// Age of the plan's confirmation up to which the others' word suffices.
+const TOLD_AGE: Duration = Duration::from_millis(1_600);
+
 /// Time between two questions who listens at the upstream's address.
 const ASK_GAP: Duration = Duration::from_millis(600);
 
@@ -113,7 +130,8 @@
     left: Vec<UpstreamLife>,
     book: GrantBook,
     peers: PeerTable,
-    store_at: Option<Instant>,
+    /// Whether the store's last answer, or the lack of one, was good.
+    store_answers: bool,
     behind_since: Option<Instant>,
     ranges: Arc<Vec<RangeView>>,
     snapshot: Arc<StateSnapshot>,
@@ -164,7 +182,7 @@
             left: Vec::new(),
             book,
             peers: PeerTable::default(),
-            store_at: None,
+            store_answers: false,
             behind_since: None,
             ranges: Arc::default(),
             snapshot: Arc::default(),
@@ -290,7 +308,7 @@
         at: Instant,
         now: Instant,
     ) {
-        self.store_at = Some(now);
+        self.note_store(true);
         let whole = false;
         let values = state.values;
         self.take_values(topic, &values, state.end, at, whole, now);
@@ -303,10 +321,18 @@
         at: Instant,
         now: Instant,
     ) {
-        self.store_at = Some(now);
+        self.note_store(true);
         self.take_values(topic, &batch.records, batch.end, at, true, now);
     }
 
+    /// The store answered a call of this node, or did not.
+    pub(crate) fn note_store(&mut self, answers: bool) {
+        if answers != self.store_answers {
+            log::info!(answers; "store");
+        }
+        self.store_answers = answers;
+    }
+
     fn take_values(
         &mut self,
         topic: StateTopic,
@@ -440,13 +466,31 @@
         self.refresh_snapshot();
     }
 
-    /// Offset from which a topic is to be read.
-    pub(crate) fn end_of(&self, topic: StateTopic) -> u64 {
-        match topic {
-            StateTopic::Manifests => self.manifest_end,
-            StateTopic::Hosts => self.hosts_end,
-            StateTopic::Plans => self.clock.end(),
-        }
+    /// How a topic is to be read now. The first hosts in order read often; the others hear from
+    /// them in datagrams, and read often only when those fail.
+    pub(crate) fn read_pace(&self, topic: StateTopic, now: Instant) -> ReadPace {
+        let reader = self.reads_for_others(now);
+        let told = self.clock.age(now).is_some_and(|age| age < TOLD_AGE);
+        let (from, wait, gap) = match topic {
+            StateTopic::Manifests if reader => (self.manifest_end, READER_WAIT, Duration::ZERO),
+            StateTopic::Manifests => (self.manifest_end, QUIET_WAIT, Duration::ZERO),
+            StateTopic::Hosts => (self.hosts_end, Duration::ZERO, HOSTS_GAP),
+            StateTopic::Plans if reader || !told => {
+                (self.clock.end(), CONFIRM_WAIT, Duration::ZERO)
+            }
+            StateTopic::Plans => (self.clock.end(), QUIET_WAIT, Duration::ZERO),
+        };
+        ReadPace { from, wait, gap }
+    }
+
+    /// Whether this node is among the first in order of those that live and reach the store.
+    fn reads_for_others(&self, now: Instant) -> bool {
+        let reaches = |row: &&HostRecord| {
+            self.peers.heard_within(&row.host, PEER_SILENCE, now)
+                && self.peers.get(&row.host).is_some_and(|peer| peer.reaches_store)
+        };
+        let before = self.others().take_while(|row| row.host < self.settings.host);
+        before.filter(reaches).count() < READERS
     }
 
     /// Takes a datagram of another node.
@@ -628,8 +672,8 @@
             || (now < self.started_at + limit && self.may_live(host))
     }
 
-    fn reaches_store(&self, now: Instant) -> bool {
-        self.store_at.is_some_and(|at| now < at + STORE_SILENCE)
+    const fn reaches_store(&self) -> bool {
+        self.store_answers
     }
 
     /// Whether this node is the first in order of those that live and reach the store.
@@ -638,7 +682,7 @@
             self.peers.heard_within(&row.host, PEER_SILENCE, now)
                 && self.peers.get(&row.host).is_some_and(|peer| peer.reaches_store)
         });
-        self.reaches_store(now) && first.is_none_or(|first| first.host > self.settings.host)
+        self.reaches_store() && first.is_none_or(|first| first.host > self.settings.host)
     }
 
     /// Whether a host is among the first in order of those that live.
@@ -798,7 +842,7 @@
             stamp_ms,
             echo,
             ends: [plan_end, self.hosts_end, self.manifest_end],
-            reaches_store: self.reaches_store(now),
+            reaches_store: self.reaches_store(),
             settled: self.book.settled(now),
             load: UpstreamLoad { slots: if open { self.load.slots } else { 0 }, ..self.load },
             demand: self.may_plan(host).then(|| self.demand.clone()),
--- a/crates/mesh/src/process/control_thread.rs
+++ b/crates/mesh/src/process/control_thread.rs
@@ -14,7 +14,7 @@
 
 use super::control_state::{ControlOrder, ControlState};
 use super::gossip_socket::read_datagrams;
-use super::store_watch::watch_topic;
+use super::store_watch::{ReadPace, watch_topic};
 use super::{ControlEvent, MeshSettings};
 use crate::connection::{ask_upstream, fetch_state};
 use crate::request::SharedState;
@@ -40,14 +40,14 @@
     pub(crate) shared: Arc<SharedState>,
 }
 
-/// Offsets of the next reads, shared with the tasks that read.
+/// How the topics are to be read, shared with the tasks that read.
 #[derive(Default)]
-struct ReadOffsets {
-    rows: [Cell<u64>; 3],
+struct ReadPaces {
+    rows: [Cell<ReadPace>; 3],
 }
 
-impl ReadOffsets {
-    fn cell(&self, topic: StateTopic) -> &Cell<u64> {
+impl ReadPaces {
+    fn cell(&self, topic: StateTopic) -> &Cell<ReadPace> {
         match topic {
             StateTopic::Manifests => &self.rows[0],
             StateTopic::Hosts => &self.rows[1],
@@ -65,7 +65,7 @@
     clock: BootClock,
     tx: UnboundedSender<ControlEvent>,
     socket: Rc<UdpSocket>,
-    offsets: Rc<ReadOffsets>,
+    paces: Rc<ReadPaces>,
     shared: Arc<SharedState>,
     writing: Rc<Cell<bool>>,
     written: Rc<Cell<Option<(firspindle_core::version::HostRecord, bool)>>>,
@@ -80,15 +80,15 @@
 ) -> std::io::Result<()> {
     let socket = Rc::new(UdpSocket::bind(parts.settings.listen.gossip).await?);
     tokio::task::spawn_local(read_datagrams(socket.clone(), parts.tx.clone()));
-    let offsets = Rc::new(ReadOffsets::default());
+    let paces = Rc::new(ReadPaces::default());
     for topic in TOPICS {
-        let offsets = offsets.clone();
+        let paces = paces.clone();
         tokio::task::spawn_local(watch_topic(
             parts.store.clone(),
             topic,
             parts.clock,
             parts.tx.clone(),
-            move || offsets.cell(topic).get(),
+            move || paces.cell(topic).get(),
         ));
     }
     let now = parts.clock.now();
@@ -101,7 +101,7 @@
         clock: parts.clock,
         tx: parts.tx,
         socket,
-        offsets,
+        paces,
         shared: parts.shared,
         writing: Rc::default(),
         written: Rc::default(),
@@ -165,7 +165,7 @@
                     self.tell_ended();
                 }
             }
-            ControlEvent::StoreFailed(_) => {}
+            ControlEvent::StoreFailed(_) => self.state.note_store(false),
             ControlEvent::Datagram(bytes) => self.state.take_datagram(&bytes, now),
             ControlEvent::PeerState(snapshot) => {
                 self.state.take_peer_state(&snapshot, now);
@@ -177,8 +177,13 @@
                 self.publish();
             }
         }
+        self.set_paces();
+    }
+
+    fn set_paces(&self) {
+        let now = self.clock.now();
         for topic in TOPICS {
-            self.offsets.cell(topic).set(self.state.end_of(topic));
+            self.paces.cell(topic).set(self.state.read_pace(topic, now));
         }
     }
 
@@ -189,6 +194,7 @@
 
     fn tick(&mut self) {
         self.ticks += 1;
+        self.set_paces();
         self.state.set_load(self.shared.load(), self.shared.demand());
         if let Some((record, done)) = self.written.take() {
             self.state.host_written(record, done);
--- a/crates/mesh/src/process/store_watch.rs
+++ b/crates/mesh/src/process/store_watch.rs
@@ -7,35 +7,43 @@
 
 use super::ControlEvent;
 
-/// Time that one read of the plans waits. Each answer confirms the plan, and a connection that
-/// fell silent is noticed soon after.
-const PLAN_WAIT: Duration = Duration::from_millis(1_000);
-
-/// Time that other reads wait. Peers tell of newer records when a connection fell silent.
-const RECORD_WAIT: Duration = Duration::from_millis(4_000);
-
 /// Time before a failed call is made again.
 const RETRY_GAP: Duration = Duration::from_millis(250);
 
-/// Follows a topic until the process ends. `next` gives the offset to read from, which may have
-/// been advanced by a peer.
+/// How a topic is read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub(crate) struct ReadPace {
+    /// Offset of the next read; a peer may have advanced it.
+    pub(crate) from: u64,
+    /// Time that a read waits for records.
+    pub(crate) wait: Duration,
+    /// Time between reads.
+    pub(crate) gap: Duration,
+}
+
+/// Follows a topic until the process ends, at the pace that `pace` gives before each read.
 pub(crate) async fn watch_topic<S: StateStore>(
     store: S,
     topic: StateTopic,
     clock: BootClock,
     tx: UnboundedSender<ControlEvent>,
-    next: impl Fn() -> u64,
+    pace: impl Fn() -> ReadPace,
 ) {
     let mut known = false;
     loop {
         let at = clock.now();
         let failed = if known {
-            let wait = if topic == StateTopic::Plans { PLAN_WAIT } else { RECORD_WAIT };
-            match store.read(topic, next(), wait).await {
+            let ReadPace { from, wait, .. } = pace();
+            let read = tokio::select! {
+                read = store.read(topic, from, wait) => read,
+                () = wait_too_long(&pace, from) => continue,
+            };
+            match read {
                 Ok(batch) => {
                     let _ = tx.send(ControlEvent::Records(topic, batch, at));
                     // Lets the control state take the batch before its end is read again.
                     tokio::task::yield_now().await;
+                    wait_gap(&pace).await;
                     continue;
                 }
                 Err(error) => error,
@@ -60,3 +68,34 @@
         tokio::time::sleep(RETRY_GAP).await;
     }
 }
+
+/// Time between looks at whether the pace has changed.
+const PACE_LOOK: Duration = Duration::from_millis(500);
+
+/// Slack of a read over the time that it asked the store to wait.
+const READ_SLACK: Duration = Duration::from_millis(900);
+
+/// Ends once a read waits for longer than the pace allows by now, or reads what is known.
+async fn wait_too_long(pace: &impl Fn() -> ReadPace, from: u64) {
+    let since = tokio::time::Instant::now();
+    loop {
+        tokio::time::sleep(PACE_LOOK).await;
+        let now = pace();
+        if since.elapsed() > now.wait + READ_SLACK || now.from > from {
+            return;
+        }
+    }
+}
+
+/// Waits for the time between reads, which may become shorter meanwhile.
+async fn wait_gap(pace: &impl Fn() -> ReadPace) {
+    let since = tokio::time::Instant::now();
+    loop {
+        let gap = pace().gap;
+        let waited = since.elapsed();
+        if waited >= gap {
+            return;
+        }
+        tokio::time::sleep((gap - waited).min(PACE_LOOK)).await;
+    }
+}
