fix: the demand of an upstream is counted whole, apart from its cells

Cause: a test of a slow upstream moved nothing: cells with less than a tenth of a request a second counted as none, so most of the demand was left out of the report. Change: the total is smoothed from its own count.

--- a/crates/core/src/connection/demand_report.rs
+++ b/crates/core/src/connection/demand_report.rs
@@ -26,9 +26,9 @@
 }
 
 impl DemandReport {
-    /// Report of the tenths of a request a second for each cell.
-    pub fn new(tenths: &[(CellIndex, u32)]) -> Self {
-        let total = tenths.iter().map(|row| u64::from(row.1)).sum::<u64>();
+    /// Report of the tenths of a request a second, for all cells and for each. The total is
+    /// counted apart: most cells have less than a tenth.
+    pub fn new(total_tenths: u32, tenths: &[(CellIndex, u32)]) -> Self {
         let mut rows: Vec<_> = tenths.iter().filter(|row| row.1 > 0).copied().collect();
         rows.sort_unstable_by_key(|row| std::cmp::Reverse(row.1));
         rows.truncate(HOT_CELLS);
@@ -36,6 +36,6 @@
         let hot = rows.iter().filter_map(|(cell, tenths)| {
             u16::try_from(*cell).ok().map(|cell| HotCell { cell, tenths: *tenths })
         });
-        Self { total_tenths: u32::try_from(total).unwrap_or(u32::MAX), hot: hot.collect() }
+        Self { total_tenths, hot: hot.collect() }
     }
 }
--- a/crates/core/tests/ranges/demand.rs
+++ b/crates/core/tests/ranges/demand.rs
@@ -33,8 +33,9 @@
 
 fn report(owners: &[usize], demand: &[f64], holder: usize) -> DemandReport {
     let rows = owners.iter().enumerate().filter(|(_, owner)| **owner == holder);
+    let total: f64 = rows.clone().map(|(cell, _)| demand[cell]).sum();
     let rows: Vec<_> = rows.map(|(cell, _)| (cell, (demand[cell] * 10.0) as u32)).collect();
-    DemandReport::new(&rows)
+    DemandReport::new((total * 10.0) as u32, &rows)
 }
 
 #[test]
--- a/crates/mesh/src/request/demand_meter.rs
+++ b/crates/mesh/src/request/demand_meter.rs
@@ -16,11 +16,13 @@
     counts: Vec<u32>,
     /// Tenths of a request a second.
     tenths: Vec<u32>,
+    /// The same for all cells.
+    total_tenths: u32,
 }
 
 impl Default for DemandMeter {
     fn default() -> Self {
-        Self { counts: vec![0; CELLS], tenths: vec![0; CELLS] }
+        Self { counts: vec![0; CELLS], tenths: vec![0; CELLS], total_tenths: 0 }
     }
 }
 
@@ -34,18 +36,24 @@
 
     /// Ends a round and reports the demand.
     pub(crate) fn roll(&mut self) -> DemandReport {
-        let rounds = 1000 / u64::try_from(METER_GAP.as_millis()).unwrap_or(500);
+        let total: u32 = self.counts.iter().sum();
+        self.total_tenths = smooth(total, self.total_tenths);
         for (count, tenths) in self.counts.iter_mut().zip(&mut self.tenths) {
             if *count == 0 && *tenths == 0 {
                 continue;
             }
-            let newest = u64::from(*count) * rounds * 10;
-            let smoothed =
-                (newest * NEWEST_PERCENT + u64::from(*tenths) * (100 - NEWEST_PERCENT)) / 100;
-            *tenths = u32::try_from(smoothed).unwrap_or(u32::MAX);
+            *tenths = smooth(*count, *tenths);
             *count = 0;
         }
         let rows: Vec<_> = self.tenths.iter().copied().enumerate().collect();
-        DemandReport::new(&rows)
+        DemandReport::new(self.total_tenths, &rows)
     }
 }
+
+/// Rate after a round with a count, in tenths of a request a second.
+fn smooth(count: u32, tenths: u32) -> u32 {
+    let rounds = 1000 / u64::try_from(METER_GAP.as_millis()).unwrap_or(500);
+    let newest = u64::from(count) * rounds * 10;
+    let smoothed = (newest * NEWEST_PERCENT + u64::from(tenths) * (100 - NEWEST_PERCENT)) / 100;
+    u32::try_from(smoothed).unwrap_or(u32::MAX)
+}
