fix: nodes that start together find each other

In the bad plays one host had read the hosts' records before the others had written theirs, and they before it; with 20 s between reads and datagrams only to known hosts two planners undid each other's plans from -5 s to 1 s. Ruled out: the demand reports (the plays differ before any demand). Change: hosts' records are read every 0.9 s for 8 s after the start and while a holder is unknown.

--- a/crates/mesh/src/process/control_state.rs
+++ b/crates/mesh/src/process/control_state.rs
@@ -77,6 +77,12 @@
 /// Time between reads of the hosts' records, which datagrams carry too.
 const HOSTS_GAP: Duration = Duration::from_secs(20);
 
+/// Time after the start in which nodes that started together find each other.
+const GATHER_TIME: Duration = Duration::from_secs(8);
+
+/// Time between reads of the hosts' records meanwhile.
+const GATHER_GAP: Duration = Duration::from_millis(900);
+
 /// Age of the plan's confirmation up to which the others' word suffices.
 const TOLD_AGE: Duration = Duration::from_millis(1_600);
 
@@ -487,7 +493,7 @@
         let (from, wait, gap) = match topic {
             StateTopic::Manifests if reader => (self.manifest_end, READER_WAIT, Duration::ZERO),
             StateTopic::Manifests => (self.manifest_end, QUIET_WAIT, Duration::ZERO),
-            StateTopic::Hosts => (self.hosts_end, Duration::ZERO, HOSTS_GAP),
+            StateTopic::Hosts => (self.hosts_end, Duration::ZERO, self.hosts_gap(now)),
             StateTopic::Plans if reader || !told => {
                 (self.clock.end(), CONFIRM_WAIT, Duration::ZERO)
             }
@@ -496,6 +502,14 @@
         ReadPace { from, wait, gap }
     }
 
+    /// Time between reads of the hosts' records: short after the start and while a holder is
+    /// unknown, as nodes that start together may read before the others have written.
+    fn hosts_gap(&self, now: Instant) -> Duration {
+        let mut holders = self.plan.services.iter().flat_map(|ranges| &ranges.holders);
+        let unknown = holders.any(|holder| self.host(&holder.host).is_none());
+        if unknown || now < self.started_at + GATHER_TIME { GATHER_GAP } else { HOSTS_GAP }
+    }
+
     /// Whether this node is among the first in order of those that live and reach the store.
     fn reads_for_others(&self, now: Instant) -> bool {
         let reaches = |row: &&HostRecord| {
