fix: an upstream that dies slowly is seen dead, and its request suspected

Cause, from the logs of a failing run beside four busy processes: the owner's upstream crashed under the poisonous request and no line tells of a suspicion there, while the partition is released in the same millisecond. The one probe after the break met a listening socket that the dying process had not closed yet, so the crash was taken for a broken connection and nothing travelled with the release. Ruled out: a late hint between nodes (release notices carry the suspects). Change: the probe asks until the connection stays open for 300 ms or is refused; a connection that a dying process never accepts is closed with its listener. The release waits for it.

--- a/crates/firspindle/src/request/owner_step.rs
+++ b/crates/firspindle/src/request/owner_step.rs
@@ -6,7 +6,7 @@
 //! by the upstream.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use firspindle_core::connection::{RunState, SuspectRow};
 use firspindle_core::process::FenceToken;
@@ -17,7 +17,7 @@
 use super::{CallerAnswer, CallerRequest, TrafficContext};
 use crate::connection::{
     GatePass, HttpPool, PartitionGate, PoolFailure, PoolRequest, SlotPass, UpstreamLink,
-    passed_headers, plain_value,
+    passed_headers, plain_value, upstream_died,
 };
 use crate::process::{ControlEvent, unix_ms};
 use crate::version::TrafficView;
@@ -218,13 +218,7 @@
 
 /// Suspects the request if its upstream's process is gone.
 async fn suspect_crash(context: &TrafficContext, upstream: &UpstreamLink, request: &CallerRequest) {
-    const PROBE_LIMIT: Duration = Duration::from_millis(200);
-    let probe = tokio::net::TcpStream::connect(upstream.address);
-    let refused = match tokio::time::timeout(PROBE_LIMIT, probe).await {
-        Ok(Err(error)) => error.kind() == std::io::ErrorKind::ConnectionRefused,
-        Ok(Ok(_)) | Err(_) => false,
-    };
-    if !refused {
+    if !upstream_died(upstream.address).await {
         return;
     }
     // One crash counts once for a request, however often it is reported.
