fix: an upstream seen gone by the watch counts as a crash of what was in flight

Ruled out: the release's order (the request held its pass until then). Change: the watch marks the link; what broke on a link that is gone is suspected.

--- a/crates/firspindle/src/connection/upstream_link.rs
+++ b/crates/firspindle/src/connection/upstream_link.rs
@@ -1,7 +1,7 @@
 //! The upstream beside a node: its slots, queue and signs of life.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -21,6 +21,8 @@
     epoch: Instant,
     /// Milliseconds after `epoch` at which it last answered or announced itself.
     answered_ms: AtomicU64,
+    /// Whether its process was seen gone.
+    gone: AtomicBool,
 }
 
 #[derive(Debug)]
@@ -50,9 +52,20 @@
             in_flight: AtomicU64::new(0),
             epoch: Instant::now(),
             answered_ms: AtomicU64::new(0),
+            gone: AtomicBool::new(false),
         }
     }
 
+    /// Its process was seen gone.
+    pub fn mark_gone(&self) {
+        self.gone.store(true, Ordering::Release);
+    }
+
+    /// Whether its process was seen gone.
+    pub fn is_gone(&self) -> bool {
+        self.gone.load(Ordering::Acquire)
+    }
+
     /// Changes slots and places.
     pub fn resize(&self, slots: usize, places: usize) {
         self.lock().queue.resize(slots, places);
--- a/crates/firspindle/src/process/control_thread.rs
+++ b/crates/firspindle/src/process/control_thread.rs
@@ -215,6 +215,9 @@
             ControlEvent::Announce(body) => self.take_announcement(body, now),
             ControlEvent::UpstreamGone => {
                 self.hold_idle = None;
+                if let Some(upstream) = &self.upstream {
+                    upstream.mark_gone();
+                }
                 self.lose_upstream("it refuses connections", now);
             }
             ControlEvent::UpstreamFrozen => self.freeze_upstream(now),
--- a/crates/firspindle/src/request/owner_step.rs
+++ b/crates/firspindle/src/request/owner_step.rs
@@ -218,7 +218,8 @@
 
 /// Suspects the request if its upstream's process is gone.
 async fn suspect_crash(context: &TrafficContext, upstream: &UpstreamLink, request: &CallerRequest) {
-    if !upstream_died(upstream.address).await {
+    let died = upstream_died(upstream.address).await || upstream.is_gone();
+    if !died {
         return;
     }
     // One crash counts once for a request, however often it is reported.
