fix: all nodes tell those that may plan; one reader of the store for twelve hosts

Ruled out: datagrams to all (70 times 69 each round). Change: the first three hosts that are heard get each round; one reader for twelve hosts. Conclusion: kept; small sites have fewer than 16 peers and are unchanged.

--- a/crates/mesh/src/process/control_state.rs
+++ b/crates/mesh/src/process/control_state.rs
@@ -61,9 +61,12 @@
 /// Time between two plans that level the demand: a handover and a new measurement.
 const LEVEL_GAP: Duration = Duration::from_millis(2_500);
 
-/// Nodes that read the store often, and tell the others.
+/// Nodes that read the store often, and tell the others: at least so many.
 const READERS: usize = 2;
 
+/// Hosts for each of them. A node hears one of twelve in about every other round of datagrams.
+const HOSTS_PER_READER: usize = 12;
+
 /// Time that a reader's read of the plans waits. Each answer confirms the plan, and a connection
 /// that fell silent is noticed soon after.
 const CONFIRM_WAIT: Duration = Duration::from_millis(900);
@@ -517,7 +520,7 @@
                 && self.peers.get(&row.host).is_some_and(|peer| peer.reaches_store)
         };
         let before = self.others().take_while(|row| row.host < self.settings.host);
-        before.filter(reaches).count() < READERS
+        before.filter(reaches).count() < READERS.max(self.hosts.len() / HOSTS_PER_READER)
     }
 
     /// Takes a datagram of another node.
@@ -844,6 +847,12 @@
         ended.into_iter().map(|(host, _)| host).filter(|host| *host != self.settings.host).collect()
     }
 
+    /// First hosts in order that were heard lately: one of them plans, and has to hear all.
+    pub fn planner_hosts(&self, now: Instant) -> Vec<Box<str>> {
+        let heard = |row: &&HostRecord| self.peers.heard_within(&row.host, PEER_SILENCE, now);
+        self.others().filter(heard).take(PLANNERS).map(|row| row.host.clone()).collect()
+    }
+
     /// All other hosts.
     pub fn other_hosts(&self) -> Vec<Box<str>> {
         self.others().map(|row| row.host.clone()).collect()
--- a/crates/mesh/src/process/control_thread.rs
+++ b/crates/mesh/src/process/control_thread.rs
@@ -26,7 +26,8 @@
 /// Ticks between datagrams to other nodes.
 const GOSSIP_TICKS: u64 = 3;
 
-/// Nodes that are sent a datagram each time. Among more, they are drawn.
+/// Nodes that are sent a datagram each time, beside those that may plan. Among more, they are
+/// drawn.
 const GOSSIP_PEERS: usize = 16;
 
 /// What the thread needs.
@@ -206,8 +207,11 @@
         if self.ticks.is_multiple_of(GOSSIP_TICKS) {
             let hosts = self.state.other_hosts();
             let now = self.clock.now();
-            let drawn: Vec<_> =
+            let mut drawn: Vec<_> =
                 hosts.choose_multiple(&mut rand::rng(), GOSSIP_PEERS).cloned().collect();
+            drawn.extend(self.state.planner_hosts(now));
+            drawn.sort_unstable();
+            drawn.dedup();
             let orders = self.state.datagrams(&drawn, now);
             self.carry_out(orders);
         }
