--- a/crates/core/src/process/grant_book.rs
+++ b/crates/core/src/process/grant_book.rs
@@ -10,10 +10,14 @@
 //! 3. A node tells that a fence has ended only when its upstream freed the cell, reported twice
 //!    in a row that it does not hold it, let the last hold run out, or is known to be dead.
 
+mod cell_state;
+
 use std::time::Instant;
 
 use serde::{Deserialize, Serialize};
 
+use cell_state::{CellState, HandoverRow, LosingRow};
+
 use super::{GrantGuards, GrantTiming};
 use crate::connection::{GrantReply, GrantRow, UpstreamReport};
 use crate::version::{
@@ -27,49 +31,6 @@
 /// may have been on its way while the last grant was.
 const ABSENT_REPORTS: u32 = 2;
 
-/// Right of an earlier holder that may still run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct PriorRow {
-    fence: PlanVersion,
-    ends_at: Instant,
-}
-
-/// Fence that this node's upstream lost and whose end is still to be shown.
-#[derive(Debug, Clone, PartialEq, Eq)]
-struct LosingRow {
-    fence: PlanVersion,
-    /// Times that a heartbeat showed the cell as not held since the last grant.
-    absent: u32,
-    handover: Box<str>,
-    ended: bool,
-    /// Whether the life that held it is the present one, whose heartbeats speak of it.
-    present_life: bool,
-}
-
-/// A handover token, and the fence under which its sender held the cell.
-#[derive(Debug, Clone, PartialEq, Eq)]
-struct HandoverRow {
-    fence: PlanVersion,
-    token: Box<str>,
-}
-
-#[derive(Debug, Clone, Default)]
-struct CellState {
-    /// Fence under which this node's upstream is to hold the cell; 0 if it is not to.
-    fence: PlanVersion,
-    priors: Vec<PriorRow>,
-    /// Fences known to have ended, before or after the plan that replaced them was folded.
-    ended: Vec<PlanVersion>,
-    handover: Option<HandoverRow>,
-    losing: Vec<LosingRow>,
-    /// End of the last hold that this process granted.
-    granted_until: Option<Instant>,
-    /// Heartbeat on whose answer the last grant went out.
-    granted_sequence: u64,
-    /// Fence that the upstream last reported; 0 if it did not hold the cell.
-    held: u64,
-}
-
 /// A fence that has ended on some cells; for the node of the next holder.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndedRow {
@@ -460,65 +421,6 @@
     }
 }
 
-impl CellState {
-    fn add_prior(&mut self, fence: PlanVersion, ends_at: Instant) {
-        if !self.ended.contains(&fence) {
-            self.priors.push(PriorRow { fence, ends_at });
-        }
-    }
-
-    fn note_ended(&mut self, fence: PlanVersion) {
-        self.priors.retain(|row| row.fence != fence);
-        if !self.ended.contains(&fence) {
-            self.ended.push(fence);
-        }
-    }
-
-    /// The cell is to be held under a fence; what was said of that fence's end holds no more.
-    fn take(&mut self, fence: PlanVersion) {
-        self.fence = fence;
-        self.losing.retain(|row| row.fence != fence);
-    }
-
-    fn lose(&mut self) {
-        let handover = "".into();
-        let fence = self.fence;
-        self.losing.push(LosingRow {
-            fence,
-            absent: 0,
-            handover,
-            ended: false,
-            present_life: true,
-        });
-    }
-
-    fn is_free(&self, now: Instant) -> bool {
-        self.priors.iter().all(|row| now >= row.ends_at)
-    }
-
-    fn take_held(&mut self, held: u64, sequence: u64) {
-        self.held = held;
-        if held == 0 {
-            if sequence > self.granted_sequence {
-                self.losing.iter_mut().for_each(|row| row.absent += 1);
-            }
-            return;
-        }
-        self.losing.iter_mut().for_each(|row| row.absent = 0);
-        if held == self.fence {
-            // Only this fence's holder could have been given it, after all before had ended.
-            self.priors.clear();
-        }
-    }
-
-    fn take_freed(&mut self, handover: &str) {
-        for row in self.losing.iter_mut().filter(|row| row.present_life) {
-            row.ended = true;
-            row.handover = handover.into();
-        }
-    }
-}
-
 /// Whether the later life's existence proves that the earlier one has ended: both have the same
 /// place, and the later was born after it.
 fn is_proven_dead(earlier: &UpstreamLife, later: &UpstreamLife) -> bool {
--- a/crates/mesh/src/process/store_watch.rs
+++ b/crates/mesh/src/process/store_watch.rs
@@ -96,6 +96,6 @@
         if waited >= gap {
             return;
         }
-        tokio::time::sleep((gap - waited).min(PACE_LOOK)).await;
+        tokio::time::sleep(gap.checked_sub(waited).unwrap().min(PACE_LOOK)).await;
     }
 }
--- /dev/null
+++ b/crates/mesh/tests/ownership/codec.rs
@@ -0,0 +1,78 @@
+//! A codec in the product's own terms.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use firspindle_core::connection::{GrantReply, UpstreamReport};
+use firspindle_core::version::{CallerLimits, MeshService, RouteManifest};
+use firspindle_edge::{DecodeError, HeaderSet, PlatformCodec};
+use http::HeaderName;
+
+/// The one service.
+pub const SERVICE: &str = "orders";
+
+/// A codec that keeps the last reply as it is.
+#[derive(Debug, Clone)]
+pub struct TestCodec {
+    headers: HeaderSet,
+    pub reply: Arc<Mutex<Option<GrantReply>>>,
+}
+
+impl TestCodec {
+    pub fn new() -> Self {
+        let name = HeaderName::from_static("test");
+        let headers = HeaderSet {
+            request_id: name.clone(),
+            time_left_ms: name.clone(),
+            signature: name.clone(),
+            expected_upstream: name.clone(),
+            upstream_id: name.clone(),
+            load: name.clone(),
+            not_run: name.clone(),
+            caller_service: name.clone(),
+            key: name,
+        };
+        Self { headers, reply: Arc::default() }
+    }
+}
+
+impl PlatformCodec for TestCodec {
+    fn headers(&self) -> &HeaderSet {
+        &self.headers
+    }
+
+    fn manifest_key(&self) -> &'static str {
+        "manifest"
+    }
+
+    fn decode_manifest(&self, _value: &[u8]) -> Result<RouteManifest, DecodeError> {
+        let service = MeshService {
+            name: SERVICE.into(),
+            health_path: "/".into(),
+            connections: 100,
+            divided: true,
+            warm_up: Duration::ZERO,
+        };
+        let limits = CallerLimits {
+            header_bytes: 1,
+            body_bytes: 1,
+            header_timeout: Duration::ZERO,
+            idle_timeout: Duration::ZERO,
+        };
+        Ok(RouteManifest::new(1, Vec::new(), vec![service], limits))
+    }
+
+    fn decode_report(&self, _id: &str, _body: &[u8]) -> Result<UpstreamReport, DecodeError> {
+        Err(DecodeError::new("body", "not used"))
+    }
+
+    fn encode_reply(&self, reply: Option<&GrantReply>) -> Bytes {
+        *self.reply.lock().expect("no panic holds the lock") = reply.cloned();
+        Bytes::new()
+    }
+
+    fn report_path(&self) -> &'static str {
+        "/"
+    }
+}
--- a/crates/mesh/tests/ownership/main.rs
+++ b/crates/mesh/tests/ownership/main.rs
@@ -1,6 +1,7 @@
 //! One owner for each key under kills, freezes, cuts, outages, late and lost messages, slow
 //! clocks and new lives; and each guard shown needed.
 
+mod codec;
 mod upstream;
 mod world;
 
--- a/crates/mesh/tests/ownership/world.rs
+++ b/crates/mesh/tests/ownership/world.rs
@@ -1,25 +1,22 @@
 //! Several nodes with their upstreams, a store and a network, driven by a seed.
 
+mod faults;
+
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use firspindle_core::connection::{GrantReply, UpstreamReport};
 use firspindle_core::process::GrantGuards;
-use firspindle_core::version::{
-    CELLS, CallerLimits, MeshService, RangePlan, RouteManifest, ServiceRanges, UpstreamLife,
-};
-use firspindle_edge::{
-    DecodeError, HeaderSet, PlatformCodec, ReadBatch, StateTopic, StoredValue, TopicSnapshot,
-};
+use firspindle_core::version::{CELLS, UpstreamLife};
+use firspindle_edge::{ReadBatch, StateTopic, StoredValue, TopicSnapshot};
 use firspindle_mesh::process::{ControlOrder, ControlState, MeshBounds, MeshListen, MeshSettings};
-use http::HeaderName;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
+use super::codec::{SERVICE, TestCodec};
 use super::upstream::Upstream;
 
 /// Hosts.
@@ -31,78 +28,8 @@
 /// Length of a script in milliseconds.
 const SCRIPT_MS: u64 = 22_000;
 
-/// Time between two faults, on average, in milliseconds.
-const FAULT_GAP_MS: u64 = 900;
-
-const SERVICE: &str = "orders";
-
 const TOPICS: [StateTopic; 3] = [StateTopic::Manifests, StateTopic::Hosts, StateTopic::Plans];
 
-/// A codec that keeps the last reply as it is.
-#[derive(Debug, Clone)]
-struct TestCodec {
-    headers: HeaderSet,
-    reply: Arc<Mutex<Option<GrantReply>>>,
-}
-
-impl TestCodec {
-    fn new() -> Self {
-        let name = HeaderName::from_static("test");
-        let headers = HeaderSet {
-            request_id: name.clone(),
-            time_left_ms: name.clone(),
-            signature: name.clone(),
-            expected_upstream: name.clone(),
-            upstream_id: name.clone(),
-            load: name.clone(),
-            not_run: name.clone(),
-            caller_service: name.clone(),
-            key: name,
-        };
-        Self { headers, reply: Arc::default() }
-    }
-}
-
-impl PlatformCodec for TestCodec {
-    fn headers(&self) -> &HeaderSet {
-        &self.headers
-    }
-
-    fn manifest_key(&self) -> &'static str {
-        "manifest"
-    }
-
-    fn decode_manifest(&self, _value: &[u8]) -> Result<RouteManifest, DecodeError> {
-        let service = MeshService {
-            name: SERVICE.into(),
-            health_path: "/".into(),
-            connections: 100,
-            divided: true,
-            warm_up: Duration::ZERO,
-        };
-        let limits = CallerLimits {
-            header_bytes: 1,
-            body_bytes: 1,
-            header_timeout: Duration::ZERO,
-            idle_timeout: Duration::ZERO,
-        };
-        Ok(RouteManifest::new(1, Vec::new(), vec![service], limits))
-    }
-
-    fn decode_report(&self, _id: &str, _body: &[u8]) -> Result<UpstreamReport, DecodeError> {
-        Err(DecodeError::new("body", "not used"))
-    }
-
-    fn encode_reply(&self, reply: Option<&GrantReply>) -> Bytes {
-        *self.reply.lock().expect("no panic holds the lock") = reply.cloned();
-        Bytes::new()
-    }
-
-    fn report_path(&self) -> &'static str {
-        "/"
-    }
-}
-
 #[derive(Debug, Clone)]
 enum Event {
     Tick,
@@ -612,105 +539,6 @@
         }
     }
 
-    /// Appends the script's plan and cuts the hosts that are not to learn of it.
-    fn append_script(&mut self, script: &PlanScript) {
-        let rows = &self.topics[2];
-        let plan = rows.last().and_then(|row| RangePlan::decode(&row.value)).expect("a plan");
-        let mut next = plan.clone();
-        next.version += 1;
-        let ranges = &plan.services[0];
-        let from = ranges.holder_on(&format!("host-{}", script.from)).expect("a holder");
-        let to = ranges.holder_on(&format!("host-{}", script.to));
-        let mut holders = ranges.holders.clone();
-        if to.is_none() {
-            let upstream = self.hosts[script.to].upstream.as_ref().expect("it started");
-            holders[from].host = format!("host-{}", script.to).into();
-            holders[from].life = upstream.life.clone();
-        }
-        let mut cells = ranges.cells();
-        for cell in &mut cells {
-            let swapped = match (usize::from(cell.holder), to) {
-                (holder, Some(to)) if holder == from => Some(to),
-                (holder, Some(to)) if holder == to => Some(from),
-                (holder, None) if holder == from => Some(from),
-                _ => None,
-            };
-            if let Some(holder) = swapped {
-                cell.holder = u16::try_from(holder).expect("few holders");
-                cell.fence = next.version;
-            }
-        }
-        next.services[0] = ServiceRanges::new(SERVICE.into(), holders, &cells);
-        let offset = rows.len() as u64;
-        let value = next.encode().into();
-        self.topics[2].push(StoredValue { key: "plan".into(), value, offset });
-        for host in (0..HOSTS).filter(|host| *host != script.to) {
-            self.hosts[host].store_cut_until = HISTORY_MS;
-        }
-        if script.isolated {
-            for host in 0..HOSTS {
-                self.hosts[host].cut_until[script.to] = HISTORY_MS;
-                self.hosts[script.to].cut_until[host] = HISTORY_MS;
-            }
-        }
-    }
-
-    /// Brings about a fault now and then.
-    fn fault(&mut self) {
-        // All nodes tick ten times a second.
-        if !self.random_faults
-            || !self
-                .rng
-                .random_ratio(100 / HOSTS as u32, u32::try_from(FAULT_GAP_MS).unwrap_or(1_000))
-        {
-            return;
-        }
-        let host = self.rng.random_range(0..HOSTS);
-        let now = self.now_ms;
-        let long = self.rng.random_range(500..9_000);
-        let short = self.rng.random_range(200..2_000);
-        match self.rng.random_range(0..9) {
-            0 => self.kill_node(host, short),
-            1 => self.hosts[host].frozen_until = now + long,
-            2 | 3 => self.hosts[host].store_cut_until = now + long,
-            4 => self.store_down_until = now + long,
-            5 => {
-                let other = self.rng.random_range(0..HOSTS);
-                self.hosts[host].cut_until[other] = now + long;
-            }
-            6 => {
-                // Cut off from all others, with or without the store.
-                for other in 0..HOSTS {
-                    self.hosts[host].cut_until[other] = now + long;
-                    self.hosts[other].cut_until[host] = now + long;
-                }
-                if self.rng.random_bool(0.5) {
-                    self.hosts[host].store_cut_until = now + long;
-                }
-            }
-            7 => self.crash_upstream(host, short),
-            _ => {
-                self.kill_node(host, long);
-                if self.rng.random_bool(0.5) {
-                    self.crash_upstream(host, long);
-                }
-            }
-        }
-    }
-
-    fn kill_node(&mut self, host: usize, down: u64) {
-        self.hosts[host].state = None;
-        self.hosts[host].frozen_until = 0;
-        self.later(host, 0, down, Event::Start);
-    }
-
-    fn crash_upstream(&mut self, host: usize, down: u64) {
-        if let Some(upstream) = &mut self.hosts[host].upstream {
-            upstream.up = false;
-        }
-        self.later(host, 0, down, Event::StartUpstream);
-    }
-
     /// Looks for a cell that two upstreams hold.
     fn check(&mut self) -> Result<(), String> {
         let now = self.now();
--- /dev/null
+++ b/crates/mesh/tests/ownership/world/faults.rs
@@ -0,0 +1,108 @@
+//! Faults at random, and scripted plans.
+
+use firspindle_core::version::{RangePlan, ServiceRanges};
+use firspindle_edge::StoredValue;
+use rand::Rng;
+
+use super::super::codec::SERVICE;
+use super::{Event, HISTORY_MS, HOSTS, PlanScript, World};
+
+/// One tick of a node in so many brings a fault: with ten ticks a second and four nodes about
+/// every 900 ms.
+const FAULT_TICKS: u32 = 36;
+
+impl World {
+    /// Appends the script's plan and cuts the hosts that are not to learn of it.
+    pub(super) fn append_script(&mut self, script: &PlanScript) {
+        let rows = &self.topics[2];
+        let plan = rows.last().and_then(|row| RangePlan::decode(&row.value)).expect("a plan");
+        let mut next = plan.clone();
+        next.version += 1;
+        let ranges = &plan.services[0];
+        let from = ranges.holder_on(&format!("host-{}", script.from)).expect("a holder");
+        let to = ranges.holder_on(&format!("host-{}", script.to));
+        let mut holders = ranges.holders.clone();
+        if to.is_none() {
+            let upstream = self.hosts[script.to].upstream.as_ref().expect("it started");
+            holders[from].host = format!("host-{}", script.to).into();
+            holders[from].life = upstream.life.clone();
+        }
+        let mut cells = ranges.cells();
+        for cell in &mut cells {
+            let swapped = match (usize::from(cell.holder), to) {
+                (holder, Some(to)) if holder == from => Some(to),
+                (holder, Some(to)) if holder == to => Some(from),
+                (holder, None) if holder == from => Some(from),
+                _ => None,
+            };
+            if let Some(holder) = swapped {
+                cell.holder = u16::try_from(holder).expect("few holders");
+                cell.fence = next.version;
+            }
+        }
+        next.services[0] = ServiceRanges::new(SERVICE.into(), holders, &cells);
+        let offset = rows.len() as u64;
+        let value = next.encode().into();
+        self.topics[2].push(StoredValue { key: "plan".into(), value, offset });
+        for host in (0..HOSTS).filter(|host| *host != script.to) {
+            self.hosts[host].store_cut_until = HISTORY_MS;
+        }
+        if script.isolated {
+            for host in 0..HOSTS {
+                self.hosts[host].cut_until[script.to] = HISTORY_MS;
+                self.hosts[script.to].cut_until[host] = HISTORY_MS;
+            }
+        }
+    }
+
+    /// Brings about a fault now and then.
+    pub(super) fn fault(&mut self) {
+        if !self.random_faults || !self.rng.random_ratio(1, FAULT_TICKS) {
+            return;
+        }
+        let host = self.rng.random_range(0..HOSTS);
+        let now = self.now_ms;
+        let long = self.rng.random_range(500..9_000);
+        let short = self.rng.random_range(200..2_000);
+        match self.rng.random_range(0..9) {
+            0 => self.kill_node(host, short),
+            1 => self.hosts[host].frozen_until = now + long,
+            2 | 3 => self.hosts[host].store_cut_until = now + long,
+            4 => self.store_down_until = now + long,
+            5 => {
+                let other = self.rng.random_range(0..HOSTS);
+                self.hosts[host].cut_until[other] = now + long;
+            }
+            6 => {
+                // Cut off from all others, with or without the store.
+                for other in 0..HOSTS {
+                    self.hosts[host].cut_until[other] = now + long;
+                    self.hosts[other].cut_until[host] = now + long;
+                }
+                if self.rng.random_bool(0.5) {
+                    self.hosts[host].store_cut_until = now + long;
+                }
+            }
+            7 => self.crash_upstream(host, short),
+            _ => {
+                self.kill_node(host, long);
+                if self.rng.random_bool(0.5) {
+                    self.crash_upstream(host, long);
+                }
+            }
+        }
+    }
+
+    pub(super) fn kill_node(&mut self, host: usize, down: u64) {
+        self.hosts[host].state = None;
+        self.hosts[host].frozen_until = 0;
+        self.later(host, 0, down, Event::Start);
+    }
+
+    fn crash_upstream(&mut self, host: usize, down: u64) {
+        if let Some(upstream) = &mut self.hosts[host].upstream {
+            upstream.up = false;
+        }
+        self.later(host, 0, down, Event::StartUpstream);
+    }
+}
