fix: a hold stays within the longest that upstreams accept

Cause: the settings' hold limit was read and not used; a platform with less than 2.8 s would refuse every grant. Ruled out: a setting of our own for the hold.

--- a/crates/mesh/src/process/control_state.rs
+++ b/crates/mesh/src/process/control_state.rs
@@ -108,7 +108,8 @@
             service: settings.service.clone(),
             upstream: None,
         };
-        let timing = GrantTiming::default();
+        let mut timing = GrantTiming::default();
+        timing.hold = timing.hold.min(settings.bounds.hold_limit);
         let book = GrantBook::new(settings.host.clone(), timing, guards, now);
         Self {
             settings,
