--- a/crates/mesh/tests/settings.rs
+++ b/crates/mesh/tests/settings.rs
@@ -1,5 +1,7 @@
 //! Settings of a mesh node: one that is accepted, and the reason of each refusal.
 
+use std::fmt::Write;
+
 use firspindle_mesh::process::MeshSettings;
 
 const SETTINGS: &str = r#"host = "h"
@@ -46,7 +48,7 @@
         let settings = SETTINGS.replacen(from, to, 1);
         assert_ne!(settings, SETTINGS, "{from}");
         let error = MeshSettings::parse(&settings).expect_err(to);
-        text += &format!("{to}: {error}\n");
+        writeln!(text, "{to}: {error}").expect("a string takes all");
     }
     insta::assert_snapshot!(text);
 }
