test: the frozen host of the missing grant check has an order at work

Cause: the test froze the node, then its upstream, and hoped that an order was at work at that moment. Ruled out: a right that ends without the check; the journals show no successor's run that overlaps anything. Change: one order of 4 s is at work, seen at the upstream, before the upstream is frozen and then the node; the thaw waits until the successor ran the key, instead of a fixed time.

--- a/crates/firspindle/tests/failures/losses.rs
+++ b/crates/firspindle/tests/failures/losses.rs
@@ -1,8 +1,10 @@
 //! Hosts that are killed, frozen or cut off.
 
+use std::net::SocketAddr;
+use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
-use harness::{Fleet, FleetSpec, longest_gap};
+use harness::{Fleet, FleetSpec, HttpCaller, longest_gap, wait_until};
 use rustix::process::Signal;
 
 use crate::bench_fleet::{
@@ -15,8 +17,11 @@
 /// Time after a loss in which service must return, and a while longer.
 const AFTER: Duration = Duration::from_secs(5);
 
+/// Work of an order that is to be under way at a freeze; shorter than the deadline of 5 s.
+const LONG_WORK_MS: u64 = 4_000;
+
 fn owner(fleet: &Fleet, key: &str) -> usize {
-    harness::wait_until("the key has an owner", SETTLE, || fleet.owner("registre", key))
+    wait_until("the key has an owner", SETTLE, || fleet.owner("registre", key))
 }
 
 fn assert_gap(rows: &[harness::OutcomeRow], from: Instant, to: Instant) {
@@ -197,22 +202,39 @@
 }
 
 /// What the grant check at the upstream is for: the same freeze without it breaks the promise.
+///
+/// An order is at work at the freeze, and is thawed once the successor has run its key.
 #[test]
 fn without_the_grant_check_a_frozen_host_runs_beside_its_successor() {
     let spec = FleetSpec::one_service("registre", 4, 3).upstream_arg("--checks-grants=false");
     let fleet = serving_with(spec, "run_bound_ms = 0");
-    let probe = load(&fleet, "/registre/orders?work_ms=200", SHORT);
-    run_for(CALM);
     let victim = owner(&fleet, "garage-1");
-    probe.close_entry(victim);
-    fleet.nodes[victim].as_ref().expect("it runs").freeze();
+    let order = send_order(fleet.traffic((victim + 1) % 4), "garage-1", LONG_WORK_MS);
+    wait_until("the order is at work", SETTLE, || (fleet.running(victim) == Some(1)).then_some(()));
+    // The upstream first: whatever passes between the two signals, the order stays at work.
     fleet.upstreams[victim].as_ref().expect("it runs").freeze();
-    run_for(AFTER);
+    fleet.nodes[victim].as_ref().expect("it runs").freeze();
+    let probe = load(&fleet, "/registre/orders?work_ms=5", SHORT);
+    probe.close_entry(victim);
+    wait_until("the successor runs the key", SETTLE, || {
+        let journal = fleet.journals();
+        journal.iter().any(|row| row.key == "garage-1" && row.host != victim).then_some(())
+    });
     fleet.upstreams[victim].as_ref().expect("it runs").thaw();
-    run_for(CALM);
+    wait_until("the order's work takes effect", SETTLE, || {
+        fleet.journal(victim).iter().any(|row| row.key == "garage-1").then_some(())
+    });
     fleet.nodes[victim].as_ref().expect("it runs").thaw();
     probe.stop();
-    run_for(CALM);
+    let _ = order.join();
     let faults = harness::check_journals(&fleet.journals());
     assert!(!faults.is_empty(), "the check would not be needed");
 }
+
+/// Sends an order in a thread of its own; its answer may be lost.
+fn send_order(entry: SocketAddr, key: &'static str, work_ms: u64) -> JoinHandle<()> {
+    std::thread::spawn(move || {
+        let path = format!("/registre/orders?work_ms={work_ms}");
+        let _ = HttpCaller::call(entry, "POST", &path, &[("firspindle-key", key)], String::new());
+    })
+}
--- a/crates/harness/src/fleet.rs
+++ b/crates/harness/src/fleet.rs
@@ -367,6 +367,12 @@
         rows.map(|row| JournalRow { host, ..row }).collect()
     }
 
+    /// Requests that a host's upstream runs.
+    pub fn running(&self, host: usize) -> Option<usize> {
+        let reply = HttpCaller::call(self.upstream(host), "GET", "/running", &[], String::new());
+        reply.ok()?.body.trim().parse().ok()
+    }
+
     /// Journals of all hosts.
     pub fn journals(&self) -> Vec<JournalRow> {
         (0..self.upstreams.len()).flat_map(|host| self.journal(host)).collect()
--- a/crates/standin/src/upstream_server.rs
+++ b/crates/standin/src/upstream_server.rs
@@ -1,7 +1,8 @@
 //! An upstream over HTTP.
 //!
 //! A request's query shapes its run: `work_ms`, `size` (bytes of the answer), `crash=1` (the
-//! process aborts), `cut=1` (the answer ends early). `GET /journal` lists what took effect.
+//! process aborts), `cut=1` (the answer ends early). `GET /journal` lists what took effect, `GET /running` counts
+//! what runs.
 
 use std::cell::{Cell, RefCell};
 use std::io::Write;
@@ -170,6 +171,7 @@
             let rows = serde_json::to_string(&*state.journal.borrow()).expect("rows encode");
             Some(answer(200, rows))
         }
+        (&Method::GET, "/running") => Some(answer(200, state.running.get().to_string())),
         (&Method::GET, "/health") => Some(answer(200, "ok")),
         (&Method::POST, "/misreport") => {
             state.misreport.set(true);
