feat: requests that crash upstreams are stopped on all mesh nodes

Cause: a mesh node sent a request on however many upstreams it had crashed, and services not divided by key were sent it again within one call, before anybody was told. Ruled out: a hint alone, as on the node with a log of its own: the entry's next send, or a caller that asks elsewhere, overtakes it. Change: the owner whose link broke asks for 60 ms whether the upstream is gone, tells all nodes the request's content and the crashed life, and answers once every node that is heard has shown that it knows, 250 ms at most. From the second crash on every node refuses the content for 60 s, longer with each further crash; an upstream's answer clears it. The crash probe moves to the edge crate, where both nodes use it.

--- a/crates/core/src/connection/gossip_message.rs
+++ b/crates/core/src/connection/gossip_message.rs
@@ -7,6 +7,7 @@
 
 use super::DemandReport;
 use crate::process::EndedRow;
+use crate::request::SuspectHint;
 use crate::version::HostRecord;
 
 /// Ends of fences.
@@ -61,6 +62,8 @@
     pub ended: EndedRowList,
     /// Ended fences of the receiver that the sender took.
     pub taken: EndedRowList,
+    /// Requests that the sender suspects of crashing upstreams.
+    pub suspects: Vec<SuspectHint>,
 }
 
 impl GossipMessage {
--- a/crates/core/tests/ranges/main.rs
+++ b/crates/core/tests/ranges/main.rs
@@ -7,3 +7,4 @@
 mod demand;
 mod plans;
 mod retries;
+mod suspects;
--- a/crates/edge/src/crash_probe.rs
+++ b/crates/edge/src/crash_probe.rs
@@ -7,19 +7,17 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
-/// Time for the question. A process that dies closes its connections one after the other, its
-/// listening socket last or first; on a busy machine that takes tens of milliseconds.
-const PROBE_LIMIT: Duration = Duration::from_millis(300);
-
 /// Time between two connections.
 const PROBE_GAP: Duration = Duration::from_millis(5);
 
-/// Whether the process at an address is gone or goes within a moment.
+/// Whether the process at an address is gone or goes within `limit`. A process that dies closes
+/// its connections one after the other, its listening socket last or first; on a busy machine
+/// that takes tens of milliseconds.
 ///
 /// A connection that a dying process will not accept any more is closed with its listening
 /// socket; one that a live process has not looked at stays open.
-pub async fn upstream_died(address: SocketAddr) -> bool {
-    let until = Instant::now() + PROBE_LIMIT;
+pub async fn upstream_died(address: SocketAddr, limit: Duration) -> bool {
+    let until = Instant::now() + limit;
     while let Ok(connected) = tokio::time::timeout_at(until, TcpStream::connect(address)).await {
         match connected {
             Ok(stream) => {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -5,6 +5,7 @@
 //! tests: [`MemoryStore`], [`HeaderSet`].
 
 mod boot_clock;
+mod crash_probe;
 mod decision_log;
 mod header_set;
 mod memory_store;
@@ -12,6 +13,7 @@
 mod state_store;
 
 pub use boot_clock::{BootClock, boot_time, unix_ms, unix_time};
+pub use crash_probe::upstream_died;
 pub use decision_log::DecisionLog;
 pub use header_set::HeaderSet;
 pub use memory_store::MemoryStore;
--- a/crates/edge/tests/crash_probe.rs
+++ b/crates/edge/tests/crash_probe.rs
@@ -2,9 +2,11 @@
 
 use std::time::Duration;
 
-use firspindle::connection::upstream_died;
+use firspindle_edge::upstream_died;
 use tokio::net::TcpListener;
 
+const LIMIT: Duration = Duration::from_millis(300);
+
 fn run(test: impl Future<Output = ()>) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     runtime.expect("a runtime").block_on(test);
@@ -21,7 +23,7 @@
             tokio::time::sleep(Duration::from_millis(60)).await;
             drop(listener);
         };
-        let (died, ()) = tokio::join!(upstream_died(address), dying);
+        let (died, ()) = tokio::join!(upstream_died(address, LIMIT), dying);
         assert!(died);
     });
 }
@@ -32,7 +34,7 @@
         let listener = TcpListener::bind("127.0.0.2:0").await.expect("a free port");
         let address = listener.local_addr().expect("bound");
         drop(listener);
-        assert!(upstream_died(address).await);
+        assert!(upstream_died(address, LIMIT).await);
     });
 }
 
@@ -41,6 +43,6 @@
     run(async {
         let listener = TcpListener::bind("127.0.0.2:0").await.expect("a free port");
         let address = listener.local_addr().expect("bound");
-        assert!(!upstream_died(address).await);
+        assert!(!upstream_died(address, LIMIT).await);
     });
 }
--- a/crates/firspindle/src/connection.rs
+++ b/crates/firspindle/src/connection.rs
@@ -1,11 +1,9 @@
 //! What lives as long as a link to an upstream or another node.
 
-mod crash_probe;
 mod http_pool;
 mod partition_gate;
 mod upstream_link;
 
-pub use crash_probe::upstream_died;
 pub use http_pool::{
     HttpPool, PoolFailure, PoolRequest, PoolResponse, is_connection_header, passed_headers,
     plain_value,
--- a/crates/firspindle/src/request/owner_step.rs
+++ b/crates/firspindle/src/request/owner_step.rs
@@ -6,22 +6,26 @@
 //! by the upstream.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use firspindle_core::connection::{RunState, SuspectRow};
 use firspindle_core::process::FenceToken;
 use firspindle_core::request::{IdDecision, RequestFailure, RequestVerdict};
+use firspindle_edge::upstream_died;
 use http::{HeaderName, Uri};
 use uuid::Uuid;
 
 use super::{CallerAnswer, CallerRequest, TrafficContext};
 use crate::connection::{
     GatePass, HttpPool, PartitionGate, PoolFailure, PoolRequest, SlotPass, UpstreamLink,
-    passed_headers, plain_value, upstream_died,
+    passed_headers, plain_value,
 };
 use crate::process::{ControlEvent, unix_ms};
 use crate::version::TrafficView;
 
+/// Time for the question whether an upstream died: tens of milliseconds on a busy machine.
+const PROBE_LIMIT: Duration = Duration::from_millis(300);
+
 /// Time for which a request is suspected after a crash, in milliseconds.
 const SUSPICION_MS: u64 = 10 * 60 * 1000;
 
@@ -218,7 +222,7 @@
 
 /// Suspects the request if its upstream's process is gone.
 async fn suspect_crash(context: &TrafficContext, upstream: &UpstreamLink, request: &CallerRequest) {
-    let died = upstream_died(upstream.address).await || upstream.is_gone();
+    let died = upstream_died(upstream.address, PROBE_LIMIT).await || upstream.is_gone();
     if !died {
         return;
     }
--- a/crates/mesh/src/process/control_event.rs
+++ b/crates/mesh/src/process/control_event.rs
@@ -32,6 +32,18 @@
     PeerState(StateSnapshot),
     /// A plan of this node was appended or lost a race; the end of the plans, if it is known.
     PlanAppended(Option<u64>),
+    /// An upstream of a life crashed while it ran a request of a content; answered once all nodes
+    /// that are heard know, or after a moment.
+    Crash {
+        /// Hash of the request's content.
+        content: u128,
+        /// Hash of the life's id.
+        life: u64,
+        /// Answered once it was told.
+        told: oneshot::Sender<()>,
+    },
+    /// An upstream answered a request that was suspected.
+    SuspectAnswered(u128),
     /// The process is to end.
     Shutdown,
 }
--- a/crates/mesh/src/process/control_state.rs
+++ b/crates/mesh/src/process/control_state.rs
@@ -3,6 +3,7 @@
 mod gossip_step;
 mod plan_step;
 mod record_step;
+mod suspect_step;
 mod upstream_step;
 
 use std::net::SocketAddr;
@@ -12,6 +13,7 @@
 use bytes::Bytes;
 use firspindle_core::connection::{DemandReport, UpstreamLoad};
 use firspindle_core::process::{ConfirmClock, GrantBook, GrantGuards, GrantTiming};
+use firspindle_core::request::SuspectBook;
 use firspindle_core::version::{HostRecord, RangePlan, RouteManifest, UpstreamLife, UpstreamState};
 use firspindle_edge::PlatformCodec;
 
@@ -84,6 +86,7 @@
     stopping: bool,
     load: UpstreamLoad,
     demand: DemandReport,
+    suspects: Arc<SuspectBook>,
     /// Time before which the upstream is not asked who it is.
     ask_at: Instant,
 }
@@ -143,6 +146,7 @@
             stopping: false,
             load: UpstreamLoad::default(),
             demand: DemandReport::default(),
+            suspects: Arc::default(),
             ask_at: now,
         }
     }
@@ -170,6 +174,7 @@
         self.watch_upstream(now);
         self.settle_own_ends(now);
         self.revise_own();
+        self.forget_suspects(now);
         // A record without the upstream that the former process told of would move its cells.
         let complete = self.own.upstream.is_some() || self.hosts_known;
         if complete && self.own_written.as_ref() != Some(&self.own) {
@@ -232,6 +237,7 @@
             granted: Arc::new(self.book.granted_cells(now)),
             stopping: self.stopping,
             ready: known && !self.stopping,
+            suspects: self.suspects.clone(),
             snapshot: self.snapshot.clone(),
         }
     }
--- a/crates/mesh/src/process/control_state/gossip_step.rs
+++ b/crates/mesh/src/process/control_state/gossip_step.rs
@@ -13,18 +13,18 @@
 const ENDED_ROWS: usize = 40;
 
 impl<C: PlatformCodec> ControlState<C> {
-    /// Takes a datagram of another node.
-    pub fn take_datagram(&mut self, bytes: &[u8], now: Instant) {
+    /// Takes a datagram of another node; gives the host that is to be answered at once, if any.
+    pub fn take_datagram(&mut self, bytes: &[u8], now: Instant) -> Option<Box<str>> {
         let Some(message) = GossipMessage::decode(bytes) else {
             log::warn!(length = bytes.len(); "unreadable datagram");
-            return;
+            return None;
         };
         if message.sender.host == self.settings.host {
-            return;
+            return None;
         }
         self.keep_host(message.sender.clone());
         let stamp = self.stamp_ms(now);
-        let Some(peer) = self.peers.take(&message, now) else { return };
+        let peer = self.peers.take(&message, now)?;
         for row in &message.ended {
             self.book.learn_ended(row);
             if peer.to_acknowledge.len() < ENDED_ROWS {
@@ -40,6 +40,7 @@
         if behind {
             self.behind_since.get_or_insert(now);
         }
+        self.learn_suspects(&message.suspects, now).then_some(message.sender.host)
     }
 
     pub(super) fn take_echo(&mut self, host: &str, echo: EchoRow, stamp_ms: u64, now: Instant) {
@@ -122,6 +123,7 @@
             demand: self.may_plan(host).then(|| self.demand.clone()),
             ended,
             taken,
+            suspects: self.suspects.hints(now),
         }
     }
 }
--- a/crates/mesh/src/process/control_thread.rs
+++ b/crates/mesh/src/process/control_thread.rs
@@ -4,14 +4,16 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use firspindle_core::process::GrantGuards;
+use firspindle_core::request::SuspectHint;
 use firspindle_edge::{BootClock, PlatformCodec, StateStore, StateTopic, StoreError};
 use http::HeaderName;
 use rand::seq::IndexedRandom;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
+use tokio::sync::oneshot;
 
 use super::control_state::{ControlOrder, ControlState};
 use super::gossip_socket::read_datagrams;
@@ -30,6 +32,16 @@
 /// drawn.
 const GOSSIP_PEERS: usize = 16;
 
+/// Time that all nodes get to show that they know of a crash. Answers come within a round trip.
+const TELL_LIMIT: Duration = Duration::from_millis(250);
+
+/// A crash of which others are told, and who waits for that.
+struct CrashTelling {
+    hint: SuspectHint,
+    until: Instant,
+    told: oneshot::Sender<()>,
+}
+
 /// What the thread needs.
 pub(crate) struct ControlParts<C, S> {
     pub(crate) settings: MeshSettings,
@@ -71,6 +83,7 @@
     shared: Arc<SharedState>,
     writing: Rc<Cell<bool>>,
     written: Rc<Cell<Option<(firspindle_core::version::HostRecord, bool)>>>,
+    tellings: Vec<CrashTelling>,
     ticks: u64,
     upstream: SocketAddr,
     upstream_id: HeaderName,
@@ -108,6 +121,7 @@
         shared: parts.shared,
         writing: Rc::default(),
         written: Rc::default(),
+        tellings: Vec::new(),
         ticks: 0,
         upstream,
         upstream_id,
@@ -169,7 +183,19 @@
                 }
             }
             ControlEvent::StoreFailed(_) => self.state.note_store(false),
-            ControlEvent::Datagram(bytes) => self.state.take_datagram(&bytes, now),
+            ControlEvent::Datagram(bytes) => {
+                if let Some(host) = self.state.take_datagram(&bytes, now) {
+                    self.publish();
+                    let orders = self.state.datagrams(&[host], now);
+                    self.carry_out(orders);
+                }
+                self.finish_tellings();
+            }
+            ControlEvent::Crash { content, life, told } => self.tell_crash(content, life, told),
+            ControlEvent::SuspectAnswered(content) => {
+                self.state.clear_suspect(content, now);
+                self.publish();
+            }
             ControlEvent::PeerState(snapshot) => {
                 self.state.take_peer_state(&snapshot, now);
                 self.refreshed();
@@ -202,6 +228,7 @@
         if let Some((record, done)) = self.written.take() {
             self.state.host_written(record, done);
         }
+        self.finish_tellings();
         self.publish();
         self.step();
         if self.ticks.is_multiple_of(GOSSIP_TICKS) {
@@ -222,6 +249,27 @@
         self.carry_out(orders);
     }
 
+    /// Tells all nodes at once of a request that was in flight in a crash.
+    fn tell_crash(&mut self, content: u128, life: u64, told: oneshot::Sender<()>) {
+        let now = self.clock.now();
+        let hint = self.state.note_crash(content, life, now);
+        self.publish();
+        let orders = self.state.datagrams(&self.state.other_hosts(), now);
+        self.carry_out(orders);
+        self.tellings.push(CrashTelling { hint, until: now + TELL_LIMIT, told });
+        self.finish_tellings();
+    }
+
+    /// Answers those that wait until a crash was told.
+    fn finish_tellings(&mut self) {
+        let now = self.clock.now();
+        let state = &self.state;
+        let done = |row: &mut CrashTelling| now >= row.until || state.all_know(&row.hint, now);
+        for row in self.tellings.extract_if(.., done) {
+            let _ = row.told.send(());
+        }
+    }
+
     /// Tells at once of fences that have ended, rather than with the next datagrams.
     fn tell_ended(&mut self) {
         let now = self.clock.now();
--- a/crates/mesh/src/process/peer_table.rs
+++ b/crates/mesh/src/process/peer_table.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use firspindle_core::connection::{DemandReport, EndedRowList, GossipMessage, UpstreamLoad};
+use firspindle_core::request::SuspectHint;
 
 /// One other node.
 #[derive(Debug, Clone)]
@@ -21,6 +22,8 @@
     pub(crate) vouched: Option<(u64, Instant)>,
     /// Ends of fences that the peer told, to be acknowledged.
     pub(crate) to_acknowledge: EndedRowList,
+    /// Suspects that the peer told of last.
+    pub(crate) suspects: Vec<SuspectHint>,
 }
 
 /// Other nodes, sorted by host.
@@ -48,6 +51,7 @@
                     demand: DemandReport::default(),
                     vouched: None,
                     to_acknowledge: Vec::new(),
+                    suspects: Vec::new(),
                 };
                 self.rows.insert(index, row);
                 index
@@ -55,7 +59,7 @@
         };
         let row = &mut self.rows[index];
         let incarnation = message.sender.incarnation;
-        let newer = (incarnation, message.stamp_ms) > (row.incarnation, row.stamp_ms);
+        let newer = (incarnation, message.stamp_ms) >= (row.incarnation, row.stamp_ms);
         if !newer {
             return None;
         }
@@ -66,6 +70,7 @@
         row.reaches_store = message.reaches_store;
         row.settled = message.settled;
         row.load = message.load;
+        row.suspects.clone_from(&message.suspects);
         if let Some(demand) = &message.demand {
             row.demand.clone_from(demand);
         }
--- a/crates/mesh/src/request.rs
+++ b/crates/mesh/src/request.rs
@@ -2,6 +2,7 @@
 
 mod answer_step;
 mod caller_entry;
+mod crash_step;
 mod demand_meter;
 mod forward_step;
 mod owner_step;
--- a/crates/mesh/src/request/caller_entry.rs
+++ b/crates/mesh/src/request/caller_entry.rs
@@ -9,6 +9,7 @@
 use hyper::body::Incoming;
 
 use super::answer_step::{own_answer, strip_link_headers};
+use super::crash_step::refuse_suspect;
 use super::forward_step::forward;
 use super::owner_step::run_here;
 use super::placed_request::{FACTS_HEADER, REASON_HEADER, VERDICT_HEADER};
@@ -235,7 +236,10 @@
             continue;
         };
         facts.host = peer.host.clone();
-        let outcome = attempt(context, peer, request, facts).await;
+        let outcome = match refuse_suspect(context, request) {
+            Some(refusal) => refusal,
+            None => attempt(context, peer, request, facts).await,
+        };
         match outcome {
             StepOutcome::Answered(response) => {
                 let failed = response.status().is_server_error();
@@ -250,6 +254,7 @@
                 let again = match reason {
                     NotRunReason::Full => request.cell.is_none() && tried.is_empty(),
                     NotRunReason::Refused => may_repeat(context, placed, facts),
+                    NotRunReason::Crashes => false,
                     _ => true,
                 };
                 if !again {
--- a/crates/mesh/src/request/owner_step.rs
+++ b/crates/mesh/src/request/owner_step.rs
@@ -8,6 +8,7 @@
 use hyper::body::Incoming;
 
 use super::answer_step::{own_answer, peer_answer, strip_link_headers};
+use super::crash_step::{clear_suspect, refuse_suspect, report_crash};
 use super::placed_request::{FACTS_HEADER, RequestFacts};
 use super::traffic_context::elapsed_ms;
 use super::{NotRunReason, PlacedRequest, StepOutcome, TrafficContext};
@@ -105,6 +106,9 @@
         Ok(upstream) => upstream,
         Err(outcome) => return outcome,
     };
+    if let Some(refusal) = refuse_suspect(context, request) {
+        return refusal;
+    }
     let outcome = send(context, request, &upstream, pass).await;
     let word = match &outcome {
         StepOutcome::Answered(response) => response.status().as_str().to_owned(),
@@ -210,6 +214,8 @@
             return StepOutcome::NotRun { reason, retry_after: Some(MOVE_RETRY) };
         }
         Ok(Err(SendError::Broken)) => {
+            drop(pass);
+            report_crash(context, request, upstream).await;
             return StepOutcome::MayHaveRun { reason: "the link to the upstream broke" };
         }
         Err(_) => return StepOutcome::MayHaveRun { reason: "no answer in time" },
@@ -226,6 +232,7 @@
     match judge(context, request, &response) {
         AnswerJudgement::Whole => {
             pass.answered();
+            clear_suspect(context, request);
             StepOutcome::Answered(Box::new(body_guard(response)))
         }
         AnswerJudgement::Refused => {
--- a/crates/mesh/src/request/step_outcome.rs
+++ b/crates/mesh/src/request/step_outcome.rs
@@ -17,6 +17,8 @@
     Refused,
     /// The upstream leaves.
     Leaving,
+    /// Upstreams crashed while they ran it.
+    Crashes,
 }
 
 impl NotRunReason {
@@ -28,6 +30,7 @@
             Self::Full => "full",
             Self::Refused => "refused",
             Self::Leaving => "leaving",
+            Self::Crashes => "crashes-upstreams",
         }
     }
 
@@ -38,6 +41,7 @@
             "full" => Self::Full,
             "refused" => Self::Refused,
             "leaving" => Self::Leaving,
+            "crashes-upstreams" => Self::Crashes,
             _ => Self::Unreachable,
         }
     }
--- a/crates/mesh/src/version/mesh_view.rs
+++ b/crates/mesh/src/version/mesh_view.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use firspindle_core::connection::UpstreamLoad;
+use firspindle_core::request::SuspectBook;
 use firspindle_core::version::{
     CellIndex, RouteManifest, ServiceRanges, UpstreamLife, UpstreamState,
 };
@@ -87,6 +88,8 @@
     pub stopping: bool,
     /// Whether the node can place requests.
     pub ready: bool,
+    /// Requests that are suspected of crashing upstreams.
+    pub suspects: Arc<SuspectBook>,
     /// For peers that cannot read the store.
     pub snapshot: Arc<StateSnapshot>,
 }
--- a/crates/mesh/tests/ownership/main.rs
+++ b/crates/mesh/tests/ownership/main.rs
@@ -2,6 +2,7 @@
 //! clocks and new lives; and each guard shown needed.
 
 mod codec;
+mod suspects;
 mod upstream;
 mod world;
 
--- a/crates/mesh/tests/ownership/world.rs
+++ b/crates/mesh/tests/ownership/world.rs
@@ -178,7 +178,7 @@
     }
 }
 
-fn settings(index: usize) -> MeshSettings {
+pub fn settings(index: usize) -> MeshSettings {
     let address =
         |port: u16| SocketAddr::from(([10, 0, 0, u8::try_from(index).unwrap_or(0)], port));
     MeshSettings {
