perf: quiet nodes of a large fleet hear of plans from readers; planners are told by all

Ruled out: lost datagrams and slow nodes; no other node missed the same holder. Change: a node that is told reads the plans every 15 s without waiting; readers tell each its share of the hosts of a new plan at once, and its text is read from a random node that has it. The window in which a planner counts as heard grows with the fleet (2 s up to 31 hosts).

--- a/crates/mesh/src/process/control_state.rs
+++ b/crates/mesh/src/process/control_state.rs
@@ -22,7 +22,14 @@
 use super::store_watch::ReadPace;
 use crate::version::{MeshView, PeerView, RangeView, StateSnapshot, UpstreamView};
 
-/// Silence after which another node counts as lost: eight datagrams.
+/// Time between datagrams to other nodes.
+pub(super) const GOSSIP_GAP: Duration = Duration::from_millis(300);
+
+/// Nodes that are sent a datagram each time, beside those that may plan. Among more, they are
+/// drawn.
+pub(super) const GOSSIP_PEERS: usize = 16;
+
+/// Silence after which another node counts as lost: six datagrams.
 const PEER_SILENCE: Duration = Duration::from_millis(2_000);
 
 /// Time after a plan of another node before this one plans, so that two that hear different
--- a/crates/mesh/src/process/control_state/gossip_step.rs
+++ b/crates/mesh/src/process/control_state/gossip_step.rs
@@ -7,11 +7,15 @@
 use firspindle_core::version::HostRecord;
 use firspindle_edge::PlatformCodec;
 
-use super::{ControlOrder, ControlState, PEER_SILENCE, PLANNERS};
+use super::{ControlOrder, ControlState, GOSSIP_GAP, GOSSIP_PEERS, PEER_SILENCE, PLANNERS};
 
 /// Rows of ended fences in one datagram; about 1,200 bytes.
 const ENDED_ROWS: usize = 40;
 
+/// Mean times between two datagrams of a node that may pass without one: a draw leaves it out for
+/// longer once in four hundred times.
+const MISSED_ROUNDS: u32 = 6;
+
 impl<C: PlatformCodec> ControlState<C> {
     /// Takes a datagram of another node; gives the host that is to be answered at once, if any.
     pub fn take_datagram(&mut self, bytes: &[u8], now: Instant) -> Option<Box<str>> {
@@ -81,9 +85,16 @@
         ended.into_iter().map(|(host, _)| host).filter(|host| *host != self.settings.host).collect()
     }
 
+    /// Silence after which a node may count as lost that tells this one only when it is drawn.
+    pub(super) fn hear_window(&self) -> Duration {
+        let rounds = u32::try_from(self.hosts.len() / GOSSIP_PEERS).unwrap_or(u32::MAX);
+        PEER_SILENCE + GOSSIP_GAP * rounds.saturating_sub(1) * MISSED_ROUNDS
+    }
+
     /// First hosts in order that were heard lately: one of them plans, and has to hear all.
     pub fn planner_hosts(&self, now: Instant) -> Vec<Box<str>> {
-        let heard = |row: &&HostRecord| self.peers.heard_within(&row.host, PEER_SILENCE, now);
+        let window = self.hear_window();
+        let heard = |row: &&HostRecord| self.peers.heard_within(&row.host, window, now);
         self.others().filter(heard).take(PLANNERS).map(|row| row.host.clone()).collect()
     }
 
--- a/crates/mesh/src/process/control_state/record_step.rs
+++ b/crates/mesh/src/process/control_state/record_step.rs
@@ -6,13 +6,18 @@
 use bytes::Bytes;
 use firspindle_core::version::{HostRecord, RangePlan};
 use firspindle_edge::{PlatformCodec, ReadBatch, StateTopic, StoredValue, TopicSnapshot};
+use rand::seq::IteratorRandom;
 
 use super::{ControlOrder, ControlState, PEER_SILENCE, ReadPace};
 use crate::version::{RangeView, StateSnapshot};
 
-/// Ends behind a peer's for so long are fetched from it.
+/// Ends behind a peer's for so long are fetched from it, as this node's own read may be faster.
 const BEHIND_LIMIT: Duration = Duration::from_millis(300);
 
+/// The same for plans that this node does not wait for at the store: the word of two nodes comes
+/// in one round trip, and one read brings both.
+const TOLD_LIMIT: Duration = Duration::from_millis(30);
+
 /// Nodes that read the store often, and tell the others: at least so many.
 const READERS: usize = 2;
 
@@ -221,7 +226,8 @@
             StateTopic::Plans if reader || !told => {
                 (self.clock.end(), CONFIRM_WAIT, Duration::ZERO)
             }
-            StateTopic::Plans => (self.clock.end(), QUIET_WAIT, Duration::ZERO),
+            // Whoever reads tells of a new plan at once, and its text comes from there.
+            StateTopic::Plans => (self.clock.end(), Duration::ZERO, QUIET_WAIT),
         };
         ReadPace { from, wait, gap }
     }
@@ -231,22 +237,49 @@
     pub(super) fn hosts_gap(&self, now: Instant) -> Duration {
         let mut holders = self.plan.services.iter().flat_map(|ranges| &ranges.holders);
         let unknown = holders.any(|holder| self.host(&holder.host).is_none());
-        if unknown || now < self.started_at + GATHER_TIME { GATHER_GAP } else { HOSTS_GAP }
+        if !unknown && now >= self.started_at + GATHER_TIME {
+            return HOSTS_GAP;
+        }
+        let shares = u32::try_from(self.hosts.len() / HOSTS_PER_READER).unwrap_or(u32::MAX);
+        GATHER_GAP * shares.max(1)
     }
 
     /// Whether this node is among the first in order of those that live and reach the store.
     pub(super) fn reads_for_others(&self, now: Instant) -> bool {
+        self.reader_rank(now) < self.reader_count()
+    }
+
+    fn reader_count(&self) -> usize {
+        READERS.max(self.hosts.len() / HOSTS_PER_READER)
+    }
+
+    /// Nodes before this one in order that live and reach the store.
+    fn reader_rank(&self, now: Instant) -> usize {
+        let window = self.hear_window();
         let reaches = |row: &&HostRecord| {
-            self.peers.heard_within(&row.host, PEER_SILENCE, now)
+            self.peers.heard_within(&row.host, window, now)
                 && self.peers.get(&row.host).is_some_and(|peer| peer.reaches_store)
         };
         let before = self.others().take_while(|row| row.host < self.settings.host);
-        before.filter(reaches).count() < READERS.max(self.hosts.len() / HOSTS_PER_READER)
+        before.filter(reaches).count()
+    }
+
+    /// Hosts that this reader tells of a new plan at once: each reader has its share.
+    pub fn hosts_to_wake(&self, now: Instant) -> Vec<Box<str>> {
+        let (rank, count) = (self.reader_rank(now), self.reader_count());
+        if rank >= count {
+            return Vec::new();
+        }
+        let own_share =
+            |(index, row): (usize, &HostRecord)| (index % count == rank).then(|| row.host.clone());
+        self.others().enumerate().filter_map(own_share).collect()
     }
 
     pub(super) fn fetch_step(&mut self, now: Instant) -> Option<ControlOrder> {
         let since = self.behind_since?;
-        if now < since + BEHIND_LIMIT {
+        let behind_plans = self.peers.rows().iter().any(|row| row.ends[0] > self.clock.end());
+        let limit = if behind_plans { TOLD_LIMIT } else { BEHIND_LIMIT };
+        if now < since + limit {
             return None;
         }
         let own = [self.clock.end(), self.hosts_end, self.manifest_end];
@@ -254,7 +287,7 @@
             now < row.heard_at + PEER_SILENCE
                 && row.ends.iter().zip(own).any(|(other, own)| *other > own)
         };
-        let peer = self.peers.rows().iter().find(ahead);
+        let peer = self.peers.rows().iter().filter(ahead).choose(&mut rand::rng());
         let address = peer.and_then(|peer| self.host(&peer.host)).map(|record| record.forward);
         self.behind_since = address.map(|_| now);
         address.map(ControlOrder::FetchState)
--- a/crates/mesh/src/process/control_state/suspect_step.rs
+++ b/crates/mesh/src/process/control_state/suspect_step.rs
@@ -6,7 +6,7 @@
 use firspindle_core::request::SuspectHint;
 use firspindle_edge::PlatformCodec;
 
-use super::{ControlState, PEER_SILENCE};
+use super::ControlState;
 
 impl<C: PlatformCodec> ControlState<C> {
     /// An upstream of a life crashed while it ran a request; gives what others are to be told.
@@ -38,8 +38,8 @@
 
     /// Whether every other node that is heard has shown that it knows of a suspicion.
     pub fn all_know(&self, hint: &SuspectHint, now: Instant) -> bool {
-        let heard =
-            self.others().filter(|row| self.peers.heard_within(&row.host, PEER_SILENCE, now));
+        let window = self.hear_window();
+        let heard = self.others().filter(|row| self.peers.heard_within(&row.host, window, now));
         heard
             .filter_map(|row| self.peers.get(&row.host))
             .all(|peer| peer.suspects.iter().any(|known| hint.is_known_by(known)))
--- a/crates/mesh/src/process/control_thread.rs
+++ b/crates/mesh/src/process/control_thread.rs
@@ -15,7 +15,7 @@
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 use tokio::sync::oneshot;
 
-use super::control_state::{ControlOrder, ControlState};
+use super::control_state::{ControlOrder, ControlState, GOSSIP_GAP, GOSSIP_PEERS};
 use super::gossip_socket::read_datagrams;
 use super::store_watch::{ReadPace, watch_topic};
 use super::{ControlEvent, MeshSettings};
@@ -26,11 +26,7 @@
 const TICK: Duration = Duration::from_millis(100);
 
 /// Ticks between datagrams to other nodes.
-const GOSSIP_TICKS: u64 = 3;
-
-/// Nodes that are sent a datagram each time, beside those that may plan. Among more, they are
-/// drawn.
-const GOSSIP_PEERS: usize = 16;
+const GOSSIP_TICKS: u64 = (GOSSIP_GAP.as_millis() / TICK.as_millis()) as u64;
 
 /// Time that all nodes get to show that they know of a crash. Answers come within a round trip.
 const TELL_LIMIT: Duration = Duration::from_millis(250);
@@ -181,6 +177,11 @@
                     self.refreshed();
                     self.tell_ended();
                 }
+                if changed && topic == StateTopic::Plans {
+                    let hosts = self.state.hosts_to_wake(now);
+                    let orders = self.state.datagrams(&hosts, now);
+                    self.carry_out(orders);
+                }
             }
             ControlEvent::StoreFailed(_) => self.state.note_store(false),
             ControlEvent::Datagram(bytes) => {
