--- a/crates/firspindle/src/main.rs
+++ b/crates/firspindle/src/main.rs
@@ -1,12 +1,28 @@
 //! The `firspindle` command.
 
 use std::process::ExitCode;
+use std::time::Duration;
 
 use clap::Parser;
+use env_logger::Target;
 use firspindle::process::CommandLine;
+use firspindle_edge::LogQueue;
+
+/// Longest wait for the log's reader at the end of the process.
+const LOG_LIMIT: Duration = Duration::from_millis(300);
 
 fn main() -> ExitCode {
     let filter = env_logger::Env::default().default_filter_or("info");
-    env_logger::Builder::from_env(filter).format_timestamp_millis().init();
-    CommandLine::parse().run()
+    let mut builder = env_logger::Builder::from_env(filter);
+    builder.format_timestamp_millis();
+    let drain = LogQueue::start(std::io::stderr()).ok().map(|(queue, drain)| {
+        builder.target(Target::Pipe(Box::new(queue)));
+        drain
+    });
+    builder.init();
+    let status = CommandLine::parse().run();
+    if let Some(drain) = drain {
+        drain.wait(LOG_LIMIT);
+    }
+    status
 }
--- a/crates/firspindle/src/process.rs
+++ b/crates/firspindle/src/process.rs
@@ -15,6 +15,7 @@
 mod record_writer;
 mod settings_file;
 mod status_page;
+mod story_command;
 
 pub use firspindle_edge::{BootClock, DecisionLog, unix_ms};
 
@@ -27,3 +28,4 @@
 pub(crate) use process_error::StartSnafu;
 pub use settings_file::{AdvertiseSettings, ListenSettings, SettingsFile};
 pub use status_page::{MemberStatus, StatusPage};
+pub use story_command::RequestStory;
--- a/crates/firspindle/src/process/command_line.rs
+++ b/crates/firspindle/src/process/command_line.rs
@@ -16,7 +16,7 @@
 use super::process_error::{BadFileSnafu, MeshSnafu, ReadFileSnafu, StartSnafu};
 use super::publish_command::{PublishVerdict, publish};
 use super::status_page::StatusPage;
-use super::{LogClient, ProcessError, SettingsFile};
+use super::{LogClient, ProcessError, RequestStory, SettingsFile};
 use crate::connection::{HttpPool, PoolRequest};
 
 /// Exit status of a refused file.
@@ -28,6 +28,9 @@
 /// Exit status when the log gave no answer.
 const UNKNOWN: u8 = 4;
 
+/// Exit status when no log tells of a request.
+const NO_STORY: u8 = 5;
+
 /// Longest wait for a node's status.
 const STATUS_LIMIT: Duration = Duration::from_secs(5);
 
@@ -64,6 +67,15 @@
         #[arg(long, value_name = "URL")]
         log: String,
     },
+    /// Tells what logs say of one request: its decisions in order, and the state behind each.
+    Story {
+        /// Id of the request.
+        #[arg(long, value_name = "ID")]
+        id: String,
+        /// Logs of nodes.
+        #[arg(required = true, value_name = "FILE")]
+        logs: Vec<PathBuf>,
+    },
     /// Shows a node's members, lease, manifest version and partitions.
     Status {
         /// Administration address of the node, as a URL.
@@ -99,6 +111,7 @@
             NodeCommand::Mesh { settings } => run_mesh(&settings).map(|()| 0),
             NodeCommand::Check(args) => check(&args).map(|()| 0),
             NodeCommand::Publish { manifest, log } => publish_file(&manifest, &log),
+            NodeCommand::Story { id, logs } => tell_story(&id, &logs),
             NodeCommand::Status { node, json } => show_status(&node, json).map(|()| 0),
         };
         match result {
@@ -182,6 +195,22 @@
     })
 }
 
+/// Exit status 5 where no log tells of the request.
+fn tell_story(id: &str, paths: &[PathBuf]) -> Result<u8, ProcessError> {
+    let logs: Vec<_> = paths.iter().map(|path| read_file(path)).collect::<Result<_, _>>()?;
+    let names =
+        paths.iter().map(|path| path.file_stem().map_or("?".into(), |s| s.to_string_lossy()));
+    let named: Vec<_> = names.zip(&logs).collect();
+    let texts = named.iter().map(|(name, (_, text))| (&**name, text.as_str()));
+    let story = RequestStory::read(id, texts);
+    if story.is_empty() {
+        eprintln!("firspindle: no log tells of request {id}");
+        return Ok(NO_STORY);
+    }
+    print!("{story}");
+    Ok(0)
+}
+
 fn show_status(url: &str, json: bool) -> Result<(), ProcessError> {
     let refuse = |reason: &str| ProcessError::NoAnswer { url: url.into(), reason: reason.into() };
     let uri: Uri =
--- a/crates/mesh/src/process/control_state.rs
+++ b/crates/mesh/src/process/control_state.rs
@@ -22,8 +22,14 @@
 use super::store_watch::ReadPace;
 use crate::version::{MeshView, PeerView, RangeView, StateSnapshot, UpstreamView};
 
+/// Time between looks at what time brings.
+pub(super) const TICK: Duration = Duration::from_millis(100);
+
+/// Ticks between datagrams to other nodes.
+pub(super) const GOSSIP_TICKS: u32 = 3;
+
 /// Time between datagrams to other nodes.
-pub(super) const GOSSIP_GAP: Duration = Duration::from_millis(300);
+const GOSSIP_GAP: Duration = TICK.saturating_mul(GOSSIP_TICKS);
 
 /// Nodes that are sent a datagram each time, beside those that may plan. Among more, they are
 /// drawn.
--- a/crates/mesh/src/process/control_thread.rs
+++ b/crates/mesh/src/process/control_thread.rs
@@ -15,19 +15,13 @@
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 use tokio::sync::oneshot;
 
-use super::control_state::{ControlOrder, ControlState, GOSSIP_GAP, GOSSIP_PEERS};
+use super::control_state::{ControlOrder, ControlState, GOSSIP_PEERS, GOSSIP_TICKS, TICK};
 use super::gossip_socket::read_datagrams;
 use super::store_watch::{ReadPace, watch_topic};
 use super::{ControlEvent, MeshSettings};
 use crate::connection::{ask_upstream, fetch_state};
 use crate::request::SharedState;
 
-/// Time between looks at what time brings.
-const TICK: Duration = Duration::from_millis(100);
-
-/// Ticks between datagrams to other nodes.
-const GOSSIP_TICKS: u64 = (GOSSIP_GAP.as_millis() / TICK.as_millis()) as u64;
-
 /// Time that all nodes get to show that they know of a crash. Answers come within a round trip.
 const TELL_LIMIT: Duration = Duration::from_millis(250);
 
@@ -80,7 +74,7 @@
     writing: Rc<Cell<bool>>,
     written: Rc<Cell<Option<(firspindle_core::version::HostRecord, bool)>>>,
     tellings: Vec<CrashTelling>,
-    ticks: u64,
+    ticks: u32,
     upstream: SocketAddr,
     upstream_id: HeaderName,
 }
@@ -223,7 +217,7 @@
     }
 
     fn tick(&mut self) {
-        self.ticks += 1;
+        self.ticks = self.ticks.wrapping_add(1);
         self.set_paces();
         self.state.set_load(self.shared.load(), self.shared.demand());
         if let Some((record, done)) = self.written.take() {
