fix: a node that ends answers what waits still, and takes no download that could outlast it

In each trace the process ended 5.0 s after SIGTERM, at five sixths of the grace time, in the middle of a long answer over a slow link (19.509, 24.72, 31.315 s), or while a request waited (12.608 s). Change: the process ends 0.3 s before the grace time; requests that wait still are answered 0.2 s earlier; after SIGTERM a download whose deadline lies beyond the end is refused with Retry-After, at the entry and from other nodes. Conclusion: a long answer that began before SIGTERM and outlasts the grace time is still cut.

--- a/crates/core/src/process/grant_book.rs
+++ b/crates/core/src/process/grant_book.rs
@@ -160,7 +160,7 @@
         self.end_lost_fences(now);
     }
 
-    /// The upstream's life changed; everything that the former life held has ended if `dead`.
+    /// The upstream's life changed. What the former life held has ended if the new one was born later.
     fn change_life(&mut self, life: UpstreamLife, now: Instant) {
         let proven = self.life.as_ref().is_some_and(|old| is_proven_dead(old, &life));
         if let Some(old) = self.life.replace(life) {
--- a/crates/mesh/src/process/mesh_node.rs
+++ b/crates/mesh/src/process/mesh_node.rs
@@ -25,6 +25,10 @@
 /// Time without requests after which the process ends.
 const QUIET_TIME: Duration = Duration::from_millis(60);
 
+/// Time for the end of the process itself, within the grace time. Answers that are long or slow
+/// get the rest of it.
+const END_TIME: Duration = Duration::from_millis(300);
+
 /// Time between looks at what is still under way.
 const LOOK_GAP: Duration = Duration::from_millis(20);
 
@@ -174,6 +178,7 @@
             }
             context.shared.set_load(context.gate.load());
             context.peers.sweep(LINK_IDLE);
+            context.close_late(Instant::now());
         }
     })
 }
@@ -216,8 +221,8 @@
 /// Waits until callers have left and their requests are answered.
 fn drain(shared: &SharedState, grace: Duration) {
     let started = Instant::now();
-    // The last sixth of the grace time is left for the end of the process.
-    let until = started + grace * 5 / 6;
+    let until = started + grace.saturating_sub(END_TIME);
+    let _ = shared.ends_at.set(until);
     let mut quiet_since = Instant::now();
     while Instant::now() < until {
         if shared.in_flight.load(Ordering::Relaxed) > 0 {
--- a/crates/mesh/src/request/caller_entry.rs
+++ b/crates/mesh/src/request/caller_entry.rs
@@ -61,9 +61,15 @@
     facts: &mut EntryFacts,
 ) -> AnswerResponse {
     let deadline = placed.request.deadline;
-    let answered =
-        tokio::time::timeout_at(deadline.into(), run_attempts(context, placed, facts)).await;
-    if let Ok(response) = answered {
+    let attempts = run_attempts(context, placed, facts);
+    let answered = tokio::select! {
+        answered = tokio::time::timeout_at(deadline.into(), attempts) => answered.ok(),
+        () = context.closing.notified() => {
+            facts.outcome = "closing";
+            return own_answer(StatusCode::BAD_GATEWAY, "the node ends", None);
+        }
+    };
+    if let Some(response) = answered {
         return response;
     }
     facts.outcome = "late";
@@ -163,6 +169,11 @@
         .and_then(|text| text.parse::<u32>().ok())
         .map_or(route.timeout, |left| Duration::from_millis(u64::from(left)));
     let deadline = arrived + left.min(route.timeout);
+    if context.ends_before(route.kind, deadline) {
+        facts.outcome = "leaving";
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        return Err(own_answer(status, "the node is about to end", Some(START_RETRY)));
+    }
     let placed = PlacedCall {
         request: read_request(context, request, &manifest, route, service, cell, deadline, arrived)
             .await?,
--- a/crates/mesh/src/request/owner_step.rs
+++ b/crates/mesh/src/request/owner_step.rs
@@ -52,6 +52,10 @@
         log::warn!("request of another node without facts");
         return own_answer(StatusCode::BAD_REQUEST, "no facts", None);
     };
+    if context.ends_before(facts.kind, facts.deadline) {
+        let reason = NotRunReason::Unreachable;
+        return peer_answer(StepOutcome::NotRun { reason, retry_after: Some(MOVE_RETRY) });
+    }
     let (head, body) = request.into_parts();
     let Ok(body) = body.collect().await else {
         return own_answer(StatusCode::BAD_REQUEST, "the body is cut short", None);
--- a/crates/mesh/src/request/shared_state.rs
+++ b/crates/mesh/src/request/shared_state.rs
@@ -1,7 +1,8 @@
 //! What the control thread and the traffic thread share.
 
-use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::{Mutex, OnceLock};
+use std::time::Instant;
 
 use arc_swap::ArcSwap;
 use firspindle_core::connection::{DemandReport, UpstreamLoad};
@@ -21,6 +22,8 @@
     pub decisions: DecisionLog,
     /// Whether new requests are refused, as the process is about to end.
     pub leaving: AtomicBool,
+    /// When the process ends, at the latest, once it was told to.
+    pub ends_at: OnceLock<Instant>,
     /// Requests of callers and other nodes that are not answered whole.
     pub in_flight: AtomicU64,
     demand: Mutex<DemandReport>,
--- a/crates/mesh/src/request/traffic_context.rs
+++ b/crates/mesh/src/request/traffic_context.rs
@@ -3,10 +3,12 @@
 use std::cell::RefCell;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use firspindle_core::request::RetryWindow;
+use firspindle_core::version::RequestKind;
 use firspindle_edge::{BootClock, HeaderSet, unix_ms};
+use tokio::sync::Notify;
 use tokio::sync::mpsc::UnboundedSender;
 
 use super::{DemandMeter, SharedState};
@@ -31,6 +33,8 @@
     pub upstream: LinkPool,
     /// Queue before the upstream.
     pub gate: UpstreamGate,
+    /// Tells requests under way that the process ends now.
+    pub closing: Notify,
     meter: RefCell<DemandMeter>,
     budgets: RefCell<Vec<(Box<str>, RetryWindow)>>,
     /// Requests under way to each host from here, sorted by host.
@@ -66,6 +70,7 @@
             peers: LinkPool::default(),
             upstream: LinkPool::default(),
             gate: UpstreamGate::default(),
+            closing: Notify::new(),
             meter: RefCell::default(),
             budgets: RefCell::default(),
             outstanding: RefCell::default(),
@@ -77,6 +82,19 @@
         self.shared.leaving.load(Ordering::Relaxed)
     }
 
+    /// Whether the process may end in the middle of a long answer that is begun now.
+    pub fn ends_before(&self, kind: RequestKind, deadline: Instant) -> bool {
+        kind == RequestKind::Download
+            && self.shared.ends_at.get().is_some_and(|ends_at| *ends_at < deadline)
+    }
+
+    /// Has requests answered that wait still, shortly before the process ends.
+    pub fn close_late(&self, now: Instant) {
+        if self.shared.ends_at.get().is_some_and(|ends_at| now + ANSWER_TIME >= *ends_at) {
+            self.closing.notify_waiters();
+        }
+    }
+
     /// Counts a request.
     pub fn begin(&self) -> InFlight {
         self.shared.in_flight.fetch_add(1, Ordering::Relaxed);
@@ -156,6 +174,9 @@
     }
 }
 
+/// Time for the last answers before the process ends.
+const ANSWER_TIME: Duration = Duration::from_millis(200);
+
 /// Part of the budget of all nodes that is used, as nodes count their own requests only and
 /// calls of repeated runs count as repeats too.
 const BUDGET_PART: f64 = 0.4;
