--- a/crates/mesh/src/request.rs
+++ b/crates/mesh/src/request.rs
@@ -1,11 +1,13 @@
 //! What lives for one request.
 
 mod answer_step;
+mod attempt_step;
 mod caller_entry;
 mod crash_step;
 mod demand_meter;
 mod forward_step;
 mod owner_step;
+mod place_step;
 mod placed_request;
 mod shared_state;
 mod step_outcome;
