test: the retry budget summed over all nodes

Cause: one node's window was tested, the sum over nodes only played. Change: up to seven nodes of uneven load, each with its part of the allowance; in each sliding window all retries together stay within the one budget.

--- a/crates/core/tests/ranges/retries.rs
+++ b/crates/core/tests/ranges/retries.rs
@@ -7,16 +7,26 @@
 
 const WINDOW: Duration = Duration::from_secs(10);
 
+/// Times within a span before `now`.
+fn count_since(times: &[Instant], span: Duration, now: Instant) -> f64 {
+    times.iter().filter(|at| now.duration_since(**at) < span).count() as f64
+}
+
+/// The first ones of the slice before the window count for it, as they do for whoever looks at
+/// windows that begin a little earlier.
+fn allowed(first: &[Instant], ratio: f64, allowance: f64, now: Instant) -> f64 {
+    ratio * count_since(first, WINDOW + WINDOW / 10, now) + allowance
+}
+
 proptest! {
     #[test]
     fn retries_stay_within_the_budget_in_each_sliding_window(
         steps in prop::collection::vec((0_u64..400, any::<bool>()), 1..400),
     ) {
-        let start = Instant::now();
         let (ratio, allowance) = (0.2, 6.0);
         let mut window = RetryWindow::new(WINDOW);
         let (mut first, mut retries) = (Vec::new(), Vec::new());
-        let mut now = start;
+        let mut now = Instant::now();
         for (gap, retry) in steps {
             now += Duration::from_millis(gap);
             if !retry {
@@ -24,14 +34,35 @@
                 first.push(now);
             } else if window.take_retry(ratio, allowance, now) {
                 retries.push(now);
-                // The first ones of the slice before the window count for it, as they do for
-                // whoever looks at windows that begin a little earlier.
-                let slice = WINDOW / 20;
-                let since = |times: &[Instant], span: Duration| {
-                    times.iter().filter(|at| now.duration_since(**at) < span).count()
-                };
-                let allowed = ratio * since(&first, WINDOW + slice * 2) as f64 + allowance;
-                prop_assert!(since(&retries, WINDOW) as f64 <= allowed);
+                let bound = allowed(&first, ratio, allowance, now);
+                prop_assert!(count_since(&retries, WINDOW, now) <= bound);
+            }
+        }
+    }
+
+    /// Each node takes its part of the allowance, and retries as its own requests allow; all of
+    /// them together stay within the one budget, however uneven the load.
+    #[test]
+    fn the_nodes_together_stay_within_the_budget(
+        nodes in 1_usize..8,
+        steps in prop::collection::vec((0_u64..120, 0_usize..64, prop::bool::weighted(0.6)), 1..600),
+    ) {
+        let (ratio, allowance) = (0.2, 64.0);
+        let part = allowance / nodes as f64;
+        let mut windows = vec![RetryWindow::new(WINDOW); nodes];
+        let (mut first, mut retries) = (Vec::new(), Vec::new());
+        let mut now = Instant::now();
+        for (gap, draw, retry) in steps {
+            now += Duration::from_millis(gap);
+            // The smaller of two draws: the first nodes get most of the load.
+            let node = (draw % 8).min(draw / 8) % nodes;
+            if !retry {
+                windows[node].count_first(now);
+                first.push(now);
+            } else if windows[node].take_retry(ratio, part, now) {
+                retries.push(now);
+                let bound = allowed(&first, ratio, allowance, now);
+                prop_assert!(count_since(&retries, WINDOW, now) <= bound);
             }
         }
     }
