fix: a wrong holder's refusal is repeated within the retry budget only

Ruled out: retries between nodes, which reach no target. Change: the former rule again: such a refusal counts as a send and is repeated as attempts, time and budget allow. Before: 7 arrivals of one read on a route of two attempts.

--- a/crates/mesh/src/request/owner_step.rs
+++ b/crates/mesh/src/request/owner_step.rs
@@ -242,9 +242,6 @@
         AnswerJudgement::Refused => {
             StepOutcome::NotRun { reason: NotRunReason::Refused, retry_after: Some(MOVE_RETRY) }
         }
-        AnswerJudgement::Misdirected => {
-            StepOutcome::NotRun { reason: NotRunReason::NotOwner, retry_after: Some(MOVE_RETRY) }
-        }
         AnswerJudgement::Spoiled(reason) => StepOutcome::MayHaveRun { reason },
     }
 }
@@ -273,8 +270,6 @@
 enum AnswerJudgement {
     Whole,
     Refused,
-    /// Another life of the upstream, or one that does not hold the key now.
-    Misdirected,
     Spoiled(&'static str),
 }
 
@@ -291,10 +286,8 @@
     if echoed.is_some_and(|id| id != &*request.id) {
         return AnswerJudgement::Spoiled("the answer is another request's");
     }
-    if status == StatusCode::MISDIRECTED_REQUEST {
-        return AnswerJudgement::Misdirected;
-    }
-    if headers.contains_key(&names.not_run) {
+    // A wrong holder's refusal is an arrival too: it is repeated within the budget only.
+    if headers.contains_key(&names.not_run) || status == StatusCode::MISDIRECTED_REQUEST {
         return AnswerJudgement::Refused;
     }
     if headers.contains_key(http::header::CONTENT_ENCODING) {
