fix: three tenths of the retry budget are used, not four

In the log of the replay no request is sent more than twice and each send beyond the first took from the budget; but calls of upstreams count as requests in our windows, which the rule's base leaves out, and calls of copydesk's repeated runs add to the repeats. Change: BUDGET_PART 0.4 -> 0.3.

--- a/crates/mesh/src/request/traffic_context.rs
+++ b/crates/mesh/src/request/traffic_context.rs
@@ -177,9 +177,9 @@
 /// Time for the last answers before the process ends.
 const ANSWER_TIME: Duration = Duration::from_millis(200);
 
-/// Part of the budget of all nodes that is used, as nodes count their own requests only and
-/// calls of repeated runs count as repeats too.
-const BUDGET_PART: f64 = 0.4;
+/// Part of the budget of all nodes that is used. Calls of upstreams count as requests here, which
+/// the budget's base leaves out, and calls of repeated runs count as repeats too.
+const BUDGET_PART: f64 = 0.3;
 
 /// Milliseconds since a time, for logs.
 pub(super) fn elapsed_ms(since: Instant) -> u64 {
