refactor: grant book and explored worlds apart by job

Change: lives of the upstream, one CellState::lose_life for both loops, a struct for writes to the store; store, network, events, rounds, plans and the oracle in files of their own.

--- a/crates/core/src/process/grant_book.rs
+++ b/crates/core/src/process/grant_book.rs
@@ -11,12 +11,14 @@
 //!    in a row that it does not hold it, let the last hold run out, or is known to be dead.
 
 mod cell_state;
+mod life_step;
 
 use std::time::Instant;
 
 use serde::{Deserialize, Serialize};
 
 use cell_state::{CellState, HandoverRow, LosingRow};
+use life_step::is_proven_dead;
 
 use super::{GrantGuards, GrantTiming};
 use crate::connection::{GrantReply, GrantRow, UpstreamReport};
@@ -160,107 +162,6 @@
         self.end_lost_fences(now);
     }
 
-    /// The upstream's life changed. What the former life held has ended if the new one was born later.
-    fn change_life(&mut self, life: UpstreamLife, now: Instant) {
-        let proven = self.life.as_ref().is_some_and(|old| is_proven_dead(old, &life));
-        if let Some(old) = self.life.replace(life) {
-            self.ended_lives.push(old);
-        }
-        self.last_sequence = 0;
-        self.proven = false;
-        for cell in &mut self.cells {
-            cell.held = 0;
-            if cell.fence > 0 {
-                cell.lose();
-            }
-            cell.fence = 0;
-            for row in &mut cell.losing {
-                row.present_life = false;
-                row.ended |= proven;
-            }
-            if proven {
-                cell.granted_until = None;
-            }
-        }
-        self.adopt_own_cells(now);
-    }
-
-    /// Whether cells wait for a proof that an earlier life on this host has ended.
-    pub fn needs_proof(&self) -> bool {
-        let Some(life) = self.life.as_ref().filter(|_| !self.proven) else { return false };
-        let earlier = |row: &HolderRow| row.host == self.host && row.life != *life;
-        let planned = self.ranges.as_ref().is_some_and(|ranges| ranges.holders.iter().any(earlier));
-        let open = |row: &LosingRow| !row.ended && !row.present_life;
-        planned || self.cells.iter().any(|cell| cell.losing.iter().any(open))
-    }
-
-    /// The upstream's address answered as a life of this id: each other life that used the
-    /// address has ended.
-    pub fn prove_present(&mut self, id: &str, now: Instant) {
-        if self.life.as_ref().is_none_or(|life| *life.id != *id) {
-            return;
-        }
-        self.proven = true;
-        for cell in &mut self.cells {
-            for row in cell.losing.iter_mut().filter(|row| !row.present_life) {
-                row.ended = true;
-            }
-        }
-        self.end_earlier_lives();
-        self.end_lost_fences(now);
-    }
-
-    /// Ends what the plan in force gives to other lives on this host, once the present one is
-    /// known to use the address.
-    fn end_earlier_lives(&mut self) {
-        let (Some(ranges), Some(life), true) = (&self.ranges, &self.life, self.proven) else {
-            return;
-        };
-        for (index, row) in ranges.cells().into_iter().enumerate() {
-            let holder = &ranges.holders[usize::from(row.holder)];
-            if holder.host == self.host && holder.life != *life {
-                self.cells[index].note_ended(row.fence);
-            }
-        }
-    }
-
-    /// The upstream's process was seen gone: what it held has ended.
-    pub fn end_life(&mut self) {
-        self.life = None;
-        self.proven = false;
-        for cell in &mut self.cells {
-            cell.held = 0;
-            if cell.fence > 0 {
-                cell.lose();
-            }
-            cell.fence = 0;
-            cell.granted_until = None;
-            for row in &mut cell.losing {
-                row.present_life = false;
-                row.ended = true;
-            }
-        }
-    }
-
-    /// Takes the cells that the plan in force gives to the present life. Cells of an earlier
-    /// life on this host, which the present one proves dead, have ended.
-    fn adopt_own_cells(&mut self, now: Instant) {
-        let (Some(ranges), Some(life)) = (&self.ranges, &self.life) else { return };
-        for (index, row) in ranges.cells().into_iter().enumerate() {
-            let holder = &ranges.holders[usize::from(row.holder)];
-            if holder.host != self.host {
-                continue;
-            }
-            let cell = &mut self.cells[index];
-            if holder.life == *life {
-                cell.take(row.fence);
-            } else if is_proven_dead(&holder.life, life) {
-                cell.note_ended(row.fence);
-            }
-        }
-        self.end_lost_fences(now);
-    }
-
     /// A fence of an earlier holder has ended.
     pub fn learn_ended(&mut self, row: &EndedRow) {
         for index in row.first..=row.last.min(CELLS - 1) {
@@ -421,12 +322,6 @@
     }
 }
 
-/// Whether the later life's existence proves that the earlier one has ended: both have the same
-/// place, and the later was born after it.
-fn is_proven_dead(earlier: &UpstreamLife, later: &UpstreamLife) -> bool {
-    earlier.born_ms > 0 && earlier.born_ms < later.born_ms
-}
-
 fn cells_of(first: u16, last: u16) -> std::ops::Range<CellIndex> {
     if last < first {
         return 0..0;
--- a/crates/core/src/process/grant_book/cell_state.rs
+++ b/crates/core/src/process/grant_book/cell_state.rs
@@ -79,6 +79,22 @@
         });
     }
 
+    /// The life that was to hold the cell is not the present one any more.
+    pub(super) fn lose_life(&mut self, ended: bool) {
+        self.held = 0;
+        if self.fence > 0 {
+            self.lose();
+        }
+        self.fence = 0;
+        for row in &mut self.losing {
+            row.present_life = false;
+            row.ended |= ended;
+        }
+        if ended {
+            self.granted_until = None;
+        }
+    }
+
     pub(super) fn is_free(&self, now: Instant) -> bool {
         self.priors.iter().all(|row| now >= row.ends_at)
     }
--- /dev/null
+++ b/crates/core/tests/ownership/world/oracle.rs
@@ -0,0 +1,94 @@
+//! The oracle: who may run a partition, and fences that rise.
+
+use std::time::{Duration, Instant};
+
+use firspindle_core::process::FenceToken;
+
+use super::{Fault, NODES, PARTITIONS, World};
+
+impl World {
+    /// Fences of a partition rise from each holder to the next.
+    pub(super) fn note_fence(
+        &mut self,
+        index: usize,
+        partition: u32,
+        fence: FenceToken,
+    ) -> Result<(), Fault> {
+        let boots = self.nodes[index].boots;
+        if let Some((last, holder, boot)) = self.fences.get(&partition) {
+            let same = *holder == index && *boot == boots;
+            if fence < *last || (fence == *last && !same) {
+                return Err(format!(
+                    "fence of partition {partition} fell from {last} (node {holder}) to {fence} (node {index})"
+                ));
+            }
+        }
+        self.fences.insert(partition, (fence, index, boots));
+        Ok(())
+    }
+
+    /// The oracle.
+    pub(super) fn check(&mut self) -> Result<(), Fault> {
+        for partition in 0..PARTITIONS {
+            let ghosts = self.nodes.iter().flat_map(|node| &node.ghosts);
+            let ghosts = ghosts.filter(|ghost| ghost.1 == partition && ghost.0 > self.now).count();
+            let holders: Vec<_> = (0..NODES)
+                .filter(|index| self.nodes[*index].alive)
+                .filter(|index| {
+                    let now = self.local(*index, self.now);
+                    let machine = &self.nodes[*index].machine;
+                    machine.may_run(partition, now) || self.has_in_flight(*index, partition, now)
+                })
+                .collect();
+            if holders.len() + ghosts > 1 {
+                return Err(format!(
+                    "partition {partition} may run on nodes {holders:?} at {:?}",
+                    self.now
+                ));
+            }
+        }
+        for node in &mut self.nodes {
+            let version = node.machine.state().manifest_version();
+            if version < node.manifest {
+                return Err("a manifest reverted".to_owned());
+            }
+            node.manifest = version;
+        }
+        Ok(())
+    }
+
+    /// Work that a process sent before its end runs on until the grant ends.
+    pub(super) fn leave_ghosts(&mut self, index: usize) {
+        if !self.nodes[index].alive {
+            return;
+        }
+        let now = self.local(index, self.now);
+        let Some(deadline) = self.nodes[index].machine.lease_deadline() else { return };
+        let left = deadline.saturating_duration_since(now).as_micros();
+        let left = left * 1_000_000 / u128::from(self.nodes[index].rate);
+        let until = self.now + Duration::from_micros(u64::try_from(left).expect("short"));
+        for partition in 0..PARTITIONS {
+            let active = self.nodes[index].machine.may_run(partition, now)
+                || self.has_in_flight(index, partition, now);
+            if active {
+                self.nodes[index].ghosts.push((until, partition));
+            }
+        }
+    }
+
+    /// Whether a request of a closed partition still runs; its upstream stops it with the lease.
+    pub(super) fn has_in_flight(&self, index: usize, partition: u32, now: Instant) -> bool {
+        let node = &self.nodes[index];
+        let lease = node.machine.lease_deadline().is_some_and(|deadline| now < deadline);
+        lease && node.in_flight.iter().any(|row| row.1 == partition && row.0 > self.now)
+    }
+
+    /// Whether some living node may run the partition.
+    pub fn is_served(&self, partition: u32) -> bool {
+        (0..NODES).any(|index| {
+            let now = self.local(index, self.now);
+            let node = &self.nodes[index];
+            node.alive && node.paused_until <= self.now && node.machine.may_run(partition, now)
+        })
+    }
+}
--- a/crates/mesh/tests/ownership/world.rs
+++ b/crates/mesh/tests/ownership/world.rs
@@ -1,6 +1,9 @@
 //! Several nodes with their upstreams, a store and a network, driven by a seed.
 
+mod event;
 mod faults;
+mod network;
+mod store;
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -8,14 +11,18 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use firspindle_core::connection::{GrantReply, UpstreamReport};
+use firspindle_core::connection::UpstreamReport;
 use firspindle_core::process::GrantGuards;
 use firspindle_core::version::{CELLS, UpstreamLife};
 use firspindle_edge::{ReadBatch, StateTopic, StoredValue, TopicSnapshot};
-use firspindle_mesh::process::{ControlOrder, ControlState, MeshBounds, MeshListen, MeshSettings};
+use firspindle_mesh::process::{ControlState, MeshBounds, MeshListen, MeshSettings};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
+use event::{Event, Scheduled};
+
+pub use event::PlanScript;
+
 use super::codec::{SERVICE, TestCodec};
 use super::upstream::Upstream;
 
@@ -30,75 +37,6 @@
 
 const TOPICS: [StateTopic; 3] = [StateTopic::Manifests, StateTopic::Hosts, StateTopic::Plans];
 
-#[derive(Debug, Clone)]
-enum Event {
-    Tick,
-    Gossip,
-    Read(usize),
-    ReadDone {
-        topic: StateTopic,
-        snapshot: bool,
-        values: Vec<StoredValue>,
-        end: u64,
-        at: Instant,
-    },
-    ReadFailed,
-    Datagram(Bytes),
-    Append {
-        key: String,
-        value: Vec<u8>,
-        at: Option<u64>,
-        topic: StateTopic,
-        answers: bool,
-    },
-    PlanAppended(Option<u64>),
-    Beat,
-    Report {
-        report: Box<UpstreamReport>,
-        sent_at: Instant,
-    },
-    Reply {
-        life: UpstreamLife,
-        reply: GrantReply,
-        sent_at: Instant,
-    },
-    Asked,
-    Start,
-    StartUpstream,
-    /// A plan that gives the cells of one host to another, known to some hosts only.
-    Script(PlanScript),
-    /// The node's process is killed and starts again while it cannot reach the store.
-    Restart {
-        down: u64,
-    },
-}
-
-struct Scheduled {
-    due: u64,
-    order: u64,
-    host: usize,
-    /// Incarnation of the node that it is for; 0 for any.
-    incarnation: u64,
-    event: Event,
-}
-
-impl PartialEq for Scheduled {
-    fn eq(&self, other: &Self) -> bool {
-        (self.due, self.order) == (other.due, other.order)
-    }
-}
-impl Eq for Scheduled {}
-impl PartialOrd for Scheduled {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-impl Ord for Scheduled {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (self.due, self.order).cmp(&(other.due, other.order))
-    }
-}
-
 struct Host {
     state: Option<ControlState<TestCodec>>,
     codec: TestCodec,
@@ -111,23 +49,6 @@
     upstream: Option<Upstream>,
 }
 
-/// A plan that gives one host's cells to another and is read by that one alone.
-#[derive(Debug, Clone)]
-pub struct PlanScript {
-    /// Time in milliseconds.
-    pub at: u64,
-    /// Host that loses its cells.
-    pub from: usize,
-    /// Host that gets them; if it holds some already, the two swap.
-    pub to: usize,
-    /// Whether that host's datagrams are lost, both ways.
-    pub isolated: bool,
-    /// Host that starts late, and when.
-    pub late_host: Option<(usize, u64)>,
-    /// Host whose process is killed, when, and for how long.
-    pub restart: Option<(usize, u64, u64)>,
-}
-
 struct World {
     epoch: Instant,
     now_ms: u64,
@@ -320,9 +241,7 @@
             Event::Datagram(bytes) => {
                 self.hosts[host].state.as_mut().expect("checked").take_datagram(&bytes, now);
             }
-            Event::Append { key, value, at, topic, answers } => {
-                self.append(host, key, value, at, topic, answers);
-            }
+            Event::Append { call, answers } => self.append(host, call, answers),
             Event::PlanAppended(end) => {
                 self.hosts[host].state.as_mut().expect("checked").plan_appended(end);
             }
@@ -417,128 +336,12 @@
         self.step(host);
     }
 
-    fn read(&mut self, host: usize, index: usize) {
-        let incarnation = self.hosts[host].incarnation;
-        let topic = TOPICS[index];
-        let delay = self.delay();
-        if self.store_reachable(host) {
-            let snapshot = !std::mem::replace(&mut self.hosts[host].known[index], true);
-            let rows = &self.topics[index];
-            let end = rows.len() as u64;
-            let state = self.hosts[host].state.as_ref().expect("checked");
-            let from = state.read_pace(topic, self.now()).from;
-            let values = if snapshot {
-                newest(rows)
-            } else {
-                rows.iter().filter(|row| row.offset >= from).cloned().collect()
-            };
-            let at = self.now();
-            let event = Event::ReadDone { topic, snapshot, values, end, at };
-            self.later(host, incarnation, delay, event);
-        } else {
-            self.later(host, incarnation, delay, Event::ReadFailed);
-        }
-        self.later(host, incarnation, 250, Event::Read(index));
-    }
-
     fn step(&mut self, host: usize) {
         let now = self.now();
         let orders = self.hosts[host].state.as_mut().expect("checked").tick(now);
         self.carry_out(host, orders);
     }
 
-    fn carry_out(&mut self, host: usize, orders: Vec<ControlOrder>) {
-        let incarnation = self.hosts[host].incarnation;
-        for order in orders {
-            match order {
-                ControlOrder::Send(address, bytes) => self.send(host, address, bytes),
-                ControlOrder::FetchState(address) => self.fetch(host, address),
-                ControlOrder::AskUpstream(_) => self.later(host, incarnation, 5, Event::Asked),
-                ControlOrder::PutHost(record) => {
-                    let (key, value) = (record.host.to_string(), record.encode());
-                    self.later_append(host, key, value, None, StateTopic::Hosts);
-                    let state = self.hosts[host].state.as_mut().expect("checked");
-                    state.host_written(record, true);
-                }
-                ControlOrder::AppendPlan(plan, at) => {
-                    let value = plan.encode();
-                    self.later_append(host, "plan".into(), value, Some(at), StateTopic::Plans);
-                }
-            }
-        }
-    }
-
-    fn later_append(
-        &mut self,
-        host: usize,
-        key: String,
-        value: Vec<u8>,
-        at: Option<u64>,
-        topic: StateTopic,
-    ) {
-        let incarnation = self.hosts[host].incarnation;
-        let delay = self.delay();
-        let answers = self.rng.random_bool(0.9);
-        let reaches = self.store_reachable(host);
-        if reaches {
-            let event = Event::Append { key, value, at, topic, answers };
-            self.later(host, incarnation, delay, event);
-        }
-        if topic == StateTopic::Plans && (!answers || !reaches) {
-            self.later(host, incarnation, 900, Event::PlanAppended(None));
-        }
-    }
-
-    fn append(
-        &mut self,
-        host: usize,
-        key: String,
-        value: Vec<u8>,
-        at: Option<u64>,
-        topic: StateTopic,
-        answers: bool,
-    ) {
-        let incarnation = self.hosts[host].incarnation;
-        let index = TOPICS.iter().position(|row| *row == topic).expect("a known topic");
-        let rows = &mut self.topics[index];
-        let end = rows.len() as u64;
-        let done = at.is_none_or(|at| at == end);
-        if done {
-            rows.push(StoredValue { key: key.into(), value: value.into(), offset: end });
-        }
-        if topic == StateTopic::Plans && answers {
-            let end = if done { end + 1 } else { end };
-            self.later(host, incarnation, 4, Event::PlanAppended(Some(end)));
-        }
-    }
-
-    fn send(&mut self, from: usize, address: SocketAddr, bytes: Bytes) {
-        let to = (0..HOSTS).find(|host| settings(*host).listen.gossip == address);
-        let Some(to) = to else { return };
-        let delay = self.delay();
-        let lost = self.rng.random_ratio(1, 25) || self.now_ms < self.hosts[from].cut_until[to];
-        if !lost {
-            let incarnation = self.hosts[to].incarnation;
-            self.later(to, incarnation, delay, Event::Datagram(bytes));
-        }
-    }
-
-    /// Reads a peer's state at once, if neither way is cut.
-    fn fetch(&mut self, host: usize, address: SocketAddr) {
-        let peer = (0..HOSTS).find(|host| settings(*host).listen.forward == address);
-        let Some(peer) = peer else { return };
-        let cut = self.now_ms < self.hosts[host].cut_until[peer]
-            || self.now_ms < self.hosts[peer].cut_until[host];
-        let now = self.now();
-        let snapshot = self.hosts[peer].state.as_ref().map(|state| state.view(now).snapshot);
-        if let Some(snapshot) =
-            snapshot.filter(|_| !cut && self.now_ms >= self.hosts[peer].frozen_until)
-        {
-            let state = self.hosts[host].state.as_mut().expect("checked");
-            state.take_peer_state(&snapshot, now);
-        }
-    }
-
     /// Looks for a cell that two upstreams hold.
     fn check(&mut self) -> Result<(), String> {
         let now = self.now();
@@ -560,12 +363,3 @@
         Ok(())
     }
 }
-
-fn newest(rows: &[StoredValue]) -> Vec<StoredValue> {
-    let mut newest: Vec<StoredValue> = Vec::new();
-    for row in rows {
-        newest.retain(|known| known.key != row.key);
-        newest.push(row.clone());
-    }
-    newest
-}
--- /dev/null
+++ b/crates/mesh/tests/ownership/world/network.rs
@@ -0,0 +1,63 @@
+//! What nodes order, and messages between them: late, lost, cut.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use firspindle_edge::StateTopic;
+use firspindle_mesh::process::ControlOrder;
+use rand::Rng;
+
+use super::event::{AppendCall, Event};
+use super::{HOSTS, World, settings};
+
+impl World {
+    pub(super) fn carry_out(&mut self, host: usize, orders: Vec<ControlOrder>) {
+        let incarnation = self.hosts[host].incarnation;
+        for order in orders {
+            match order {
+                ControlOrder::Send(address, bytes) => self.send(host, address, bytes),
+                ControlOrder::FetchState(address) => self.fetch(host, address),
+                ControlOrder::AskUpstream(_) => self.later(host, incarnation, 5, Event::Asked),
+                ControlOrder::PutHost(record) => {
+                    let (key, value) = (record.host.to_string(), record.encode());
+                    let topic = StateTopic::Hosts;
+                    self.later_append(host, AppendCall { topic, key, value, at: None });
+                    let state = self.hosts[host].state.as_mut().expect("checked");
+                    state.host_written(record, true);
+                }
+                ControlOrder::AppendPlan(plan, at) => {
+                    let (key, value) = ("plan".into(), plan.encode());
+                    let topic = StateTopic::Plans;
+                    self.later_append(host, AppendCall { topic, key, value, at: Some(at) });
+                }
+            }
+        }
+    }
+
+    pub(super) fn send(&mut self, from: usize, address: SocketAddr, bytes: Bytes) {
+        let to = (0..HOSTS).find(|host| settings(*host).listen.gossip == address);
+        let Some(to) = to else { return };
+        let delay = self.delay();
+        let lost = self.rng.random_ratio(1, 25) || self.now_ms < self.hosts[from].cut_until[to];
+        if !lost {
+            let incarnation = self.hosts[to].incarnation;
+            self.later(to, incarnation, delay, Event::Datagram(bytes));
+        }
+    }
+
+    /// Reads a peer's state at once, if neither way is cut.
+    pub(super) fn fetch(&mut self, host: usize, address: SocketAddr) {
+        let peer = (0..HOSTS).find(|host| settings(*host).listen.forward == address);
+        let Some(peer) = peer else { return };
+        let cut = self.now_ms < self.hosts[host].cut_until[peer]
+            || self.now_ms < self.hosts[peer].cut_until[host];
+        let now = self.now();
+        let snapshot = self.hosts[peer].state.as_ref().map(|state| state.view(now).snapshot);
+        if let Some(snapshot) =
+            snapshot.filter(|_| !cut && self.now_ms >= self.hosts[peer].frozen_until)
+        {
+            let state = self.hosts[host].state.as_mut().expect("checked");
+            state.take_peer_state(&snapshot, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/mesh/tests/ownership/world/store.rs
@@ -0,0 +1,73 @@
+//! The store: reads, writes with a condition, answers that are lost.
+
+use firspindle_edge::{StateTopic, StoredValue};
+use rand::Rng;
+
+use super::event::{AppendCall, Event};
+use super::{TOPICS, World};
+
+impl World {
+    pub(super) fn read(&mut self, host: usize, index: usize) {
+        let incarnation = self.hosts[host].incarnation;
+        let topic = TOPICS[index];
+        let delay = self.delay();
+        if self.store_reachable(host) {
+            let snapshot = !std::mem::replace(&mut self.hosts[host].known[index], true);
+            let rows = &self.topics[index];
+            let end = rows.len() as u64;
+            let state = self.hosts[host].state.as_ref().expect("checked");
+            let from = state.read_pace(topic, self.now()).from;
+            let values = if snapshot {
+                newest(rows)
+            } else {
+                rows.iter().filter(|row| row.offset >= from).cloned().collect()
+            };
+            let at = self.now();
+            let event = Event::ReadDone { topic, snapshot, values, end, at };
+            self.later(host, incarnation, delay, event);
+        } else {
+            self.later(host, incarnation, delay, Event::ReadFailed);
+        }
+        self.later(host, incarnation, 250, Event::Read(index));
+    }
+
+    pub(super) fn later_append(&mut self, host: usize, call: AppendCall) {
+        let topic = call.topic;
+        let incarnation = self.hosts[host].incarnation;
+        let delay = self.delay();
+        let answers = self.rng.random_bool(0.9);
+        let reaches = self.store_reachable(host);
+        if reaches {
+            let event = Event::Append { call, answers };
+            self.later(host, incarnation, delay, event);
+        }
+        if topic == StateTopic::Plans && (!answers || !reaches) {
+            self.later(host, incarnation, 900, Event::PlanAppended(None));
+        }
+    }
+
+    pub(super) fn append(&mut self, host: usize, call: AppendCall, answers: bool) {
+        let AppendCall { topic, key, value, at } = call;
+        let incarnation = self.hosts[host].incarnation;
+        let index = TOPICS.iter().position(|row| *row == topic).expect("a known topic");
+        let rows = &mut self.topics[index];
+        let end = rows.len() as u64;
+        let done = at.is_none_or(|at| at == end);
+        if done {
+            rows.push(StoredValue { key: key.into(), value: value.into(), offset: end });
+        }
+        if topic == StateTopic::Plans && answers {
+            let end = if done { end + 1 } else { end };
+            self.later(host, incarnation, 4, Event::PlanAppended(Some(end)));
+        }
+    }
+}
+
+fn newest(rows: &[StoredValue]) -> Vec<StoredValue> {
+    let mut newest: Vec<StoredValue> = Vec::new();
+    for row in rows {
+        newest.retain(|known| known.key != row.key);
+        newest.push(row.clone());
+    }
+    newest
+}
