--- a/crates/mesh/src/process/control_state/record_step.rs
+++ b/crates/mesh/src/process/control_state/record_step.rs
@@ -6,7 +6,6 @@
 use bytes::Bytes;
 use firspindle_core::version::{HostRecord, RangePlan};
 use firspindle_edge::{PlatformCodec, ReadBatch, StateTopic, StoredValue, TopicSnapshot};
-use rand::seq::IteratorRandom;
 
 use super::{ControlOrder, ControlState, PEER_SILENCE, ReadPace};
 use crate::version::{RangeView, StateSnapshot};
@@ -287,7 +286,10 @@
             now < row.heard_at + PEER_SILENCE
                 && row.ends.iter().zip(own).any(|(other, own)| *other > own)
         };
-        let peer = self.peers.rows().iter().filter(ahead).choose(&mut rand::rng());
+        // Starts of nodes differ, so they spread over those that are ahead.
+        let count = self.peers.rows().iter().filter(ahead).count().max(1) as u64;
+        let turn = usize::try_from((self.incarnation + self.stamp_ms(now)) % count).unwrap_or(0);
+        let peer = self.peers.rows().iter().filter(ahead).nth(turn);
         let address = peer.and_then(|peer| self.host(&peer.host)).map(|record| record.forward);
         self.behind_since = address.map(|_| now);
         address.map(ControlOrder::FetchState)
