fix: a read that hangs past a silent store's return is begun anew

In the log the manifests' read, begun in the store's silence until 26.7 s, fails at 29.9 s; the plans' read had an answer at 27.0 s. Change: a call without an answer ends the reads that began before it; readers wait 0.3 s at most while the store does not answer.

--- a/crates/mesh/src/process/control_state/record_step.rs
+++ b/crates/mesh/src/process/control_state/record_step.rs
@@ -27,6 +27,9 @@
 /// that fell silent is noticed soon after.
 const CONFIRM_WAIT: Duration = Duration::from_millis(900);
 
+/// Time that a reader's read waits while the store does not answer.
+const SILENT_WAIT: Duration = Duration::from_millis(300);
+
 /// Time that a reader's read of the manifests waits.
 const READER_WAIT: Duration = Duration::from_millis(3_000);
 
@@ -228,7 +231,9 @@
             // Whoever reads tells of a new plan at once, and its text comes from there.
             StateTopic::Plans => (self.clock.end(), Duration::ZERO, QUIET_WAIT),
         };
-        ReadPace { from, wait, gap }
+        // A call that the store does not answer is to fail soon, and tells the others that hang.
+        let limit = if reader && !self.store_answers { SILENT_WAIT } else { wait };
+        ReadPace { from, wait: wait.min(limit), gap }
     }
 
     /// Time between reads of the hosts' records: short after the start and while a holder is
--- a/crates/mesh/src/process/control_thread.rs
+++ b/crates/mesh/src/process/control_thread.rs
@@ -17,7 +17,7 @@
 
 use super::control_state::{ControlOrder, ControlState, GOSSIP_PEERS, GOSSIP_TICKS, TICK};
 use super::gossip_socket::read_datagrams;
-use super::store_watch::{ReadPace, watch_topic};
+use super::store_watch::{ReadPace, StoreSilence, watch_topic};
 use super::{ControlEvent, MeshSettings};
 use crate::connection::{ask_upstream, fetch_state};
 use crate::request::SharedState;
@@ -86,6 +86,7 @@
     let socket = Rc::new(UdpSocket::bind(parts.settings.listen.gossip).await?);
     tokio::task::spawn_local(read_datagrams(socket.clone(), parts.tx.clone()));
     let paces = Rc::new(ReadPaces::default());
+    let silence = StoreSilence::default();
     for topic in TOPICS {
         let paces = paces.clone();
         tokio::task::spawn_local(watch_topic(
@@ -94,6 +95,7 @@
             parts.clock,
             parts.tx.clone(),
             move || paces.cell(topic).get(),
+            silence.clone(),
         ));
     }
     let now = parts.clock.now();
--- a/crates/mesh/src/process/store_watch.rs
+++ b/crates/mesh/src/process/store_watch.rs
@@ -1,6 +1,8 @@
 //! Follows one topic of the store.
 
-use std::time::Duration;
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 use firspindle_edge::{BootClock, StateStore, StateTopic, StoreError};
 use tokio::sync::mpsc::UnboundedSender;
@@ -21,6 +23,10 @@
     pub gap: Duration,
 }
 
+/// When a call to the store last got no answer, shared by all that read. Calls that began before
+/// may hang as long as they wait, though the store answers again.
+pub(crate) type StoreSilence = Rc<Cell<Option<Instant>>>;
+
 /// Follows a topic until the process ends, at the pace that `pace` gives before each read.
 pub(crate) async fn watch_topic<S: StateStore>(
     store: S,
@@ -28,6 +34,7 @@
     clock: BootClock,
     tx: UnboundedSender<ControlEvent>,
     pace: impl Fn() -> ReadPace,
+    silence: StoreSilence,
 ) {
     let mut known = false;
     loop {
@@ -37,6 +44,7 @@
             let read = tokio::select! {
                 read = store.read(topic, from, wait) => read,
                 () = wait_too_long(&pace, from) => continue,
+                () = wait_silence(&silence, at) => continue,
             };
             match read {
                 Ok(batch) => {
@@ -64,6 +72,9 @@
             known = false;
             continue;
         }
+        if matches!(failed, StoreError::NoAnswer { .. }) {
+            silence.set(Some(clock.now()));
+        }
         let _ = tx.send(ControlEvent::StoreFailed(topic));
         tokio::time::sleep(RETRY_GAP).await;
     }
@@ -72,6 +83,9 @@
 /// Time between looks at whether the pace has changed.
 const PACE_LOOK: Duration = Duration::from_millis(500);
 
+/// Time between looks at whether another call got no answer.
+const SILENCE_LOOK: Duration = Duration::from_millis(100);
+
 /// Slack of a read over the time that it asked the store to wait.
 const READ_SLACK: Duration = Duration::from_millis(900);
 
@@ -87,6 +101,13 @@
     }
 }
 
+/// Ends once a call got no answer that ended after `begun`.
+async fn wait_silence(silence: &StoreSilence, begun: Instant) {
+    while silence.get().is_none_or(|at| at <= begun) {
+        tokio::time::sleep(SILENCE_LOOK).await;
+    }
+}
+
 /// Waits for the time between reads, which may become shorter meanwhile.
 async fn wait_gap(pace: &impl Fn() -> ReadPace) {
     let since = tokio::time::Instant::now();
