feat(mesh): tell time between nodes from time at a node, and say where a left request was

- answer lines carry network_ms: the time of a forwarded send that the owner did not have the request (the owner returns its own time in a header)
- caller left: id, role, stage and age of a request dropped before a response
- firspindle_network_seconds, firspindle_timer_lag_seconds, firspindle_abandoned_total

No decision changed.

--- a/crates/mesh/src/process/mesh_metrics.rs
+++ b/crates/mesh/src/process/mesh_metrics.rs
@@ -1,7 +1,7 @@
 //! Metrics in the Prometheus text format.
 
 use prometheus::{
-    HistogramOpts, HistogramVec, IntCounter, IntCounterVec, Opts, Registry, TextEncoder,
+    Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, Opts, Registry, TextEncoder,
 };
 
 /// Upper bounds of the latency buckets in seconds, around the latency objectives of the services.
@@ -18,6 +18,12 @@
     pub latency: HistogramVec,
     /// Seconds that a request waits in the queue for the upstream, by service.
     pub queue_time: HistogramVec,
+    /// Seconds between two nodes, there and back, until a response begins, by service.
+    pub network_time: HistogramVec,
+    /// Seconds by which a timer of the traffic thread fires late.
+    pub timer_lag: Histogram,
+    /// Requests whose caller left before the response, by role of the node and stage.
+    pub abandoned: IntCounterVec,
     /// Sends of a request beyond its first, by service.
     pub retries: IntCounterVec,
     /// Connections opened, by destination: peer or upstream.
@@ -43,6 +49,10 @@
         let sends = IntCounter::new("firspindle_sends_total", "Requests sent to the upstream")
             .expect("valid");
         registry.register(Box::new(sends.clone())).expect("the name is new");
+        let options = HistogramOpts::new("firspindle_timer_lag_seconds", "Lateness of a timer")
+            .buckets(LATENCY_BUCKETS_S.to_vec());
+        let timer_lag = Histogram::with_opts(options).expect("valid");
+        registry.register(Box::new(timer_lag.clone())).expect("the name is new");
         Self {
             answers: family(
                 "firspindle_answers_total",
@@ -59,6 +69,17 @@
                 "Time that a request waits for a slot",
                 &["service"],
             ),
+            network_time: histograms(
+                "firspindle_network_seconds",
+                "Time between two nodes, there and back, until a response begins",
+                &["service"],
+            ),
+            timer_lag,
+            abandoned: family(
+                "firspindle_abandoned_total",
+                "Requests whose caller left before the response",
+                &["role", "stage"],
+            ),
             retries: family("firspindle_retries_total", "Sends beyond the first", &["service"]),
             connects: family("firspindle_connects_total", "Connections opened", &["to"]),
             sends,
--- a/crates/mesh/src/process/mesh_node.rs
+++ b/crates/mesh/src/process/mesh_node.rs
@@ -172,7 +172,9 @@
         tokio::task::spawn_local(serve_connections(forward, ServerKind::Peers, context.clone()));
         tokio::task::spawn_local(measure_demand(context.clone()));
         loop {
-            tokio::time::sleep(LOAD_UPDATE_INTERVAL).await;
+            let due = Instant::now() + LOAD_UPDATE_INTERVAL;
+            tokio::time::sleep_until(due.into()).await;
+            context.shared.metrics.timer_lag.observe(due.elapsed().as_secs_f64());
             let slots = context.shared.view.load().upstream.as_ref().map(|row| row.slots);
             if let Some(slots) = slots {
                 context.limiter.resize(slots);
--- a/crates/mesh/src/request.rs
+++ b/crates/mesh/src/request.rs
@@ -8,6 +8,7 @@
 mod demand_meter;
 mod forward_step;
 mod owner_step;
+mod request_progress;
 mod response_step;
 mod route_step;
 mod routed_request;
@@ -21,4 +22,5 @@
 pub use traffic_context::{InFlightGuard, TrafficContext};
 
 pub(crate) use demand_meter::{DemandMeter, METER_INTERVAL};
+pub(crate) use request_progress::{RequestProgress, RequestStage};
 pub(crate) use routed_request::RoutedRequest;
--- a/crates/mesh/src/request/attempt_step.rs
+++ b/crates/mesh/src/request/attempt_step.rs
@@ -11,7 +11,7 @@
 use super::owner_step::run_locally;
 use super::response_step::local_response;
 use super::route_step::RoutedCall;
-use super::{AttemptOutcome, NotRunReason, RoutedRequest, TrafficContext};
+use super::{AttemptOutcome, NotRunReason, RequestStage, RoutedRequest, TrafficContext};
 use crate::connection::ProxyResponse;
 use crate::version::{MeshView, PeerView};
 
@@ -37,6 +37,7 @@
     let request = &routed.request;
     let mut tried: Vec<Box<str>> = Vec::new();
     loop {
+        request.progress.enter(RequestStage::Choosing);
         let view = context.shared.view.load_full();
         let Some(peer) = choose_node(context, &view, request, &tried) else {
             if let Some(response) = wait_for_owner(request, record, NO_OWNER_RETRY_AFTER).await {
@@ -144,7 +145,8 @@
     let outcome = if peer.host == context.settings.host {
         run_locally(context, request).await
     } else {
-        forward(context, peer.forward, request).await
+        request.progress.enter(RequestStage::Forwarded);
+        forward(context, peer.forward, request, &mut record.network_time).await
     };
     drop(guard);
     let sent = match &outcome {
--- a/crates/mesh/src/request/caller_entry.rs
+++ b/crates/mesh/src/request/caller_entry.rs
@@ -1,17 +1,19 @@
 //! Handles a caller's request: routes it, runs attempts until its deadline, responds, and records
 //! the result in metrics and logs.
 
-use std::time::Instant;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 use http::header::CONNECTION;
 use http::{HeaderValue, Request, StatusCode};
 use hyper::body::Incoming;
 
-use super::TrafficContext;
 use super::attempt_step::run_attempts;
+use super::request_progress::AbandonGuard;
 use super::response_step::local_response;
 use super::route_step::{RoutedCall, route_request};
 use super::traffic_context::elapsed_ms;
+use super::{RequestProgress, TrafficContext};
 use crate::connection::ProxyResponse;
 
 /// Handles a request of a caller.
@@ -21,12 +23,14 @@
 ) -> ProxyResponse {
     let in_flight = context.track_request();
     let arrived = Instant::now();
-    let mut record = AccessRecord::default();
+    let guard = AbandonGuard::new(context, "entry");
+    let mut record = AccessRecord { progress: guard.progress(), ..AccessRecord::default() };
     let routed = route_request(context, request, arrived, &mut record).await;
     let mut response = match routed {
         Ok(routed) => run_until_deadline(context, &routed, &mut record).await,
         Err(response) => response,
     };
+    guard.answered();
     record_response(context, &record, &response, arrived);
     if context.shared.view.load().stopping {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -67,6 +71,9 @@
     pub(super) sends: u32,
     pub(super) manifest_version: u64,
     pub(super) outcome: &'static str,
+    /// Time of the last forwarded send that the owner did not have the request.
+    pub(super) network_time: Duration,
+    pub(super) progress: Rc<RequestProgress>,
 }
 
 fn record_response(
@@ -84,7 +91,8 @@
             request = &*record.id, route = &*record.route, service = &*record.service,
             manifest = record.manifest_version, host = &*record.host, sends = record.sends,
             outcome = record.outcome, status = status.as_u16(),
-            took_ms = elapsed_ms(arrived), left_out;
+            took_ms = elapsed_ms(arrived),
+            network_ms = u64::try_from(record.network_time.as_millis()).unwrap_or(u64::MAX), left_out;
             "answer"
         );
     });
--- a/crates/mesh/src/request/forward_step.rs
+++ b/crates/mesh/src/request/forward_step.rs
@@ -4,24 +4,27 @@
 use std::time::{Duration, Instant};
 
 use firspindle_core::request::RequestVerdict;
-use http::Request;
+use http::{HeaderMap, Request};
 use http_body_util::Full;
 
 use super::response_step::parse_refusal;
-use super::routed_request::{METADATA_HEADER, REASON_HEADER, VERDICT_HEADER};
+use super::routed_request::{METADATA_HEADER, OWNER_TIME_HEADER, REASON_HEADER, VERDICT_HEADER};
 use super::{AttemptOutcome, NotRunReason, RoutedRequest, TrafficContext};
 use crate::connection::{ProxyBody, SendError, StreamedBody};
 
 /// Time after which an idle connection to another node is not reused.
 const IDLE_LIMIT: Duration = Duration::from_secs(30);
 
-/// Forwards a request to another node and decodes its response.
+/// Forwards a request to another node and decodes its response. Sets `network_time` to the time
+/// until the response less the time that the owner had the request.
 pub(super) async fn forward(
     context: &TrafficContext,
     address: SocketAddr,
     request: &RoutedRequest,
+    network_time: &mut Duration,
 ) -> AttemptOutcome {
-    let Some(metadata) = request.metadata(Instant::now()) else {
+    let started = Instant::now();
+    let Some(metadata) = request.metadata(started) else {
         return AttemptOutcome::MayHaveRun { reason: "the service's name is no header value" };
     };
     let mut outgoing = Request::new(Full::new(request.body.clone()));
@@ -39,6 +42,9 @@
             return AttemptOutcome::MayHaveRun { reason: "the link to the owner broke" };
         }
     };
+    *network_time = started.elapsed().saturating_sub(owner_time(response.headers()));
+    let seconds = network_time.as_secs_f64();
+    context.shared.metrics.network_time.with_label_values(&[&request.service]).observe(seconds);
     if is_new {
         context.shared.metrics.connects.with_label_values(&["peer"]).inc();
     }
@@ -49,6 +55,7 @@
     match verdict {
         RequestVerdict::Ran => {
             head.headers.remove(VERDICT_HEADER);
+            head.headers.remove(OWNER_TIME_HEADER);
             AttemptOutcome::Answered(Box::new(http::Response::from_parts(
                 head,
                 ProxyBody::Streamed(body),
@@ -67,6 +74,12 @@
     }
 }
 
+/// Time that the owner had the request before it responded; zero if the response does not say.
+fn owner_time(headers: &HeaderMap) -> Duration {
+    let text = headers.get(OWNER_TIME_HEADER).and_then(|value| value.to_str().ok());
+    text.and_then(|text| text.parse().ok()).map_or(Duration::ZERO, Duration::from_millis)
+}
+
 /// Reads the short body of a response that is not passed on, so that its connection can be reused.
 fn drain(body: StreamedBody) {
     tokio::task::spawn_local(async move {
--- a/crates/mesh/src/request/owner_step.rs
+++ b/crates/mesh/src/request/owner_step.rs
@@ -1,5 +1,6 @@
 //! Runs requests at this node's upstream, for the node itself and for other nodes.
 
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use firspindle_core::version::{RequestKind, UpstreamState};
@@ -8,10 +9,13 @@
 use hyper::body::Incoming;
 
 use super::crash_step::{clear_suspect, refuse_suspect, report_crash};
+use super::request_progress::AbandonGuard;
 use super::response_step::{local_response, peer_response, strip_hop_by_hop_headers};
-use super::routed_request::{METADATA_HEADER, RequestMetadata};
+use super::routed_request::{METADATA_HEADER, OWNER_TIME_HEADER, RequestMetadata};
 use super::traffic_context::elapsed_ms;
-use super::{AttemptOutcome, NotRunReason, RoutedRequest, TrafficContext};
+use super::{
+    AttemptOutcome, NotRunReason, RequestProgress, RequestStage, RoutedRequest, TrafficContext,
+};
 use crate::connection::{
     OutboundResponse, ProxyBody, ProxyResponse, STATE_PATH, SendError, StreamedBody, UpstreamPermit,
 };
@@ -46,6 +50,21 @@
         return http::Response::new(ProxyBody::buffered(bytes));
     }
     let in_flight = context.track_request();
+    let arrived = Instant::now();
+    let guard = AbandonGuard::new(context, "owner");
+    let response = handle_forwarded(context, request, guard.progress()).await;
+    guard.answered();
+    let mut response = response;
+    response.headers_mut().insert(OWNER_TIME_HEADER, elapsed_ms(arrived).into());
+    response.body_mut().attach_guard(in_flight);
+    response
+}
+
+async fn handle_forwarded(
+    context: &TrafficContext,
+    request: Request<Incoming>,
+    progress: Rc<RequestProgress>,
+) -> ProxyResponse {
     if context.is_rejecting_requests() {
         let reason = NotRunReason::Unreachable;
         return peer_response(AttemptOutcome::NotRun {
@@ -74,7 +93,8 @@
     headers.remove(METADATA_HEADER);
     strip_hop_by_hop_headers(&mut headers);
     let id = headers.get(&context.headers.request_id).and_then(|value| value.to_str().ok());
-    let id = id.unwrap_or_default().into();
+    let id: Box<str> = id.unwrap_or_default().into();
+    progress.identify(&id);
     let request = RoutedRequest {
         method: head.method,
         uri: head.uri,
@@ -89,10 +109,9 @@
         deadline: metadata.deadline,
         owner_wait_until: metadata.owner_wait_until,
         objective_at: metadata.objective_at,
+        progress,
     };
-    let mut response = peer_response(run_locally(context, &request).await);
-    response.body_mut().attach_guard(in_flight);
-    response
+    peer_response(run_locally(context, &request).await)
 }
 
 /// Runs a request at this node's upstream, once its key is granted and the upstream has a free
@@ -105,9 +124,11 @@
     if let Some(cell) = request.cell {
         context.count_demand(cell);
     }
+    request.progress.enter(RequestStage::WaitingForGrant);
     if let Err(outcome) = wait_for_grant(context, request).await {
         return outcome;
     }
+    request.progress.enter(RequestStage::Queued);
     let latest_start = latest_start(request, context.limiter.service_time(), arrived);
     let permit = match context.limiter.acquire(request.class, latest_start).await {
         Ok(permit) => permit,
@@ -127,6 +148,7 @@
     if let Some(refusal) = refuse_suspect(context, request) {
         return refusal;
     }
+    request.progress.enter(RequestStage::Sent);
     let outcome = send(context, request, &upstream, permit).await;
     let outcome_text = match &outcome {
         AttemptOutcome::Answered(response) => response.status().as_str().to_owned(),
--- a/crates/mesh/src/request/route_step.rs
+++ b/crates/mesh/src/request/route_step.rs
@@ -1,5 +1,6 @@
 //! Routes a caller's request: finds its route, service and key, and sets its deadlines.
 
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use firspindle_core::version::{CellIndex, PriorityClass, RouteRow, cell_of_key};
@@ -11,7 +12,7 @@
 use super::caller_entry::AccessRecord;
 use super::response_step::{local_response, strip_hop_by_hop_headers};
 use super::routed_request::{METADATA_HEADER, REASON_HEADER, VERDICT_HEADER};
-use super::{RoutedRequest, TrafficContext};
+use super::{RequestProgress, RoutedRequest, TrafficContext};
 use crate::connection::ProxyResponse;
 
 /// `Retry-After` before a manifest is known and while the node restarts.
@@ -59,6 +60,7 @@
     record.manifest_version = manifest.version;
     let names = &context.headers;
     record.id = header_text(request.headers(), &names.request_id).unwrap_or_default().into();
+    record.progress.identify(&record.id);
     let host = requested_host(&request);
     let Some(route) = manifest.find(&host, request.uri().path()) else {
         record.outcome = "no-route";
@@ -87,7 +89,8 @@
         let status = StatusCode::SERVICE_UNAVAILABLE;
         return Err(local_response(status, "the node is about to end", Some(STARTUP_RETRY_AFTER)));
     }
-    let decision = RouteDecision { route, service, cell, deadline, arrived };
+    let progress = record.progress.clone();
+    let decision = RouteDecision { route, service, cell, deadline, arrived, progress };
     let request = read_request(context, request, manifest.limits.body_bytes, &decision).await?;
     record.outcome = "";
     Ok(RoutedCall { request, max_attempts: route.attempts })
@@ -100,6 +103,7 @@
     cell: Option<CellIndex>,
     deadline: Instant,
     arrived: Instant,
+    progress: Rc<RequestProgress>,
 }
 
 async fn read_request(
@@ -108,7 +112,7 @@
     body_bytes: usize,
     decision: &RouteDecision<'_>,
 ) -> Result<RoutedRequest, ProxyResponse> {
-    let &RouteDecision { route, service, cell, deadline, arrived } = decision;
+    let &RouteDecision { route, service, cell, deadline, arrived, ref progress } = decision;
     let (head, body) = request.into_parts();
     let mut headers = head.headers;
     strip_hop_by_hop_headers(&mut headers);
@@ -149,5 +153,6 @@
         objective_at: arrived + route.objective,
         owner_wait_until: arrived
             + (route.objective / OWNER_WAIT_DIVISOR).min((deadline - arrived) / 4),
+        progress: progress.clone(),
     })
 }
--- a/crates/mesh/src/request/routed_request.rs
+++ b/crates/mesh/src/request/routed_request.rs
@@ -1,11 +1,14 @@
 //! A request after routing, and the metadata of it that nodes send each other.
 
+use std::rc::Rc;
 use std::time::Instant;
 
 use bytes::Bytes;
 use firspindle_core::version::{CellIndex, PriorityClass, RequestKind};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Uri};
 
+use super::RequestProgress;
+
 /// Header of a forwarded request with the routing result of the entry node.
 pub(crate) const METADATA_HEADER: HeaderName = HeaderName::from_static("firspindle-facts");
 
@@ -15,6 +18,10 @@
 /// Header of a response between nodes: why the request did not run.
 pub(crate) const REASON_HEADER: HeaderName = HeaderName::from_static("firspindle-reason");
 
+/// Header of a response between nodes: milliseconds from the arrival of the request at the owner
+/// to this response.
+pub(crate) const OWNER_TIME_HEADER: HeaderName = HeaderName::from_static("firspindle-owner-ms");
+
 /// A request whose service and deadlines are known.
 #[derive(Debug, Clone)]
 pub(crate) struct RoutedRequest {
@@ -36,6 +43,8 @@
     pub(crate) owner_wait_until: Instant,
     /// Time by which the response meets the route's latency objective.
     pub(crate) objective_at: Instant,
+    /// How far this node has got with the request.
+    pub(crate) progress: Rc<RequestProgress>,
 }
 
 impl RoutedRequest {
