--- a/crates/mesh/src/process/mesh_settings.rs
+++ b/crates/mesh/src/process/mesh_settings.rs
@@ -7,6 +7,15 @@
 use serde::Deserialize;
 use toml::Spanned;
 
+/// Bytes in a megabit.
+const BYTES_PER_MEGABIT: f64 = 125_000.0;
+
+/// Least rate of a link that the settings may give, in megabits a second.
+const MIN_LINK_MBPS: f64 = 0.1;
+
+/// Highest rate of a link that the settings may give, in megabits a second.
+const MAX_LINK_MBPS: f64 = 1_000_000.0;
+
 /// Validated settings of a mesh node.
 #[derive(Debug, Clone, PartialEq)]
 pub struct MeshSettings {
@@ -58,6 +67,8 @@
     pub retry_window: Duration,
     /// Retries allowed in a window regardless of its number of requests.
     pub retry_allowance: f64,
+    /// Bytes that the host's link carries in a second; `None` if that is not known.
+    pub link_rate: Option<u64>,
 }
 
 #[derive(Deserialize)]
@@ -92,6 +103,7 @@
     retry_ratio: Spanned<f64>,
     retry_window_s: Spanned<f64>,
     retry_allowance: Spanned<f64>,
+    link_mbps: Option<Spanned<f64>>,
 }
 
 impl MeshSettings {
@@ -126,6 +138,10 @@
                 retry_ratio: non_negative(text, "retry_ratio", &bounds.retry_ratio)?,
                 retry_window: seconds(text, "retry_window_s", &bounds.retry_window_s)?,
                 retry_allowance: non_negative(text, "retry_allowance", &bounds.retry_allowance)?,
+                link_rate: match &bounds.link_mbps {
+                    Some(value) => Some(link_rate(text, value)?),
+                    None => None,
+                },
             },
         })
     }
@@ -156,6 +172,17 @@
     Err(SpecError::value(text, &value.span(), field, "must be a number of 0 or more"))
 }
 
+/// Converts megabits a second to bytes a second.
+fn link_rate(text: &str, value: &Spanned<f64>) -> Result<u64, SpecError> {
+    let number = *value.get_ref();
+    if !(MIN_LINK_MBPS..=MAX_LINK_MBPS).contains(&number) {
+        let reason = "must be megabits a second from 0.1 to 1000000";
+        return Err(SpecError::value(text, &value.span(), "link_mbps", reason));
+    }
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    Ok((number * BYTES_PER_MEGABIT) as u64)
+}
+
 fn seconds(text: &str, field: &str, value: &Spanned<f64>) -> Result<Duration, SpecError> {
     let number = *value.get_ref();
     let valid = number > 0.0 && number <= 86_400.0;
