fix(mesh): hand large bodies to the host's link no faster than it carries them

Cause: an unmanaged queue in a shared resource. A slot of the upstream is freed when the head of a response arrives, and the body went to the network as fast as the upstream gave it. Twelve links of 10 Mbit/s were offered 1.05 of what they carry; the excess queued in the link, before every other message of the host: forwarded requests and the closes behind them, responses to calls, readiness checks, acknowledgements of new connections.

Change: LinkSchedule (no IO) hands over parts of 16 KiB, the body that began first before the others, while the link has sent all but 50 ms of the earlier ones. Short messages go at once and are charged. Request bodies over 8 KiB take turns too; peers' state is charged.

--- a/crates/core/src/connection.rs
+++ b/crates/core/src/connection.rs
@@ -6,11 +6,13 @@
 
 mod demand_report;
 mod gossip_message;
+mod link_schedule;
 mod peer_message;
 mod upstream_report;
 
 pub use demand_report::{DemandReport, HOT_CELLS, HotCell};
 pub use gossip_message::{EchoRow, EndedFenceList, GossipMessage, UpstreamLoad};
+pub use link_schedule::{BodyOrder, LinkSchedule, PartTicket};
 pub use peer_message::{
     DedupState, Envelope, PeerMessage, PeerRecord, ReleaseNotice, ReleaseRequest, RenewReply,
     RenewRequest, RenewVerdict, RevokeReply, RevokeRequest, RevokeVerdict, RunState, SeenRequest,
--- a/crates/mesh/src/connection.rs
+++ b/crates/mesh/src/connection.rs
@@ -3,12 +3,16 @@
 
 mod connection_pool;
 mod http_server;
+mod link_pacer;
+mod paced_transfer;
 mod proxy_body;
 mod state_fetch;
 mod upstream_limiter;
 
 pub use connection_pool::{ConnectionPool, OutboundRequest, OutboundResponse, SendError};
 pub use http_server::{ServerKind, serve_connections};
+pub use link_pacer::{LinkPacer, LinkReservation};
+pub use paced_transfer::PacedTransfer;
 pub use proxy_body::{ProxyBody, ProxyResponse, StreamedBody};
 pub use state_fetch::{STATE_PATH, fetch_state, fetch_upstream_id};
 pub use upstream_limiter::{AdmissionRefusal, UpstreamLimiter, UpstreamPermit};
--- a/crates/mesh/src/connection/proxy_body.rs
+++ b/crates/mesh/src/connection/proxy_body.rs
@@ -10,6 +10,7 @@
 use tokio::time::{Instant, Sleep};
 
 use super::connection_pool::PooledConnection;
+use super::{LinkPacer, LinkReservation, PacedTransfer};
 use crate::request::InFlightGuard;
 
 /// A response to a caller or another node.
@@ -47,13 +48,21 @@
     deadline: Instant,
     sleep: Option<Pin<Box<Sleep>>>,
     in_flight: Option<InFlightGuard>,
+    /// Set where the body leaves over the host's link.
+    transfer: Option<PacedTransfer>,
 }
 
 impl StreamedBody {
     /// Streams a body until a deadline.
     pub fn new(inner: Incoming, connection: PooledConnection, deadline: Instant) -> Self {
-        let mut body =
-            Self { inner, connection: Some(connection), deadline, sleep: None, in_flight: None };
+        let mut body = Self {
+            inner,
+            connection: Some(connection),
+            deadline,
+            sleep: None,
+            in_flight: None,
+            transfer: None,
+        };
         if body.inner.is_end_stream() {
             body.finish();
         }
@@ -66,6 +75,67 @@
         }
     }
 
+    fn is_end_stream(&self) -> bool {
+        let all_handed_over = self.transfer.as_ref().is_none_or(PacedTransfer::is_empty);
+        all_handed_over && self.inner.is_end_stream()
+    }
+
+    /// Returns the next frame that was received.
+    fn poll_received(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        match Pin::new(&mut self.inner).poll_frame(cx) {
+            Poll::Ready(Some(Ok(frame))) => {
+                if self.inner.is_end_stream() {
+                    self.finish();
+                }
+                Poll::Ready(Some(Ok(frame)))
+            }
+            Poll::Ready(Some(Err(error))) => {
+                self.connection = None;
+                Poll::Ready(Some(Err(BodyError::Broken(error))))
+            }
+            Poll::Ready(None) => {
+                self.finish();
+                Poll::Ready(None)
+            }
+            Poll::Pending => Poll::Pending,
+        }
+    }
+
+    /// Returns the next frame that may be passed on.
+    fn poll_passed_on(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        loop {
+            if let Some(transfer) = self.transfer.as_mut().filter(|transfer| !transfer.is_empty()) {
+                return transfer.poll_part(cx).map(|part| Some(Ok(Frame::data(part))));
+            }
+            let frame = match self.poll_received(cx) {
+                Poll::Ready(Some(Ok(frame))) => frame,
+                other => return other,
+            };
+            match (&mut self.transfer, frame.into_data()) {
+                (Some(transfer), Ok(data)) if !data.is_empty() => transfer.hold(data),
+                (_, Ok(data)) => return Poll::Ready(Some(Ok(Frame::data(data)))),
+                (_, Err(frame)) => return Poll::Ready(Some(Ok(frame))),
+            }
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        let held = self.transfer.as_ref().map_or(0, PacedTransfer::held_bytes);
+        let received = self.inner.size_hint();
+        let mut hint = SizeHint::new();
+        hint.set_lower(received.lower() + held);
+        if let Some(upper) = received.upper() {
+            hint.set_upper(upper + held);
+        }
+        hint
+    }
+
     fn poll_deadline(&mut self, cx: &mut Context<'_>) -> bool {
         let deadline = self.deadline;
         let sleep = self.sleep.get_or_insert_with(|| Box::pin(tokio::time::sleep_until(deadline)));
@@ -88,6 +158,17 @@
         Self::Buffered(Some(bytes).filter(|bytes| !bytes.is_empty()), None)
     }
 
+    /// Makes the body leave over the host's link, no faster than the link carries it.
+    pub fn pace(&mut self, pacer: &LinkPacer, mut reservation: LinkReservation) {
+        match self {
+            Self::Buffered(bytes, _) => pacer.charge(bytes.as_ref().map_or(0, Bytes::len)),
+            Self::Streamed(body) => {
+                reservation.resize(body.inner.size_hint().lower());
+                body.transfer = Some(PacedTransfer::new(pacer.clone(), reservation));
+            }
+        }
+    }
+
     /// Keeps the request counted as in flight until the body is dropped.
     pub fn attach_guard(&mut self, guard: InFlightGuard) {
         match self {
@@ -111,32 +192,18 @@
             }
             Self::Streamed(body) => body,
         };
-        match Pin::new(&mut body.inner).poll_frame(cx) {
-            Poll::Ready(Some(Ok(frame))) => {
-                if body.inner.is_end_stream() {
-                    body.finish();
-                }
-                Poll::Ready(Some(Ok(frame)))
-            }
-            Poll::Ready(Some(Err(error))) => {
-                body.connection = None;
-                Poll::Ready(Some(Err(BodyError::Broken(error))))
-            }
-            Poll::Ready(None) => {
-                body.finish();
-                Poll::Ready(None)
-            }
+        match body.poll_passed_on(cx) {
             Poll::Pending if body.poll_deadline(cx) => {
                 Poll::Ready(Some(Err(BodyError::DeadlineExceeded)))
             }
-            Poll::Pending => Poll::Pending,
+            polled => polled,
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Buffered(bytes, _) => bytes.is_none(),
-            Self::Streamed(body) => body.inner.is_end_stream(),
+            Self::Streamed(body) => body.is_end_stream(),
         }
     }
 
@@ -145,7 +212,7 @@
             Self::Buffered(bytes, _) => {
                 SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
             }
-            Self::Streamed(body) => body.inner.size_hint(),
+            Self::Streamed(body) => body.size_hint(),
         }
     }
 }
--- a/crates/mesh/src/process/mesh_node.rs
+++ b/crates/mesh/src/process/mesh_node.rs
@@ -171,6 +171,7 @@
         tokio::task::spawn_local(serve_connections(traffic, ServerKind::Callers, context.clone()));
         tokio::task::spawn_local(serve_connections(forward, ServerKind::Peers, context.clone()));
         tokio::task::spawn_local(measure_demand(context.clone()));
+        tokio::task::spawn_local(context.link.clone().run());
         loop {
             let due = Instant::now() + LOAD_UPDATE_INTERVAL;
             tokio::time::sleep_until(due.into()).await;
--- a/crates/mesh/src/request.rs
+++ b/crates/mesh/src/request.rs
@@ -15,6 +15,9 @@
 mod shared_state;
 mod traffic_context;
 
+/// Bytes that the head of a request or response takes on the link, about.
+const HEAD_BYTES: usize = 600;
+
 pub use attempt_outcome::{AttemptOutcome, NotRunReason};
 pub use caller_entry::handle_caller_request;
 pub use owner_step::handle_peer_request;
--- a/crates/mesh/src/request/forward_step.rs
+++ b/crates/mesh/src/request/forward_step.rs
@@ -9,7 +9,7 @@
 
 use super::response_step::parse_refusal;
 use super::routed_request::{METADATA_HEADER, OWNER_TIME_HEADER, REASON_HEADER, VERDICT_HEADER};
-use super::{AttemptOutcome, NotRunReason, RoutedRequest, TrafficContext};
+use super::{AttemptOutcome, HEAD_BYTES, NotRunReason, RoutedRequest, TrafficContext};
 use crate::connection::{ProxyBody, SendError, StreamedBody};
 
 /// Time after which an idle connection to another node is not reused.
@@ -32,6 +32,7 @@
     *outgoing.uri_mut() = request.uri.clone();
     *outgoing.headers_mut() = request.headers.clone();
     outgoing.headers_mut().insert(METADATA_HEADER, metadata);
+    context.link.wait_for_turn(HEAD_BYTES + request.body.len()).await;
     let sent = context.peers.send(address, outgoing, IDLE_LIMIT).await;
     let (response, connection, is_new) = match sent {
         Ok(sent) => sent,
--- a/crates/mesh/src/request/owner_step.rs
+++ b/crates/mesh/src/request/owner_step.rs
@@ -14,7 +14,8 @@
 use super::routed_request::{METADATA_HEADER, OWNER_TIME_HEADER, RequestMetadata};
 use super::traffic_context::elapsed_ms;
 use super::{
-    AttemptOutcome, NotRunReason, RequestProgress, RequestStage, RoutedRequest, TrafficContext,
+    AttemptOutcome, HEAD_BYTES, NotRunReason, RequestProgress, RequestStage, RoutedRequest,
+    TrafficContext,
 };
 use crate::connection::{
     OutboundResponse, ProxyBody, ProxyResponse, STATE_PATH, SendError, StreamedBody, UpstreamPermit,
@@ -47,14 +48,16 @@
 ) -> ProxyResponse {
     if request.uri().path() == STATE_PATH {
         let bytes = context.shared.view.load().snapshot.encode();
+        context.link.charge(HEAD_BYTES + bytes.len());
         return http::Response::new(ProxyBody::buffered(bytes));
     }
     let in_flight = context.track_request();
     let arrived = Instant::now();
     let guard = AbandonGuard::new(context, "owner");
-    let response = handle_forwarded(context, request, guard.progress()).await;
+    let mut response = handle_forwarded(context, request, guard.progress()).await;
     guard.answered();
-    let mut response = response;
+    context.link.charge(HEAD_BYTES);
+    response.body_mut().pace(&context.link, context.link.reserve(0));
     response.headers_mut().insert(OWNER_TIME_HEADER, elapsed_ms(arrived).into());
     response.body_mut().attach_guard(in_flight);
     response
--- a/crates/mesh/src/request/traffic_context.rs
+++ b/crates/mesh/src/request/traffic_context.rs
@@ -12,7 +12,7 @@
 use tokio::sync::mpsc::UnboundedSender;
 
 use super::{DemandMeter, SharedState};
-use crate::connection::{ConnectionPool, UpstreamLimiter};
+use crate::connection::{ConnectionPool, LinkPacer, UpstreamLimiter};
 use crate::process::{ControlEvent, MeshSettings};
 
 /// State that all requests of the traffic thread share.
@@ -33,6 +33,8 @@
     pub upstream: ConnectionPool,
     /// Concurrency limit and queue in front of the upstream.
     pub limiter: UpstreamLimiter,
+    /// Hands large bodies to the host's link.
+    pub link: LinkPacer,
     /// Notifies pending requests that the process is about to exit.
     pub exit_notify: Notify,
     meter: RefCell<DemandMeter>,
@@ -62,6 +64,7 @@
         clock: BootClock,
         control_tx: UnboundedSender<ControlEvent>,
     ) -> Self {
+        let link = LinkPacer::new(settings.bounds.link_rate);
         Self {
             settings,
             headers,
@@ -71,6 +74,7 @@
             peers: ConnectionPool::default(),
             upstream: ConnectionPool::default(),
             limiter: UpstreamLimiter::default(),
+            link,
             exit_notify: Notify::new(),
             meter: RefCell::default(),
             budgets: RefCell::default(),
--- a/crates/mesh/tests/ownership/world.rs
+++ b/crates/mesh/tests/ownership/world.rs
@@ -121,6 +121,7 @@
             admin: address(7),
         },
         bounds: MeshBounds {
+            link_rate: None,
             drain: Duration::from_secs(2),
             grace: Duration::from_secs(6),
             hold_limit: Duration::from_secs(10),
