fix(mesh): refuse downloads that the link cannot carry in time

A download was run and then waited for its link past its deadline.

Change: a forwarded download reserves the mean length on arrival and its real length when its response begins. It is refused at once, with the time until the excess is gone as Retry-After, if the link's backlog would take more than half of what is left until its objective (a late one: the mean time of a run).

--- a/crates/mesh/src/connection/link_pacer.rs
+++ b/crates/mesh/src/connection/link_pacer.rs
@@ -14,6 +14,9 @@
 /// Bytes of a body's beginning that do not wait. Bodies that are not longer never wait.
 pub(super) const UNPACED_BYTES: usize = 8 * 1024;
 
+/// Divisor that gives the weight of the newest body in the mean length.
+const SMOOTHING_DIVISOR: u64 = 16;
+
 /// Most bytes of a body that are handed over at once.
 pub(super) const PART_BYTES: usize = 16 * 1024;
 
@@ -22,6 +25,8 @@
     /// Parts that wait, by ticket in ascending order.
     waiting: Vec<(PartTicket, oneshot::Sender<()>)>,
     next_order: BodyOrder,
+    /// Mean length of downloads that do not go at once, in bytes.
+    mean_length: u64,
 }
 
 /// Hands large bodies to the host's link no faster than it carries them. Without a known rate,
@@ -97,6 +102,7 @@
             schedule: LinkSchedule::new((rate as f64 * LINK_SHARE) as u64, Instant::now()),
             waiting: Vec::new(),
             next_order: 0,
+            mean_length: 0,
         });
         Self { state: state.map(|state| Rc::new(RefCell::new(state))), added: Rc::default() }
     }
@@ -142,6 +148,33 @@
         self.state.as_ref().map_or(Duration::ZERO, |state| state.borrow().schedule.backlog(now))
     }
 
+    /// Mean length of downloads that do not go at once, in bytes; 0 before the first.
+    pub fn mean_length(&self) -> u64 {
+        self.state.as_ref().map_or(0, |state| state.borrow().mean_length)
+    }
+
+    /// Time that the link takes for a download of mean length after all that it is to carry already.
+    pub fn expected_wait(&self) -> Duration {
+        let now = Instant::now();
+        self.state.as_ref().map_or(Duration::ZERO, |state| {
+            let state = state.borrow();
+            state.schedule.backlog(now) + state.schedule.transfer_time(state.mean_length)
+        })
+    }
+
+    /// Counts the length of a download in the mean, unless it goes at once.
+    pub fn count_length(&self, bytes: u64) {
+        let Some(state) = self.state.as_ref().filter(|_| bytes > UNPACED_BYTES as u64) else {
+            return;
+        };
+        let mut state = state.borrow_mut();
+        state.mean_length = if state.mean_length == 0 {
+            bytes
+        } else {
+            (state.mean_length * (SMOOTHING_DIVISOR - 1) + bytes) / SMOOTHING_DIVISOR
+        };
+    }
+
     /// Returns the order of a body that begins now.
     pub(super) fn next_order(&self) -> BodyOrder {
         let Some(state) = &self.state else { return 0 };
--- a/crates/mesh/src/connection/proxy_body.rs
+++ b/crates/mesh/src/connection/proxy_body.rs
@@ -163,7 +163,8 @@
         match self {
             Self::Buffered(bytes, _) => pacer.charge(bytes.as_ref().map_or(0, Bytes::len)),
             Self::Streamed(body) => {
-                reservation.resize(body.inner.size_hint().lower());
+                let length = body.inner.size_hint().lower();
+                reservation.resize(length);
                 body.transfer = Some(PacedTransfer::new(pacer.clone(), reservation));
             }
         }
--- a/crates/mesh/src/connection/upstream_limiter.rs
+++ b/crates/mesh/src/connection/upstream_limiter.rs
@@ -94,6 +94,7 @@
             waiting: count(state.queue.len()),
             slots: state.slots,
             service_ms: count(usize::try_from(state.service_time.as_millis()).unwrap_or(0)),
+            link_ms: 0,
         }
     }
 
--- a/crates/mesh/src/request/owner_step.rs
+++ b/crates/mesh/src/request/owner_step.rs
@@ -6,7 +6,7 @@
 use firspindle_core::version::{RequestKind, UpstreamState};
 use http::{HeaderMap, HeaderName, HeaderValue, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 
 use super::crash_step::{clear_suspect, refuse_suspect, report_crash};
 use super::request_progress::AbandonGuard;
@@ -38,6 +38,10 @@
 /// this.
 const LATE_WAIT_DIVISOR: u32 = 2;
 
+/// A download may wait for the link for the time left until its objective divided by this; it also
+/// waits for a slot and runs in that time.
+const LINK_WAIT_DIVISOR: u32 = 2;
+
 /// `Retry-After` while keys change owner or a node restarts.
 const HANDOVER_RETRY_AFTER: Duration = Duration::from_millis(700);
 
@@ -57,7 +61,6 @@
     let mut response = handle_forwarded(context, request, guard.progress()).await;
     guard.answered();
     context.link.charge(HEAD_BYTES);
-    response.body_mut().pace(&context.link, context.link.reserve(0));
     response.headers_mut().insert(OWNER_TIME_HEADER, elapsed_ms(arrived).into());
     response.body_mut().attach_guard(in_flight);
     response
@@ -112,9 +115,15 @@
         deadline: metadata.deadline,
         owner_wait_until: metadata.owner_wait_until,
         objective_at: metadata.objective_at,
+        over_link: true,
         progress,
     };
-    peer_response(run_locally(context, &request).await)
+    let expected =
+        if request.kind == RequestKind::Download { context.link.mean_length() } else { 0 };
+    let reservation = context.link.reserve(expected);
+    let mut response = peer_response(run_locally(context, &request).await);
+    response.body_mut().pace(&context.link, reservation);
+    response
 }
 
 /// Runs a request at this node's upstream, once its key is granted and the upstream has a free
@@ -131,6 +140,10 @@
     if let Err(outcome) = wait_for_grant(context, request).await {
         return outcome;
     }
+    if let Some(refusal) = refuse_for_link(context, request) {
+        log_run(context, request, "link-full", arrived);
+        return refusal;
+    }
     request.progress.enter(RequestStage::Queued);
     let latest_start = latest_start(request, context.limiter.service_time(), arrived);
     let permit = match context.limiter.acquire(request.class, latest_start).await {
@@ -162,6 +175,19 @@
     outcome
 }
 
+/// Refuses a download that the link could not carry in time behind those that it is to carry already.
+/// One that is late in any case may wait for the link for the mean time of a run.
+fn refuse_for_link(context: &TrafficContext, request: &RoutedRequest) -> Option<AttemptOutcome> {
+    if !request.over_link || request.kind != RequestKind::Download {
+        return None;
+    }
+    let service_time = context.limiter.service_time();
+    let left = request.objective_at.saturating_duration_since(Instant::now());
+    let patience = (left / LINK_WAIT_DIVISOR).max(service_time);
+    let excess = context.link.backlog().checked_sub(patience).filter(|time| !time.is_zero())?;
+    Some(AttemptOutcome::NotRun { reason: NotRunReason::QueueFull, retry_after: Some(excess) })
+}
+
 /// Latest time at which the request may start: until then the response is likely to meet the
 /// objective. Under sustained overload a longer queue does not serve more requests; it only makes
 /// all of them late. A request that is late already may still wait for a short time.
@@ -278,6 +304,9 @@
     match check_response(context, request, &response) {
         ResponseCheck::Valid => {
             permit.answered();
+            if request.kind == RequestKind::Download {
+                context.link.count_length(response.body().size_hint().lower());
+            }
             clear_suspect(context, request);
             AttemptOutcome::Answered(Box::new(stream_response(response)))
         }
--- a/crates/mesh/src/request/route_step.rs
+++ b/crates/mesh/src/request/route_step.rs
@@ -153,6 +153,7 @@
         objective_at: arrived + route.objective,
         owner_wait_until: arrived
             + (route.objective / OWNER_WAIT_DIVISOR).min((deadline - arrived) / 4),
+        over_link: false,
         progress: progress.clone(),
     })
 }
--- a/crates/mesh/src/request/routed_request.rs
+++ b/crates/mesh/src/request/routed_request.rs
@@ -43,6 +43,8 @@
     pub(crate) owner_wait_until: Instant,
     /// Time by which the response meets the route's latency objective.
     pub(crate) objective_at: Instant,
+    /// Whether the response leaves over this host's link, to another node.
+    pub(crate) over_link: bool,
     /// How far this node has got with the request.
     pub(crate) progress: Rc<RequestProgress>,
 }
