feat(mesh): choose the node for a download by its link's backlog, the caller's own host first

What callers saw: 17 in 100 callers of downloads are at a host that could serve them without a link, and their downloads crossed one all the same.

Cause: the choice weighed slots and data centres only.

Change: a node's load says how long its link takes for one more download (link_ms, in datagrams). A download to another host costs that time in times of a run; the caller's own host costs nothing.

links::downloads_are_served_on_the_callers_host failed before (6 of 20 went to the other host).

--- a/crates/core/src/connection/gossip_message.rs
+++ b/crates/core/src/connection/gossip_message.rs
@@ -25,6 +25,9 @@
     pub slots: u32,
     /// Mean time of a run in milliseconds; 0 if unknown.
     pub service_ms: u32,
+    /// Time that the host's link takes for one more large body after those that it is to carry
+    /// already, in milliseconds; 0 if its rate is unknown.
+    pub link_ms: u32,
 }
 
 /// Echo of the timestamp in an earlier datagram of the receiver, with the state of the sender's
--- a/crates/mesh/src/process/mesh_node.rs
+++ b/crates/mesh/src/process/mesh_node.rs
@@ -7,6 +7,7 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
+use firspindle_core::connection::UpstreamLoad;
 use firspindle_edge::{BootClock, PlatformCodec, StateStore, unix_ms};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use snafu::{ResultExt, Snafu};
@@ -180,7 +181,9 @@
             if let Some(slots) = slots {
                 context.limiter.resize(slots);
             }
-            context.shared.set_load(context.limiter.load());
+            let link_ms = u32::try_from(context.link.expected_wait().as_millis());
+            let link_ms = link_ms.unwrap_or(u32::MAX);
+            context.shared.set_load(UpstreamLoad { link_ms, ..context.limiter.load() });
             context.peers.close_idle(PEER_IDLE_TIMEOUT);
             context.end_pending_requests(Instant::now());
         }
--- a/crates/mesh/src/request/attempt_step.rs
+++ b/crates/mesh/src/request/attempt_step.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use firspindle_core::connection::UpstreamLoad;
 use firspindle_core::version::RequestKind;
 use http::StatusCode;
 
@@ -176,6 +177,14 @@
     }
 }
 
+/// Cost of a download's way over the link of another host, in times of a run.
+fn link_cost(kind: RequestKind, load: UpstreamLoad) -> f64 {
+    if kind != RequestKind::Download {
+        return 0.0;
+    }
+    f64::from(load.link_ms) / f64::from(load.service_ms.max(1))
+}
+
 /// Chooses the node for the next send: the key's owner, or for a service without keys the node with
 /// the least cost.
 fn choose_node<'a>(
@@ -198,7 +207,9 @@
         let utilization = f64::from(active) / f64::from(peer.load.slots.max(1));
         let distance =
             if peer.data_centre == *local_data_centre { 0.0 } else { REMOTE_DATA_CENTRE_COST };
-        utilization + distance + rand::random::<f64>() / 20.0
+        let local = peer.host == context.settings.host;
+        let link = if local { 0.0 } else { link_cost(request.kind, peer.load) };
+        utilization + distance + link + rand::random::<f64>() / 20.0
     };
     let peers = view.peers.iter().filter(available);
     peers.min_by(|a, b| cost(a).total_cmp(&cost(b)))
--- a/crates/mesh/src/request/shared_state.rs
+++ b/crates/mesh/src/request/shared_state.rs
@@ -31,6 +31,7 @@
     waiting: AtomicU32,
     slots: AtomicU32,
     service_ms: AtomicU32,
+    link_ms: AtomicU32,
 }
 
 impl SharedState {
@@ -41,6 +42,7 @@
             waiting: self.waiting.load(Ordering::Relaxed),
             slots: self.slots.load(Ordering::Relaxed),
             service_ms: self.service_ms.load(Ordering::Relaxed),
+            link_ms: self.link_ms.load(Ordering::Relaxed),
         }
     }
 
@@ -62,5 +64,6 @@
         self.waiting.store(load.waiting, Ordering::Relaxed);
         self.slots.store(load.slots, Ordering::Relaxed);
         self.service_ms.store(load.service_ms, Ordering::Relaxed);
+        self.link_ms.store(load.link_ms, Ordering::Relaxed);
     }
 }
