--- a/crates/firspindle/tests/failures/requests.rs
+++ b/crates/firspindle/tests/failures/requests.rs
@@ -1,6 +1,8 @@
 //! Single requests that are repeated, interrupted or crash upstreams.
 
-use std::time::Duration;
+use std::io::Write;
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
 
 use harness::{Fleet, FleetSpec, HttpResponse, check_journals, new_request_id, wait_until};
 
@@ -137,3 +139,53 @@
     });
     assert_eq!(place_order(&fleet, 0, "/registre/orders", &new_request_id()).verdict(), "ran");
 }
+
+/// Longest time that a read goes on after its caller has left.
+const CANCEL_BOUND: Duration = Duration::from_millis(500);
+
+/// Sends a request and returns its connection, once an upstream runs it.
+fn start_request(fleet: &Fleet, host: usize, head: &str) -> TcpStream {
+    let mut caller = TcpStream::connect(fleet.traffic_address(host)).expect("the node listens");
+    write!(caller, "{head}\r\nhost: node\r\nfirspindle-key: garage-1\r\ncontent-length: 0\r\n\r\n")
+        .expect("the request can be written");
+    wait_until("an upstream runs the request", SETTLE_TIMEOUT, || {
+        (running_requests(fleet) == 1).then_some(())
+    });
+    caller
+}
+
+fn running_requests(fleet: &Fleet) -> usize {
+    (0..2).filter_map(|host| fleet.running_requests(host)).sum()
+}
+
+/// Guards against work for callers that are gone, at the owner of the key and at another node.
+#[test]
+fn a_closed_caller_connection_cancels_a_read() {
+    let fleet = start_fleet(FleetSpec::one_service("registre", 2, 2));
+    for host in 0..2 {
+        let caller = start_request(&fleet, host, "GET /registre/checks?work_ms=3000 HTTP/1.1");
+        drop(caller);
+        let left_at = Instant::now();
+        wait_until("the read ends", SETTLE_TIMEOUT, || {
+            (running_requests(&fleet) == 0).then_some(())
+        });
+        assert!(left_at.elapsed() <= CANCEL_BOUND, "host {host}: {:?}", left_at.elapsed());
+    }
+}
+
+/// Guards against an order that is lost, or runs twice, because its caller left and sent it again.
+#[test]
+fn an_order_goes_on_after_its_caller_left() {
+    let fleet = start_fleet(FleetSpec::one_service("registre", 2, 2));
+    for host in 0..2 {
+        let id = new_request_id();
+        let head = format!("POST /registre/orders?work_ms=1500 HTTP/1.1\r\nidempotency-key: {id}");
+        drop(start_request(&fleet, host, &head));
+        wait_until("the order ends", SETTLE_TIMEOUT, || {
+            (count_runs(&fleet, &id) == 1).then_some(())
+        });
+        let again = place_order(&fleet, host, "/registre/orders?work_ms=1500", &id);
+        assert_eq!((again.status, again.verdict()), (200, "ran"), "host {host}");
+        assert_eq!(count_runs(&fleet, &id), 1);
+    }
+}
