fix(firspindle): drop a read of the hash-divided node when its caller leaves

What callers saw: nothing, but upstreams of the hash-divided node worked on for callers that had left: a read of 3 s ran for 2.99 s after the close.

Cause: xitca-http awaits the handler alone and does not notice a close while it runs. The mesh node was moved to hyper for that reason; the hash-divided node was not.

Change: callers and other nodes are served with hyper, one thread for each worker as before; xitca-web keeps the administration address. A request that must not run twice runs in a task of its own and goes on, so that its repeat gets its response.

--- a/crates/firspindle/src/process/admin_service.rs
+++ b/crates/firspindle/src/process/admin_service.rs
@@ -20,7 +20,8 @@
 use super::process_error::{ProcessError, StartSnafu};
 use super::status_page::StatusPage;
 use super::{AnnounceBody, ControlEvent, LogClient, LogError};
-use crate::request::{StopServer, TrafficContext, run_server};
+use crate::connection::StopServer;
+use crate::request::TrafficContext;
 use firspindle_edge::boot_time;
 
 /// Time after which the response to a posted manifest says that the verdict is unknown.
@@ -65,6 +66,13 @@
     run_server(server.run())
 }
 
+/// Runs a server in its own thread.
+fn run_server(mut server: xitca_server::ServerFuture) -> Result<StopServer, ProcessError> {
+    let handle = server.handle().context(StartSnafu)?;
+    std::thread::spawn(move || server.wait());
+    Ok(Box::new(move || handle.stop(true)))
+}
+
 type HandlerResult = Result<WebResponse, Infallible>;
 
 fn reply(status: StatusCode, content_type: &'static str, body: impl Into<String>) -> WebResponse {
--- a/crates/firspindle/src/process/node_process.rs
+++ b/crates/firspindle/src/process/node_process.rs
@@ -65,8 +65,8 @@
         AdminState { status: status.clone(), context: context.clone(), tx: tx.clone(), log };
     let stop_admin = serve_admin(admin, admin_state)?;
     let workers = settings.workers;
-    let stop_forward = serve_requests(forward, workers, context.clone(), true)?;
-    let stop_traffic = serve_requests(traffic, workers, context.clone(), false)?;
+    let stop_forward = serve_requests(&forward, workers, &context, true)?;
+    let stop_traffic = serve_requests(&traffic, workers, &context, false)?;
     watch_signals(tx.clone())?;
     log::info!(
         host = &*settings.host, traffic:% = listen.traffic, admin:% = listen.admin;
--- a/crates/firspindle/src/request.rs
+++ b/crates/firspindle/src/request.rs
@@ -12,5 +12,4 @@
 pub use caller_request::CallerRequest;
 pub use caller_response::CallerResponse;
 pub use traffic_context::TrafficContext;
-pub(crate) use traffic_service::run_server;
-pub use traffic_service::{StopServer, serve_requests};
+pub use traffic_service::serve_requests;
--- a/crates/firspindle/src/request/traffic_service.rs
+++ b/crates/firspindle/src/request/traffic_service.rs
@@ -1,114 +1,102 @@
-//! HTTP servers for the requests of callers and for those that other nodes forward.
+//! Handles the requests of callers and those that other nodes forward.
 
-use std::convert::Infallible;
-use std::net::TcpListener;
+use std::net::{IpAddr, TcpListener};
 use std::pin::pin;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
 use firspindle_core::request::{RequestFailure, RequestVerdict};
-use http::HeaderValue;
 use http::header::{CONNECTION, CONTENT_LENGTH};
-use snafu::ResultExt;
-use xitca_web::body::{BodyExt, RequestBody, ResponseBody};
-use xitca_web::handler::body::Body;
-use xitca_web::handler::handler_service;
-use xitca_web::http::WebResponse;
-use xitca_web::{App, WebContext};
+use http::{HeaderValue, Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use tokio::task::spawn_local;
 
 use super::caller_request::RequestHead;
 use super::entry_step::route;
 use super::owner_step::run_locally;
 use super::{CallerRequest, CallerResponse, TrafficContext};
-use crate::process::{ProcessError, StartSnafu, unix_ms};
-
-/// Time after which an idle connection is closed.
-const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(60);
-
-/// Most headers in one request; the HTTP library refuses a request with more.
-const MAX_HEADERS: usize = 128;
+use crate::connection::{StopServer, serve};
+use crate::process::{ProcessError, unix_ms};
 
 /// Most bytes of a refused request's body that are read and discarded.
 const MAX_DISCARDED_BYTES: usize = 256 * 1024;
 
-/// Stops a server gracefully: it exits once its connections have ended.
-pub type StopServer = Box<dyn Fn() + Send>;
-
-/// State that the handlers of one server share.
-#[derive(Debug, Clone)]
-struct ServerState {
-    context: Arc<TrafficContext>,
-    /// Whether the requests come from other nodes.
-    forwarded: bool,
-}
-
 /// Serves requests of callers, or requests of other nodes if `forwarded`.
 ///
 /// # Errors
 ///
 /// If the server cannot start.
 pub fn serve_requests(
-    listener: TcpListener,
+    listener: &TcpListener,
     workers: usize,
-    context: Arc<TrafficContext>,
+    context: &Arc<TrafficContext>,
     forwarded: bool,
 ) -> Result<StopServer, ProcessError> {
-    let state = ServerState { context, forwarded };
-    let server = App::new()
-        .with_state(state)
-        .at("/", handler_service(handle_request))
-        .at("/{*}", handler_service(handle_request))
-        .serve()
-        .disable_signal()
-        .worker_threads(workers)
-        .keep_alive_timeout(KEEP_ALIVE_TIMEOUT)
-        .max_request_headers::<MAX_HEADERS>()
-        .listen(listener)
-        .context(StartSnafu)?;
-    run_server(server.run())
-}
-
-/// Runs a server in its own thread.
-pub(crate) fn run_server(
-    mut server: xitca_server::ServerFuture,
-) -> Result<StopServer, ProcessError> {
-    let handle = server.handle().context(StartSnafu)?;
-    std::thread::spawn(move || server.wait());
-    Ok(Box::new(move || handle.stop(true)))
+    let context = context.clone();
+    serve(listener, workers, move |request, remote| {
+        handle_request(context.clone(), request, remote, forwarded)
+    })
 }
 
 /// Runs a forwarded request or routes a caller's, and responds.
 async fn handle_request(
-    ctx: &WebContext<'_, ServerState>,
-    Body(body): Body<RequestBody>,
-) -> Result<WebResponse, Infallible> {
-    let state = ctx.state();
-    let context = &state.context;
+    context: Arc<TrafficContext>,
+    request: Request<Incoming>,
+    remote: IpAddr,
+    forwarded: bool,
+) -> Response<Full<Bytes>> {
     let in_flight = context.track_request();
     let arrived = Instant::now();
-    let request = ctx.req();
+    let (parts, body) = request.into_parts();
     let head = RequestHead {
-        method: request.method(),
-        path_and_query: request.uri().path_and_query().map_or("/", |path| path.as_str()),
-        headers: request.headers(),
-        forwarded: state.forwarded,
-        remote: request.body().socket_addr().ip(),
+        method: &parts.method,
+        path_and_query: parts.uri.path_and_query().map_or("/", |path| path.as_str()),
+        headers: &parts.headers,
+        forwarded,
+        remote,
         now_ms: unix_ms(),
     };
-    let (service, caller_response) = match read_request(context, &head, body).await {
-        Ok(request) if state.forwarded => {
-            (request.service.name.clone(), run_locally(context, &request).await)
+    let (service, caller_response) = match read_request(&context, &head, body).await {
+        Ok(request) => {
+            let service = request.service.name.clone();
+            (service, respond(&context, request, forwarded).await)
         }
-        Ok(request) => (request.service.name.clone(), route(context, &request).await),
         Err(failure) => ("".into(), CallerResponse::failed(&failure)),
     };
-    if !state.forwarded {
-        record_metrics(context, &service, &caller_response, arrived);
+    if !forwarded {
+        record_metrics(&context, &service, &caller_response, arrived);
     }
     let stopping = context.view.load().stopping;
     drop(in_flight);
-    Ok(to_response(caller_response, stopping))
+    to_response(caller_response, stopping)
+}
+
+/// Runs a forwarded request or routes a caller's. A request that must not run twice goes on if this
+/// future is dropped, so that its repeat gets its response.
+async fn respond(
+    context: &Arc<TrafficContext>,
+    request: CallerRequest,
+    forwarded: bool,
+) -> CallerResponse {
+    if request.operation.idempotent {
+        return run_or_route(context, &request, forwarded).await;
+    }
+    let context = context.clone();
+    let run = spawn_local(async move {
+        let _in_flight = context.track_request();
+        run_or_route(&context, &request, forwarded).await
+    });
+    run.await.unwrap_or_else(|_| CallerResponse::failed(&RequestFailure::ConnectionLost))
+}
+
+async fn run_or_route(
+    context: &TrafficContext,
+    request: &CallerRequest,
+    forwarded: bool,
+) -> CallerResponse {
+    if forwarded { run_locally(context, request).await } else { route(context, request).await }
 }
 
 fn record_metrics(
@@ -128,7 +116,7 @@
 async fn read_request(
     context: &TrafficContext,
     head: &RequestHead<'_>,
-    body: RequestBody,
+    body: Incoming,
 ) -> Result<CallerRequest, RequestFailure> {
     let routes = context.view.load().routes.clone();
     let mut body = pin!(body);
@@ -146,8 +134,8 @@
     let mut bytes = BytesMut::new();
     let mut too_large = declared.is_some_and(|length| length > limit);
     while !too_large {
-        match body.data().await {
-            Some(Ok(data)) => bytes.extend_from_slice(&data),
+        match body.frame().await {
+            Some(Ok(frame)) => bytes.extend_from_slice(&frame.into_data().unwrap_or_default()),
             Some(Err(_)) => return Err(RequestFailure::BodyTruncated),
             None => break,
         }
@@ -163,18 +151,18 @@
 
 /// Discards the rest of a body, up to a limit, so that its sender finishes sending and reads the
 /// refusal.
-async fn discard(mut body: std::pin::Pin<&mut RequestBody>) {
+async fn discard(mut body: std::pin::Pin<&mut Incoming>) {
     let mut size = 0;
-    while let Some(Ok(data)) = body.data().await {
-        size += data.len();
+    while let Some(Ok(frame)) = body.frame().await {
+        size += frame.data_ref().map_or(0, Bytes::len);
         if size > MAX_DISCARDED_BYTES {
             return;
         }
     }
 }
 
-fn to_response(caller_response: CallerResponse, stopping: bool) -> WebResponse {
-    let mut response = WebResponse::new(ResponseBody::bytes(caller_response.body));
+fn to_response(caller_response: CallerResponse, stopping: bool) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(caller_response.body));
     *response.status_mut() = caller_response.status;
     *response.headers_mut() = caller_response.headers;
     if stopping {
