--- a/crates/mesh/src/request/owner_step.rs
+++ b/crates/mesh/src/request/owner_step.rs
@@ -38,9 +38,9 @@
 /// this.
 const LATE_WAIT_DIVISOR: u32 = 2;
 
-/// A download may wait for the link for the time left until its objective divided by this; it also
-/// waits for a slot and runs in that time.
-const LINK_WAIT_DIVISOR: u32 = 2;
+/// A download is refused if, after this many times the mean time that downloads take at this node, the
+/// link could not carry it by its objective. Half of them take longer than the mean.
+const RUN_TIME_FACTOR: u32 = 2;
 
 /// `Retry-After` while keys change owner or a node restarts.
 const HANDOVER_RETRY_AFTER: Duration = Duration::from_millis(700);
@@ -166,6 +166,9 @@
     }
     request.progress.enter(RequestStage::Sent);
     let outcome = send(context, request, &upstream, permit).await;
+    if request.kind == RequestKind::Download && matches!(outcome, AttemptOutcome::Answered(_)) {
+        context.count_download_time(arrived.elapsed());
+    }
     let outcome_text = match &outcome {
         AttemptOutcome::Answered(response) => response.status().as_str().to_owned(),
         AttemptOutcome::NotRun { reason, .. } => reason.as_str().to_owned(),
@@ -183,7 +186,8 @@
     }
     let service_time = context.limiter.service_time();
     let left = request.objective_at.saturating_duration_since(Instant::now());
-    let patience = (left / LINK_WAIT_DIVISOR).max(service_time);
+    let run_time = context.download_time() * RUN_TIME_FACTOR;
+    let patience = left.saturating_sub(run_time).max(service_time);
     let excess = context.link.backlog().checked_sub(patience).filter(|time| !time.is_zero())?;
     Some(AttemptOutcome::NotRun { reason: NotRunReason::QueueFull, retry_after: Some(excess) })
 }
--- a/crates/mesh/src/request/traffic_context.rs
+++ b/crates/mesh/src/request/traffic_context.rs
@@ -1,6 +1,6 @@
 //! State that all requests of the traffic thread share.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
@@ -37,6 +37,8 @@
     pub link: LinkPacer,
     /// Notifies pending requests that the process is about to exit.
     pub exit_notify: Notify,
+    /// Mean time from a download's arrival at this node to the upstream's response.
+    download_time: Cell<Duration>,
     meter: RefCell<DemandMeter>,
     /// Retry budgets, sorted by service.
     budgets: RefCell<Vec<(Box<str>, RetryWindow)>>,
@@ -76,6 +78,7 @@
             limiter: UpstreamLimiter::default(),
             link,
             exit_notify: Notify::new(),
+            download_time: Cell::default(),
             meter: RefCell::default(),
             budgets: RefCell::default(),
             outstanding: RefCell::default(),
@@ -106,6 +109,19 @@
         InFlightGuard { shared: self.shared.clone() }
     }
 
+    /// Mean time from a download's arrival at this node to the upstream's response; zero before the
+    /// first.
+    pub fn download_time(&self) -> Duration {
+        self.download_time.get()
+    }
+
+    /// Counts the time from a download's arrival to the upstream's response in the mean.
+    pub fn count_download_time(&self, time: Duration) {
+        let mean = self.download_time.get();
+        let smoothed = (mean * (SMOOTHING_DIVISOR - 1) + time) / SMOOTHING_DIVISOR;
+        self.download_time.set(if mean.is_zero() { time } else { smoothed });
+    }
+
     /// Counts a request for a cell in the demand measurement.
     pub fn count_demand(&self, cell: usize) {
         self.meter.borrow_mut().count(cell);
@@ -180,6 +196,9 @@
     }
 }
 
+/// Divisor that gives the weight of the newest download in the mean time.
+const SMOOTHING_DIVISOR: u32 = 16;
+
 /// Time for the last responses before the process exits.
 const FINAL_RESPONSE_TIME: Duration = Duration::from_millis(200);
 
