--- a/crates/core/src/connection/gossip_message.rs
+++ b/crates/core/src/connection/gossip_message.rs
@@ -27,6 +27,7 @@
     pub service_ms: u32,
     /// Time that the host's link takes for one more large body after those that it is to carry
     /// already, in milliseconds; 0 if its rate is unknown.
+    #[serde(skip)]
     pub link_ms: u32,
 }
 
@@ -74,13 +75,18 @@
 }
 
 impl GossipMessage {
-    /// Encodes the datagram.
+    /// Encodes the datagram. Fields that earlier versions do not know follow the others, so that
+    /// nodes of both versions understand each other.
     pub fn encode(&self) -> Vec<u8> {
-        postcard::to_allocvec(self).unwrap_or_default()
+        let mut bytes = postcard::to_allocvec(self).unwrap_or_default();
+        bytes.extend(postcard::to_allocvec(&self.load.link_ms).unwrap_or_default());
+        bytes
     }
 
     /// Decodes a datagram; `None` if the bytes are malformed.
     pub fn decode(bytes: &[u8]) -> Option<Self> {
-        postcard::from_bytes(bytes).ok()
+        let (mut message, rest) = postcard::take_from_bytes::<Self>(bytes).ok()?;
+        message.load.link_ms = postcard::from_bytes(rest).unwrap_or(0);
+        Some(message)
     }
 }
--- /dev/null
+++ b/crates/core/tests/datagrams.rs
@@ -0,0 +1,45 @@
+//! Tests of datagrams between nodes of different versions.
+
+use firspindle_core::connection::{GossipMessage, UpstreamLoad};
+use firspindle_core::version::HostRecord;
+
+fn message(link_ms: u32) -> GossipMessage {
+    let address = "10.0.0.1:7".parse().expect("an address");
+    GossipMessage {
+        sender: HostRecord {
+            host: "host-1".into(),
+            data_centre: "here".into(),
+            incarnation: 1,
+            revision: 1,
+            forward: address,
+            gossip: address,
+            service: "orders".into(),
+            upstream: None,
+        },
+        stamp_ms: 5,
+        echo: None,
+        ends: [1, 2, 3],
+        reaches_store: true,
+        settled_version: 4,
+        load: UpstreamLoad { running: 1, waiting: 2, slots: 3, service_ms: 4, link_ms },
+        demand: None,
+        ended: Vec::new(),
+        acknowledged: Vec::new(),
+        suspects: Vec::new(),
+    }
+}
+
+#[test]
+fn a_datagram_is_read_as_it_was_written() {
+    let sent = message(300);
+    assert_eq!(GossipMessage::decode(&sent.encode()), Some(sent));
+}
+
+/// Guards against nodes that do not hear each other while a fleet is updated host by host.
+#[test]
+fn a_datagram_of_the_version_without_link_times_is_read() {
+    let bytes = postcard::to_allocvec(&message(300)).expect("the message can be encoded");
+    assert_eq!(GossipMessage::decode(&bytes), Some(message(0)));
+    let newer = message(300).encode();
+    assert_eq!(postcard::from_bytes::<GossipMessage>(&newer).ok(), Some(message(0)));
+}
--- a/crates/mesh/src/process/mesh_metrics.rs
+++ b/crates/mesh/src/process/mesh_metrics.rs
@@ -1,7 +1,8 @@
 //! Metrics in the Prometheus text format.
 
 use prometheus::{
-    Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, Opts, Registry, TextEncoder,
+    Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, Opts, Registry,
+    TextEncoder,
 };
 
 /// Upper bounds of the latency buckets in seconds, around the latency objectives of the services.
@@ -24,6 +25,8 @@
     pub timer_lag: Histogram,
     /// Requests whose caller left before the response, by role of the node and stage.
     pub abandoned: IntCounterVec,
+    /// Seconds until the host's link has sent all that it is to carry.
+    pub link_backlog: Gauge,
     /// Sends of a request beyond its first, by service.
     pub retries: IntCounterVec,
     /// Connections opened, by destination: peer or upstream.
@@ -53,6 +56,12 @@
             .buckets(LATENCY_BUCKETS_S.to_vec());
         let timer_lag = Histogram::with_opts(options).expect("valid");
         registry.register(Box::new(timer_lag.clone())).expect("the name is new");
+        let link_backlog = Gauge::new(
+            "firspindle_link_backlog_seconds",
+            "Time until the link has sent all that it is to carry",
+        )
+        .expect("valid");
+        registry.register(Box::new(link_backlog.clone())).expect("the name is new");
         Self {
             answers: family(
                 "firspindle_answers_total",
@@ -75,6 +84,7 @@
                 &["service"],
             ),
             timer_lag,
+            link_backlog,
             abandoned: family(
                 "firspindle_abandoned_total",
                 "Requests whose caller left before the response",
--- a/crates/mesh/src/process/mesh_node.rs
+++ b/crates/mesh/src/process/mesh_node.rs
@@ -181,6 +181,7 @@
             if let Some(slots) = slots {
                 context.limiter.resize(slots);
             }
+            context.shared.metrics.link_backlog.set(context.link.backlog().as_secs_f64());
             let link_ms = u32::try_from(context.link.expected_wait().as_millis());
             let link_ms = link_ms.unwrap_or(u32::MAX);
             context.shared.set_load(UpstreamLoad { link_ms, ..context.limiter.load() });
