fix(mesh): request bodies leave over the link in parts, like responses

Change: the body of a forwarded request takes a turn for each part of 16 KiB, with the same transfer as a response's body; the wait for a turn as a whole is gone.

--- a/crates/mesh/src/connection.rs
+++ b/crates/mesh/src/connection.rs
@@ -4,6 +4,7 @@
 mod connection_pool;
 mod http_server;
 mod link_pacer;
+mod outbound_body;
 mod paced_transfer;
 mod proxy_body;
 mod state_fetch;
@@ -12,6 +13,7 @@
 pub use connection_pool::{ConnectionPool, OutboundRequest, OutboundResponse, SendError};
 pub use http_server::{ServerKind, serve_connections};
 pub use link_pacer::{LinkPacer, LinkReservation};
+pub use outbound_body::OutboundBody;
 pub use paced_transfer::PacedTransfer;
 pub use proxy_body::{ProxyBody, ProxyResponse, StreamedBody};
 pub use state_fetch::{STATE_PATH, fetch_state, fetch_upstream_id};
--- a/crates/mesh/src/connection/connection_pool.rs
+++ b/crates/mesh/src/connection/connection_pool.rs
@@ -10,9 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use http::{Request, Response};
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -20,6 +18,8 @@
 use tokio::net::TcpSocket;
 use tokio::time::Instant;
 
+use super::OutboundBody;
+
 /// Time limit for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 
@@ -39,12 +39,12 @@
 const REUSE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// A request sent over a pooled connection.
-pub type OutboundRequest = Request<Full<Bytes>>;
+pub type OutboundRequest = Request<OutboundBody>;
 
 /// A response received over a pooled connection; its body is still to be read.
 pub type OutboundResponse = Response<Incoming>;
 
-type RequestSender = SendRequest<Full<Bytes>>;
+type RequestSender = SendRequest<OutboundBody>;
 
 /// Why there is no response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/mesh/src/connection/link_pacer.rs
+++ b/crates/mesh/src/connection/link_pacer.rs
@@ -196,16 +196,4 @@
         self.added.notify_one();
         Some(PartTurn { pacer: self.clone(), ticket, granted })
     }
-
-    /// Waits until a message of `length` bytes may be handed over as a whole, and charges it. A
-    /// short one does not wait.
-    pub async fn wait_for_turn(&self, length: usize) {
-        if length <= UNPACED_BYTES {
-            self.charge(length);
-            return;
-        }
-        if let Some(mut turn) = self.queue(self.next_order(), length) {
-            let _ = turn.granted().await;
-        }
-    }
 }
--- a/crates/mesh/src/connection/state_fetch.rs
+++ b/crates/mesh/src/connection/state_fetch.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use http::{HeaderName, Request};
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 
-use super::ConnectionPool;
+use super::{ConnectionPool, OutboundBody};
 use crate::version::StateSnapshot;
 
 /// Path under which a node serves its state, on the address for requests of other nodes.
@@ -17,7 +17,7 @@
 
 /// Fetches the state of the peer at an address; `None` if that fails.
 pub async fn fetch_state(address: SocketAddr) -> Option<StateSnapshot> {
-    let request = Request::get(STATE_PATH).body(Full::default()).ok()?;
+    let request = Request::get(STATE_PATH).body(OutboundBody::default()).ok()?;
     let fetch = async {
         let pool = ConnectionPool::default();
         let (response, _connection, _) = pool.send(address, request, Duration::ZERO).await.ok()?;
@@ -34,7 +34,7 @@
     path: &str,
     id_header: &HeaderName,
 ) -> impl Future<Output = Option<Box<str>>> + use<> {
-    let request = Request::get(path).body(Full::default());
+    let request = Request::get(path).body(OutboundBody::default());
     let id_header = id_header.clone();
     async move {
         let pool = ConnectionPool::default();
--- a/crates/mesh/src/request/forward_step.rs
+++ b/crates/mesh/src/request/forward_step.rs
@@ -5,12 +5,11 @@
 
 use firspindle_core::request::RequestVerdict;
 use http::{HeaderMap, Request};
-use http_body_util::Full;
 
 use super::response_step::parse_refusal;
 use super::routed_request::{METADATA_HEADER, OWNER_TIME_HEADER, REASON_HEADER, VERDICT_HEADER};
 use super::{AttemptOutcome, HEAD_BYTES, NotRunReason, RoutedRequest, TrafficContext};
-use crate::connection::{ProxyBody, SendError, StreamedBody};
+use crate::connection::{OutboundBody, ProxyBody, SendError, StreamedBody};
 
 /// Time after which an idle connection to another node is not reused.
 const IDLE_LIMIT: Duration = Duration::from_secs(30);
@@ -27,12 +26,13 @@
     let Some(metadata) = request.metadata(started) else {
         return AttemptOutcome::MayHaveRun { reason: "the service's name is no header value" };
     };
-    let mut outgoing = Request::new(Full::new(request.body.clone()));
+    context.link.charge(HEAD_BYTES);
+    let body = OutboundBody::paced(request.body.clone(), &context.link);
+    let mut outgoing = Request::new(body);
     *outgoing.method_mut() = request.method.clone();
     *outgoing.uri_mut() = request.uri.clone();
     *outgoing.headers_mut() = request.headers.clone();
     outgoing.headers_mut().insert(METADATA_HEADER, metadata);
-    context.link.wait_for_turn(HEAD_BYTES + request.body.len()).await;
     let sent = context.peers.send(address, outgoing, IDLE_LIMIT).await;
     let (response, connection, is_new) = match sent {
         Ok(sent) => sent,
--- a/crates/mesh/src/request/owner_step.rs
+++ b/crates/mesh/src/request/owner_step.rs
@@ -5,7 +5,7 @@
 
 use firspindle_core::version::{RequestKind, UpstreamState};
 use http::{HeaderMap, HeaderName, HeaderValue, Request, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 
 use super::crash_step::{clear_suspect, refuse_suspect, report_crash};
@@ -18,7 +18,8 @@
     TrafficContext,
 };
 use crate::connection::{
-    OutboundResponse, ProxyBody, ProxyResponse, STATE_PATH, SendError, StreamedBody, UpstreamPermit,
+    OutboundBody, OutboundRequest, OutboundResponse, ProxyBody, ProxyResponse, STATE_PATH,
+    SendError, StreamedBody, UpstreamPermit,
 };
 use crate::process::ControlEvent;
 use crate::version::{MeshView, UpstreamView};
@@ -327,10 +328,10 @@
     context: &TrafficContext,
     request: &RoutedRequest,
     upstream: &UpstreamView,
-) -> Option<Request<Full<bytes::Bytes>>> {
+) -> Option<OutboundRequest> {
     let names = &context.headers;
     let left = request.deadline.saturating_duration_since(Instant::now()).as_millis();
-    let mut outgoing = Request::new(Full::new(request.body.clone()));
+    let mut outgoing = Request::new(OutboundBody::whole(request.body.clone()));
     *outgoing.method_mut() = request.method.clone();
     *outgoing.uri_mut() = request.uri.clone();
     let mut headers = request.headers.clone();
