fix(firspindle): messages between hash-divided nodes as HTTP requests, not over nng

Cause, as far as traced: the library sends on a connection that it is taking down and panics. The proposed test (sends to peers that end, one process) did not abort on the old code: 4 runs of about 300 ends, 5 of about 5,000. Ruled out: newer library (1.0.1 is the newest), datagrams (a state is 0.5 MB), other sockets of the library (no limit on silence).

Found beside it, failing before: a connection that falls silent without a reset held all messages to that peer back for good (peer_ends::messages_arrive_again_after_a_connection_fell_silent).

Change: a message is the body of an HTTP request (hyper), sent by one thread with a bounded queue and a task for each peer; a peer that does not take it within 1 s loses it with its connection. cmake is no longer needed. Before: the new test fails (no message for 3 s).

--- a/crates/firspindle/src/process.rs
+++ b/crates/firspindle/src/process.rs
@@ -26,6 +26,7 @@
 pub use log_client::{LogBounds, LogClient, LogError, StoredRecord};
 pub use metrics_set::MetricsSet;
 pub use node_settings::{AdvertiseSettings, ListenSettings, NodeSettings};
+pub use peer_socket::{PeerSocket, listen as listen_for_peers};
 pub use process_error::ProcessError;
 pub(crate) use process_error::StartSnafu;
 pub use stall_watch::wake_up_stalled;
--- a/crates/firspindle/src/process/control_thread.rs
+++ b/crates/firspindle/src/process/control_thread.rs
@@ -20,9 +20,8 @@
 use tokio::sync::mpsc::UnboundedSender;
 use uuid::Uuid;
 
-use super::peer_socket::PeerSocket;
 use super::status_page::StatusPage;
-use super::{AnnounceBody, BootClock, ControlEvent, NodeSettings};
+use super::{AnnounceBody, BootClock, ControlEvent, NodeSettings, PeerSocket};
 use crate::connection::{PartitionGate, UpstreamHandle};
 use crate::request::TrafficContext;
 use crate::version::GateRow;
@@ -74,6 +73,8 @@
     pub tx: Sender<ControlEvent>,
     /// Sender of commands to the IO thread.
     pub io: UnboundedSender<IoCommand>,
+    /// Sends messages to other nodes.
+    pub peers: PeerSocket,
     /// State shared with the traffic threads.
     pub context: Arc<TrafficContext>,
     /// First offset that is not folded; the IO thread reads it.
@@ -116,7 +117,6 @@
     published_node: Option<u64>,
     /// Number of suspects in the published view; `usize::MAX` once they changed.
     published_suspects: usize,
-    peers: PeerSocket,
     /// Wall time minus boot time at the last check.
     last_wall_offset: Duration,
     started_at: Instant,
@@ -135,7 +135,6 @@
         let now = clock.now();
         let process_id = Uuid::new_v4().as_u128();
         let standby = new_standby(&parts.settings, process_id, now);
-        let peers = PeerSocket::new(parts.context.metrics.clone());
         Self {
             parts,
             clock,
@@ -152,7 +151,6 @@
             routes_revision: None,
             published_node: None,
             published_suspects: 0,
-            peers,
             last_wall_offset: unix_time(),
             started_at: now,
             seed_at: now + SEED_INTERVAL,
@@ -287,7 +285,7 @@
             use firspindle_core::connection::{Envelope, PeerMessage};
             let message = PeerMessage::Fetch { from, reply_to: reply_to.clone() };
             let envelope = Envelope { from: 0, to: 0, next_offset: from, message };
-            self.peers.send(&seed.to_string(), &envelope);
+            self.parts.peers.send(&seed.to_string(), &envelope);
         }
     }
 
@@ -307,7 +305,7 @@
 
     fn execute_action(&mut self, action: NodeAction) {
         match action {
-            NodeAction::Send { address, envelope } => self.peers.send(&address, &envelope),
+            NodeAction::Send { address, envelope } => self.parts.peers.send(&address, &envelope),
             NodeAction::Append { record } => {
                 let _ = self.parts.io.send(IoCommand::Append(Box::new(record)));
             }
--- a/crates/firspindle/src/process/node_process.rs
+++ b/crates/firspindle/src/process/node_process.rs
@@ -19,8 +19,8 @@
 use super::stall_watch::wake_up_stalled;
 use super::status_page::StatusPage;
 use super::{
-    ControlEvent, LogClient, MetricsSet, NodeSettings, ProcessError, log_reader, peer_socket,
-    record_writer,
+    ControlEvent, LogClient, MetricsSet, NodeSettings, PeerSocket, ProcessError, log_reader,
+    peer_socket, record_writer,
 };
 use crate::connection::{ConnectionPool, OutboundRequest, UpstreamHandle};
 use crate::request::{TrafficContext, serve_requests};
@@ -48,13 +48,9 @@
     let forward = bind(listen.forward, "forward")?;
     let admin = bind(listen.admin, "admin")?;
     let (tx, rx) = channel();
-    let peer = listen.peer.to_string();
-    peer_socket::listen(&peer, tx.clone()).map_err(|error| ProcessError::Listen {
-        address: peer.into(),
-        role: "peer",
-        reason: error.to_string().into(),
-    })?;
+    let stop_peer = peer_socket::listen(&bind(listen.peer, "peer")?, tx.clone())?;
     let metrics = Arc::new(MetricsSet::default());
+    let peers = PeerSocket::start(metrics.clone())?;
     let context = Arc::new(TrafficContext::new(metrics.clone(), tx.clone()));
     let folded_end = Arc::new(AtomicU64::new(1));
     let status = Arc::new(ArcSwap::from_pointee(StatusPage::default()));
@@ -72,14 +68,23 @@
         host = &*settings.host, traffic:% = listen.traffic, admin:% = listen.admin;
         "node started"
     );
-    let parts =
-        ControlParts { settings, rx, tx, io: io_tx, context: context.clone(), folded_end, status };
+    let parts = ControlParts {
+        settings,
+        rx,
+        tx,
+        io: io_tx,
+        peers,
+        context: context.clone(),
+        folded_end,
+        status,
+    };
     let control = std::thread::spawn(move || ControlThread::new(parts).run());
     let control_result = control.join();
     wait_for_callers(&context);
     stop_traffic();
     stop_forward();
     stop_admin();
+    stop_peer();
     std::thread::sleep(EXIT_IDLE_TIME);
     log::info!("node stopped");
     if control_result.is_err() {
--- a/crates/firspindle/src/process/process_error.rs
+++ b/crates/firspindle/src/process/process_error.rs
@@ -29,7 +29,7 @@
         address: Box<str>,
         /// What the address is for: `traffic`, `forward`, `admin` or `peer`.
         role: &'static str,
-        /// Error text of the operating system or, for `peer`, of nng.
+        /// Error text of the operating system.
         reason: Box<str>,
     },
     /// Starting a runtime, a server or the signal handler failed.
--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -1,7 +1,9 @@
 #!/usr/bin/env bash
-# Installs what a fresh machine lacks: cmake, which builds the nng library.
+# Checks that a fresh machine has what the build needs: Rust and a C compiler.
 set -euo pipefail
-if ! command -v cmake >/dev/null; then
-    echo "installing cmake"
-    apt-get update -qq && apt-get install -y -qq cmake >/dev/null
-fi
+for program in cargo cc; do
+    if ! command -v "$program" >/dev/null; then
+        echo "$program is missing; Rust 1.95 and a C compiler are needed" >&2
+        exit 1
+    fi
+done
