feat(mesh): count bytes exchanged with other nodes by purpose and data centre

Change: a counter family and a log line each 10 s; a peer's state is read up to 4 MiB (it had no bound). Ruled out: counting at the sockets, which don't know purposes.

--- a/crates/mesh/src/connection/proxy_body.rs
+++ b/crates/mesh/src/connection/proxy_body.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use http::Response;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
+use prometheus::IntCounter;
 use tokio::time::{Instant, Sleep};
 
 use super::connection_pool::PooledConnection;
@@ -48,6 +49,8 @@
     deadline: Instant,
     sleep: Option<Pin<Box<Sleep>>>,
     in_flight: Option<InFlightGuard>,
+    /// Counts the bytes that arrive from another node.
+    counter: Option<IntCounter>,
     /// Set where the body leaves over the host's link.
     transfer: Option<PacedTransfer>,
 }
@@ -61,6 +64,7 @@
             deadline,
             sleep: None,
             in_flight: None,
+            counter: None,
             transfer: None,
         };
         if body.inner.is_end_stream() {
@@ -69,6 +73,13 @@
         body
     }
 
+    /// Counts the bytes of the body as they arrive.
+    #[must_use]
+    pub fn count_with(mut self, counter: IntCounter) -> Self {
+        self.counter = Some(counter);
+        self
+    }
+
     fn finish(&mut self) {
         if let Some(connection) = self.connection.take() {
             connection.finish();
@@ -87,6 +98,9 @@
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         match Pin::new(&mut self.inner).poll_frame(cx) {
             Poll::Ready(Some(Ok(frame))) => {
+                if let (Some(counter), Some(data)) = (&self.counter, frame.data_ref()) {
+                    counter.inc_by(data.len() as u64);
+                }
                 if self.inner.is_end_stream() {
                     self.finish();
                 }
--- a/crates/mesh/src/connection/state_fetch.rs
+++ b/crates/mesh/src/connection/state_fetch.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use http::{HeaderName, Request};
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Limited};
 
 use super::{ConnectionPool, OutboundBody};
 use crate::version::StateSnapshot;
@@ -12,17 +12,23 @@
 /// Path under which a node serves its state, on the address for requests of other nodes.
 pub const STATE_PATH: &str = "/-/state";
 
+/// Largest state of a peer, in bytes: a plan and a manifest at the store's bound for a record, and
+/// the records of 10,000 hosts.
+const MAX_STATE_BYTES: usize = 4 * 1024 * 1024;
+
 /// Time limit for a request of the control thread.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// Fetches the state of the peer at an address; `None` if that fails.
-pub async fn fetch_state(address: SocketAddr) -> Option<StateSnapshot> {
+/// Fetches the state of the peer at an address, and the number of bytes that it took; `None` if that
+/// fails or the state is larger than [`MAX_STATE_BYTES`].
+pub async fn fetch_state(address: SocketAddr) -> Option<(StateSnapshot, usize)> {
     let request = Request::get(STATE_PATH).body(OutboundBody::default()).ok()?;
     let fetch = async {
         let pool = ConnectionPool::default();
         let (response, _connection, _) = pool.send(address, request, Duration::ZERO).await.ok()?;
-        let body = response.into_body().collect().await.ok()?;
-        StateSnapshot::decode(&body.to_bytes())
+        let body = Limited::new(response.into_body(), MAX_STATE_BYTES).collect().await.ok()?;
+        let bytes = body.to_bytes();
+        Some((StateSnapshot::decode(&bytes)?, bytes.len()))
     };
     tokio::time::timeout(FETCH_TIMEOUT, fetch).await.ok()?
 }
--- a/crates/mesh/src/process.rs
+++ b/crates/mesh/src/process.rs
@@ -13,7 +13,7 @@
 
 pub use control_event::ControlEvent;
 pub use control_state::{ControlAction, ControlState};
-pub use mesh_metrics::MeshMetrics;
+pub use mesh_metrics::{MeshMetrics, PeerTraffic};
 pub use mesh_node::{NodeError, run_mesh_node};
 pub use mesh_settings::{MeshBounds, MeshListen, MeshSettings};
 pub use store_watch::ReadSchedule;
--- a/crates/mesh/src/process/control_state.rs
+++ b/crates/mesh/src/process/control_state.rs
@@ -241,6 +241,13 @@
         Some(&self.hosts[index])
     }
 
+    /// Whether the node with this address for datagrams or requests is in this node's data centre.
+    pub fn is_in_own_data_centre(&self, address: SocketAddr) -> bool {
+        let at_address = |row: &&HostRecord| row.gossip == address || row.forward == address;
+        let record = self.hosts.iter().find(at_address);
+        record.is_some_and(|row| row.data_centre == self.settings.data_centre)
+    }
+
     fn others(&self) -> impl Iterator<Item = &HostRecord> {
         self.hosts.iter().filter(|row| row.host != self.settings.host)
     }
--- a/crates/mesh/src/process/control_thread.rs
+++ b/crates/mesh/src/process/control_thread.rs
@@ -20,10 +20,13 @@
 };
 use super::gossip_socket::read_datagrams;
 use super::store_watch::{ReadSchedule, UnansweredAt, watch_topic};
-use super::{ControlEvent, MeshSettings};
+use super::{ControlEvent, MeshSettings, PeerTraffic};
 use crate::connection::{fetch_state, fetch_upstream_id};
 use crate::request::SharedState;
 
+/// Ticks between two log lines with the bytes exchanged with other nodes: 10 s.
+const TRAFFIC_LOG_TICKS: u32 = 100;
+
 /// Time within which the other nodes are to acknowledge a crash. Acknowledgements take one round
 /// trip.
 const CRASH_NOTICE_TIMEOUT: Duration = Duration::from_millis(250);
@@ -238,6 +241,11 @@
         self.finish_notices();
         self.publish();
         self.step();
+        if self.ticks.is_multiple_of(TRAFFIC_LOG_TICKS) {
+            let metrics = &self.shared.metrics;
+            let (own, other) = (metrics.peer_bytes_text(true), metrics.peer_bytes_text(false));
+            log::info!(own_data_centre = own, other_data_centres = other; "bytes exchanged with other nodes");
+        }
         if self.ticks.is_multiple_of(GOSSIP_TICKS) {
             let hosts = self.state.other_hosts();
             let now = self.clock.now();
@@ -294,6 +302,7 @@
         for action in actions {
             match action {
                 ControlAction::Send(address, bytes) => {
+                    self.count_bytes(PeerTraffic::Datagram, address, bytes.len());
                     if let Err(error) = self.socket.try_send_to(&bytes, address) {
                         log::debug!(address:%, error:%; "sending a datagram failed");
                     }
@@ -306,6 +315,11 @@
         }
     }
 
+    fn count_bytes(&self, purpose: PeerTraffic, address: SocketAddr, bytes: usize) {
+        let same = self.state.is_in_own_data_centre(address);
+        self.shared.metrics.peer_bytes(purpose, same).inc_by(bytes as u64);
+    }
+
     fn spawn_probe(&self, path: &str) {
         let (tx, probe) =
             (self.tx.clone(), fetch_upstream_id(self.upstream, path, &self.upstream_id));
@@ -315,10 +329,12 @@
     }
 
     fn spawn_fetch(&self, address: SocketAddr) {
-        let tx = self.tx.clone();
+        let (tx, shared) = (self.tx.clone(), self.shared.clone());
+        let same = self.state.is_in_own_data_centre(address);
         tokio::task::spawn_local(async move {
             match fetch_state(address).await {
-                Some(state) => {
+                Some((state, bytes)) => {
+                    shared.metrics.peer_bytes(PeerTraffic::State, same).inc_by(bytes as u64);
                     let _ = tx.send(ControlEvent::PeerState(state));
                 }
                 None => log::info!(address:%; "fetching the state of a peer failed"),
--- a/crates/mesh/src/process/mesh_metrics.rs
+++ b/crates/mesh/src/process/mesh_metrics.rs
@@ -31,6 +31,9 @@
     pub retries: IntCounterVec,
     /// Connections opened, by destination: peer or upstream.
     pub connects: IntCounterVec,
+    /// Bytes exchanged with other nodes, by purpose and by where the other node is; counted by the
+    /// node that sent the request or the datagram, without the headers of TCP and IP.
+    pub peer_bytes: IntCounterVec,
     /// Requests sent to the upstream.
     pub sends: IntCounter,
 }
@@ -91,6 +94,11 @@
                 &["role", "stage"],
             ),
             retries: family("firspindle_retries_total", "Sends beyond the first", &["service"]),
+            peer_bytes: family(
+                "firspindle_peer_bytes_total",
+                "Bytes exchanged with other nodes",
+                &["purpose", "data_centre"],
+            ),
             connects: family("firspindle_connects_total", "Connections opened", &["to"]),
             sends,
             registry,
@@ -98,7 +106,53 @@
     }
 }
 
+/// What bytes between two nodes are for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PeerTraffic {
+    /// Forwarded request: head and body.
+    Request,
+    /// Response to a forwarded request: head and body.
+    Response,
+    /// Datagram of the control thread.
+    Datagram,
+    /// State that a node fetched from another.
+    State,
+}
+
+impl PeerTraffic {
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Request => "request",
+            Self::Response => "response",
+            Self::Datagram => "datagram",
+            Self::State => "state",
+        }
+    }
+}
+
 impl MeshMetrics {
+    /// Returns the counter of bytes for a purpose, exchanged with nodes of this node's data centre
+    /// or of others.
+    pub fn peer_bytes(&self, purpose: PeerTraffic, same_data_centre: bool) -> IntCounter {
+        let place = if same_data_centre { "own" } else { "other" };
+        self.peer_bytes.with_label_values(&[purpose.as_str(), place])
+    }
+
+    /// Returns the bytes exchanged with nodes of this node's data centre or of others, as text:
+    /// purpose and bytes, separated by commas.
+    pub fn peer_bytes_text(&self, same_data_centre: bool) -> String {
+        let purposes = [
+            PeerTraffic::Request,
+            PeerTraffic::Response,
+            PeerTraffic::Datagram,
+            PeerTraffic::State,
+        ];
+        let bytes = purposes.map(|purpose| {
+            format!("{}:{}", purpose.as_str(), self.peer_bytes(purpose, same_data_centre).get())
+        });
+        bytes.join(",")
+    }
+
     /// Returns all metrics as Prometheus text; empty if they cannot be encoded.
     pub fn render(&self) -> String {
         TextEncoder::new().encode_to_string(&self.registry.gather()).unwrap_or_default()
--- a/crates/mesh/src/request/attempt_step.rs
+++ b/crates/mesh/src/request/attempt_step.rs
@@ -147,7 +147,7 @@
         run_locally(context, request).await
     } else {
         request.progress.enter(RequestStage::Forwarded);
-        forward(context, peer.forward, request, &mut record.network_time).await
+        forward(context, peer, request, &mut record.network_time).await
     };
     drop(guard);
     let sent = match &outcome {
--- a/crates/mesh/src/request/forward_step.rs
+++ b/crates/mesh/src/request/forward_step.rs
@@ -1,6 +1,5 @@
 //! Forwards a request to the node whose upstream is to run it.
 
-use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use firspindle_core::request::RequestVerdict;
@@ -10,19 +9,23 @@
 use super::routed_request::{METADATA_HEADER, OWNER_TIME_HEADER, REASON_HEADER, VERDICT_HEADER};
 use super::{AttemptOutcome, HEAD_BYTES, NotRunReason, RoutedRequest, TrafficContext};
 use crate::connection::{OutboundBody, ProxyBody, SendError, StreamedBody};
+use crate::process::PeerTraffic;
+use crate::version::PeerView;
 
 /// Time after which an idle connection to another node is not reused.
 const IDLE_LIMIT: Duration = Duration::from_secs(30);
 
-/// Forwards a request to another node and decodes its response. Sets `network_time` to the time
+/// Forwards a request to a peer and decodes its response. Sets `network_time` to the time
 /// until the response less the time that the owner had the request.
 pub(super) async fn forward(
     context: &TrafficContext,
-    address: SocketAddr,
+    peer: &PeerView,
     request: &RoutedRequest,
     network_time: &mut Duration,
 ) -> AttemptOutcome {
     let started = Instant::now();
+    let same_data_centre = peer.data_centre == context.settings.data_centre;
+    let metrics = &context.shared.metrics;
     let Some(metadata) = request.metadata(started) else {
         return AttemptOutcome::MayHaveRun { reason: "the service's name is no header value" };
     };
@@ -33,7 +36,10 @@
     *outgoing.uri_mut() = request.uri.clone();
     *outgoing.headers_mut() = request.headers.clone();
     outgoing.headers_mut().insert(METADATA_HEADER, metadata);
-    let sent = context.peers.send(address, outgoing, IDLE_LIMIT).await;
+    let sent_bytes =
+        head_bytes(outgoing.headers()) + outgoing.uri().path().len() + request.body.len();
+    metrics.peer_bytes(PeerTraffic::Request, same_data_centre).inc_by(sent_bytes as u64);
+    let sent = context.peers.send(peer.forward, outgoing, IDLE_LIMIT).await;
     let (response, connection, is_new) = match sent {
         Ok(sent) => sent,
         Err(SendError::Refused | SendError::NotSent) => {
@@ -45,14 +51,16 @@
     };
     *network_time = started.elapsed().saturating_sub(owner_time(response.headers()));
     let seconds = network_time.as_secs_f64();
-    context.shared.metrics.network_time.with_label_values(&[&request.service]).observe(seconds);
+    metrics.network_time.with_label_values(&[&request.service]).observe(seconds);
     if is_new {
-        context.shared.metrics.connects.with_label_values(&["peer"]).inc();
+        metrics.connects.with_label_values(&["peer"]).inc();
     }
     let verdict = response.headers().get(VERDICT_HEADER).and_then(|value| value.to_str().ok());
     let verdict = verdict.map_or(RequestVerdict::MayHaveRun, RequestVerdict::parse);
     let (mut head, body) = response.into_parts();
-    let body = StreamedBody::new(body, connection, request.deadline.into());
+    let received = metrics.peer_bytes(PeerTraffic::Response, same_data_centre);
+    received.inc_by(head_bytes(&head.headers) as u64);
+    let body = StreamedBody::new(body, connection, request.deadline.into()).count_with(received);
     match verdict {
         RequestVerdict::Ran => {
             head.headers.remove(VERDICT_HEADER);
@@ -75,6 +83,11 @@
     }
 }
 
+/// Bytes of the headers of a message, with the separators around them.
+fn head_bytes(headers: &HeaderMap) -> usize {
+    headers.iter().map(|(name, value)| name.as_str().len() + value.len() + 4).sum()
+}
+
 /// Time that the owner had the request before it responded; zero if the response does not say.
 fn owner_time(headers: &HeaderMap) -> Duration {
     let text = headers.get(OWNER_TIME_HEADER).and_then(|value| value.to_str().ok());
