perf(mesh): a request without key stays in its data centre while an upstream there has room

So responses; of them downloads and calls need not cross at all, but a node elsewhere cost only 0.3 of its slots more, less than the spread of loads that are 0.3 s old.

--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -2,6 +2,7 @@
 
 mod admission_queue;
 mod dedup_table;
+mod node_choice;
 mod request_failure;
 mod request_verdict;
 mod retry_budget;
@@ -12,6 +13,7 @@
 
 pub use admission_queue::{Admission, AdmissionQueue, Completion};
 pub use dedup_table::{DedupDecision, DedupTable, id_unix_ms};
+pub use node_choice::{NodeDistance, NodeOption, choose_node};
 pub use request_failure::RequestFailure;
 pub use request_verdict::RequestVerdict;
 pub use retry_budget::RetryBudget;
--- /dev/null
+++ b/crates/core/tests/choice.rs
@@ -0,0 +1,118 @@
+//! Plays loads through the choice of a node and checks what callers and the network get.
+
+// Rates and counts in these tests are far below the limits of their types.
+#![allow(clippy::cast_precision_loss, clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+
+use firspindle_core::connection::UpstreamLoad;
+use firspindle_core::request::{NodeDistance, NodeOption, choose_node};
+use firspindle_core::version::RequestKind;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+/// Slots of each upstream.
+const SLOTS: u32 = 6;
+
+/// Mean time of a run, in milliseconds.
+const RUN_MS: f64 = 100.0;
+
+/// Time between two reports of load by datagrams, in milliseconds.
+const DATAGRAM_MS: usize = 300;
+
+/// Time between two reports of load that responses carry, in milliseconds.
+const RESPONSE_MS: usize = 50;
+
+/// Length of a play, in milliseconds.
+const PLAY_MS: usize = 120_000;
+
+/// An upstream that runs up to [`SLOTS`] requests and queues the others.
+#[derive(Default)]
+struct UpstreamModel {
+    /// Ends of the runs, in milliseconds.
+    running: Vec<f64>,
+    /// Arrivals of the requests that wait, in milliseconds.
+    waiting: Vec<f64>,
+    reported: UpstreamLoad,
+}
+
+impl UpstreamModel {
+    fn load(&self) -> UpstreamLoad {
+        UpstreamLoad {
+            running: self.running.len() as u32,
+            waiting: self.waiting.len() as u32,
+            slots: SLOTS,
+            service_ms: RUN_MS as u32,
+            link_ms: 0,
+        }
+    }
+}
+
+/// What callers got in a play.
+struct PlayResult {
+    /// Part of the requests that ran in another data centre.
+    crossing: f64,
+    /// Mean wait for a slot, in milliseconds.
+    mean_wait_ms: f64,
+}
+
+/// Plays a load on data centres of `per_centre` upstreams each. `utilization` is the load of each data
+/// centre's callers, as a part of the slots there. Each host's outstanding requests are not counted,
+/// as if every caller came to another node.
+fn play(utilization: &[f64], per_centre: usize, report_ms: usize, seed: u64) -> PlayResult {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut upstreams: Vec<UpstreamModel> = Vec::new();
+    upstreams.resize_with(utilization.len() * per_centre, UpstreamModel::default);
+    let (mut requests, mut crossed, mut waits) = (0.0, 0.0, 0.0);
+    for ms in 0..PLAY_MS {
+        let now = ms as f64;
+        for upstream in &mut upstreams {
+            upstream.running.retain(|end| *end > now);
+            while upstream.running.len() < SLOTS as usize && !upstream.waiting.is_empty() {
+                waits += now - upstream.waiting.remove(0);
+                upstream.running.push(now - RUN_MS * f64::ln(1.0 - rng.random::<f64>()));
+            }
+            if ms.is_multiple_of(report_ms) {
+                upstream.reported = upstream.load();
+            }
+        }
+        for (centre, part) in utilization.iter().enumerate() {
+            let rate = part * f64::from(SLOTS) * per_centre as f64 / RUN_MS;
+            let mut arrivals = rate.floor() as usize;
+            arrivals += usize::from(rng.random::<f64>() < rate.fract());
+            for _ in 0..arrivals {
+                let options: Vec<_> = upstreams
+                    .iter()
+                    .enumerate()
+                    .map(|(index, upstream)| NodeOption {
+                        load: upstream.reported,
+                        outstanding: 0,
+                        distance: if index / per_centre == centre {
+                            NodeDistance::SameDataCentre
+                        } else {
+                            NodeDistance::OtherDataCentre
+                        },
+                    })
+                    .collect();
+                let chosen = choose_node(&options, RequestKind::Idempotent, || rng.random());
+                let chosen = chosen.expect("there are options");
+                requests += 1.0;
+                crossed += f64::from(u8::from(chosen / per_centre != centre));
+                upstreams[chosen].waiting.push(now);
+            }
+        }
+    }
+    PlayResult { crossing: crossed / requests, mean_wait_ms: waits / requests }
+}
+
+/// Guards against requests that cross data centres, where bytes cost, though there is room in theirs.
+#[test]
+fn requests_stay_in_their_data_centre_while_it_has_room() {
+    let result = play(&[0.4, 0.4, 0.4], 2, DATAGRAM_MS, 1);
+    assert!(result.crossing < 0.05, "{:.3} of the requests crossed", result.crossing);
+}
+
+/// Guards against a full data centre beside idle ones.
+#[test]
+fn requests_leave_a_data_centre_that_is_full() {
+    let result = play(&[1.3, 0.2, 0.2], 2, RESPONSE_MS, 1);
+    assert!(result.mean_wait_ms < RUN_MS, "requests waited {:.0} ms", result.mean_wait_ms);
+}
--- a/crates/mesh/src/request/attempt_step.rs
+++ b/crates/mesh/src/request/attempt_step.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use firspindle_core::connection::UpstreamLoad;
+use firspindle_core::request::{NodeDistance, NodeOption, choose_node};
 use firspindle_core::version::RequestKind;
 use http::StatusCode;
 
@@ -22,9 +22,6 @@
 /// `Retry-After` while no owner is available.
 const NO_OWNER_RETRY_AFTER: Duration = Duration::from_millis(900);
 
-/// Cost added for a node in another data centre, as a fraction of its upstream's slots.
-const REMOTE_DATA_CENTRE_COST: f64 = 0.3;
-
 /// A request is not retried with less than this time left.
 const MIN_RETRY_TIME: Duration = Duration::from_millis(20);
 
@@ -40,7 +37,7 @@
     loop {
         request.progress.enter(RequestStage::Choosing);
         let view = context.shared.view.load_full();
-        let Some(peer) = choose_node(context, &view, request, &tried) else {
+        let Some(peer) = choose_peer(context, &view, request, &tried) else {
             if let Some(response) = wait_for_owner(request, record, NO_OWNER_RETRY_AFTER).await {
                 return response;
             }
@@ -177,17 +174,9 @@
     }
 }
 
-/// Cost of a download's way over the link of another host, in times of a run.
-fn link_cost(kind: RequestKind, load: UpstreamLoad) -> f64 {
-    if kind != RequestKind::Download {
-        return 0.0;
-    }
-    f64::from(load.link_ms) / f64::from(load.service_ms.max(1))
-}
-
 /// Chooses the node for the next send: the key's owner, or for a service without keys the node with
 /// the least cost.
-fn choose_node<'a>(
+fn choose_peer<'a>(
     context: &TrafficContext,
     view: &'a MeshView,
     request: &RoutedRequest,
@@ -197,20 +186,22 @@
         let ranges = view.ranges_of(&request.service)?;
         return view.peer(ranges.owner_host(cell));
     }
-    let local_data_centre = &context.settings.data_centre;
     let available = |peer: &&PeerView| {
         peer.available && peer.service == request.service && !tried.contains(&peer.host)
     };
-    let cost = |peer: &&PeerView| {
-        let reported = peer.load.running + peer.load.waiting;
-        let active = reported.max(context.outstanding(&peer.host)) + 1;
-        let utilization = f64::from(active) / f64::from(peer.load.slots.max(1));
-        let distance =
-            if peer.data_centre == *local_data_centre { 0.0 } else { REMOTE_DATA_CENTRE_COST };
-        let local = peer.host == context.settings.host;
-        let link = if local { 0.0 } else { link_cost(request.kind, peer.load) };
-        utilization + distance + link + rand::random::<f64>() / 20.0
+    let peers: Vec<_> = view.peers.iter().filter(available).collect();
+    let options: Vec<_> = peers.iter().map(|peer| node_option(context, peer)).collect();
+    let index = choose_node(&options, request.kind, rand::random::<f64>)?;
+    Some(peers[index])
+}
+
+fn node_option(context: &TrafficContext, peer: &PeerView) -> NodeOption {
+    let distance = if peer.host == context.settings.host {
+        NodeDistance::Own
+    } else if peer.data_centre == context.settings.data_centre {
+        NodeDistance::SameDataCentre
+    } else {
+        NodeDistance::OtherDataCentre
     };
-    let peers = view.peers.iter().filter(available);
-    peers.min_by(|a, b| cost(a).total_cmp(&cost(b)))
+    NodeOption { load: peer.load, outstanding: context.outstanding(&peer.host), distance }
 }
