perf(mesh): nodes hear of one another through relays of their data centre

Cause: 16 of all nodes drawn at random each 0.3 s, so a given peer is heard each 5.5 s at 295 hosts, and an echo is as old as the stamp that it echoes. Ruled out: a wider fan-out (cost grows with the fleet); more readers of the store (its calls are dear). Change: the first two hosts by name of each data centre that are not silent are relays. Nodes ask the relays of their data centre, relays besides one relay of each other data centre, and each question is answered at once. Relays collect attestations (sums of hashes say for which holders, ages for when), loads of upstreams without keys, changed host records, and who may plan; those get each node's load and demand each 0.6 s. Nothing is elected; a silent relay is passed over after 1 s. Safety: ownership histories and scripts now run in two data centres through relays: no second holder with all guards, and each guard taken out is found as before. a_silent_node_is_not_waited_for asks the node first: nodes no longer send to all others, so silence alone says nothing; the bound is the same.

--- a/crates/core/src/connection.rs
+++ b/crates/core/src/connection.rs
@@ -8,6 +8,7 @@
 mod gossip_message;
 mod link_schedule;
 mod peer_message;
+mod relay_report;
 mod upstream_report;
 
 pub use demand_report::{DemandReport, HOT_CELLS, HotCell};
@@ -18,4 +19,7 @@
     RenewRequest, RenewVerdict, RevokeReply, RevokeRequest, RevokeVerdict, RunState, SeenRequest,
     SuspectRow, SwitchReply, SwitchRequest, SwitchVerdict,
 };
+pub use relay_report::{
+    AttestationRow, HostHash, RelayReport, RelayedLoad, cover_hosts, hash_host,
+};
 pub use upstream_report::{FreedRow, GrantReply, GrantRow, HeldRow, UpstreamReport};
--- a/crates/core/src/connection/gossip_message.rs
+++ b/crates/core/src/connection/gossip_message.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::DemandReport;
+use super::{DemandReport, RelayReport};
 use crate::process::EndedFence;
 use crate::request::SuspectHint;
 use crate::version::HostRecord;
@@ -72,6 +72,9 @@
     pub acknowledged: EndedFenceList,
     /// Requests that the sender suspects of crashing upstreams.
     pub suspects: Vec<SuspectHint>,
+    /// What relays pass on.
+    #[serde(skip)]
+    pub report: RelayReport,
 }
 
 impl GossipMessage {
@@ -80,13 +83,16 @@
     pub fn encode(&self) -> Vec<u8> {
         let mut bytes = postcard::to_allocvec(self).unwrap_or_default();
         bytes.extend(postcard::to_allocvec(&self.load.link_ms).unwrap_or_default());
+        bytes.extend(postcard::to_allocvec(&self.report).unwrap_or_default());
         bytes
     }
 
     /// Decodes a datagram; `None` if the bytes are malformed.
     pub fn decode(bytes: &[u8]) -> Option<Self> {
         let (mut message, rest) = postcard::take_from_bytes::<Self>(bytes).ok()?;
-        message.load.link_ms = postcard::from_bytes(rest).unwrap_or(0);
+        let Ok((link_ms, rest)) = postcard::take_from_bytes(rest) else { return Some(message) };
+        message.load.link_ms = link_ms;
+        message.report = postcard::from_bytes(rest).unwrap_or_default();
         Some(message)
     }
 }
--- a/crates/core/src/process.rs
+++ b/crates/core/src/process.rs
@@ -25,6 +25,7 @@
 mod plan_confirmation;
 mod planner_schedule;
 mod range_planner;
+mod relay_choice;
 mod revocation_table;
 mod safety_guards;
 mod witness_table;
@@ -46,6 +47,9 @@
 pub use plan_confirmation::PlanConfirmation;
 pub use planner_schedule::PlannerSchedule;
 pub use range_planner::{RangeCandidate, ServiceCandidates, plan_ranges};
+pub use relay_choice::{
+    CentreRelays, RELAYS_PER_CENTRE, RelayCandidate, choose_relays, order_leaders,
+};
 pub use revocation_table::{RevocationCheck, RevocationTable};
 pub use safety_guards::SafetyGuards;
 pub use witness_table::WitnessTable;
--- a/crates/core/src/version/host_record.rs
+++ b/crates/core/src/version/host_record.rs
@@ -57,6 +57,12 @@
         (self.incarnation, self.revision) > (other.incarnation, other.revision)
     }
 
+    /// Whether two records of one host differ at most in the process that wrote them.
+    pub fn says_the_same(&self, other: &Self) -> bool {
+        let own = (&self.forward, &self.gossip, &self.service, &self.data_centre, &self.upstream);
+        own == (&other.forward, &other.gossip, &other.service, &other.data_centre, &other.upstream)
+    }
+
     /// Encodes the record.
     pub fn encode(&self) -> Vec<u8> {
         postcard::to_allocvec(self).unwrap_or_default()
--- a/crates/mesh/src/process.rs
+++ b/crates/mesh/src/process.rs
@@ -1,6 +1,8 @@
 //! Everything that lives as long as the process: settings, threads and the control state.
 
 mod admin_server;
+mod asked_table;
+mod change_log;
 mod control_event;
 mod control_state;
 mod control_thread;
--- a/crates/mesh/src/process/control_state.rs
+++ b/crates/mesh/src/process/control_state.rs
@@ -6,6 +6,7 @@
 mod gossip_step;
 mod plan_step;
 mod record_step;
+mod relay_step;
 mod suspect_step;
 mod upstream_step;
 
@@ -23,9 +24,12 @@
 use firspindle_edge::PlatformCodec;
 
 use super::MeshSettings;
+use super::asked_table::AskedTable;
+use super::change_log::ChangeLog;
 use super::peer_table::PeerTable;
 use super::store_watch::ReadSchedule;
 use crate::version::{MeshView, PeerView, RangeView, StateSnapshot, UpstreamView};
+use relay_step::{AttestationCache, RelayDuties, RelayedRow};
 
 /// Time between runs of [`ControlState::tick`].
 pub(super) const TICK_INTERVAL: Duration = Duration::from_millis(100);
@@ -33,13 +37,6 @@
 /// Ticks between two rounds of datagrams to other nodes.
 pub(super) const GOSSIP_TICKS: u32 = 3;
 
-/// Time between two rounds of datagrams to other nodes.
-const GOSSIP_INTERVAL: Duration = TICK_INTERVAL.saturating_mul(GOSSIP_TICKS);
-
-/// Nodes that are sent a datagram in each round, in addition to those that may plan. They are drawn
-/// at random if there are more.
-pub(super) const GOSSIP_FANOUT: usize = 16;
-
 /// Time without a datagram from another node after which it counts as lost: six rounds.
 const PEER_TIMEOUT: Duration = Duration::from_millis(2_000);
 
@@ -47,7 +44,8 @@
 /// receive datagrams of different hosts do not undo each other's plans forever.
 const OTHER_PLAN_DELAY: Duration = Duration::from_millis(800);
 
-/// Hosts, the first by name, that are sent the demand, so that the next planner can plan at once.
+/// Relays, the first by their order of duties, that are sent the demand, so that the next planner can
+/// plan at once.
 const PLANNER_COUNT: usize = 3;
 
 /// An action that the control thread carries out for the state.
@@ -109,6 +107,17 @@
     leaving: Vec<UpstreamInstance>,
     grants: GrantTable,
     peers: PeerTable,
+    asked: AskedTable,
+    /// Changes of host records, to be passed on.
+    changes: ChangeLog,
+    /// Loads that relays passed on, sorted by host.
+    relayed: Vec<RelayedRow>,
+    /// Number of the round of datagrams.
+    round: u32,
+    duties: RelayDuties,
+    attestations: Option<AttestationCache>,
+    /// Since when this node is among those that may plan.
+    leading_since: Option<Instant>,
     /// Whether the store answered this node's last call.
     reaches_store: bool,
     /// Since when a peer is known to have applied more records than this node.
@@ -171,6 +180,13 @@
             leaving: Vec::new(),
             grants,
             peers: PeerTable::default(),
+            asked: AskedTable::default(),
+            changes: ChangeLog::default(),
+            relayed: Vec::new(),
+            round: 0,
+            duties: RelayDuties::default(),
+            attestations: None,
+            leading_since: None,
             reaches_store: false,
             behind_since: None,
             ranges: Arc::default(),
@@ -207,6 +223,7 @@
         self.apply_own_ended_fences(now);
         self.revise_own_record();
         self.expire_suspects(now);
+        self.refresh_duties(now);
         // A record without the upstream that the previous process recorded would move its cells.
         let complete = self.own.upstream.is_some() || self.hosts_known;
         if complete && self.own_written.as_ref() != Some(&self.own) {
@@ -258,6 +275,11 @@
         ready && !self.stopping && self.closes_at.is_none_or(|at| now < at)
     }
 
+    /// Returns the load of the own upstream, without slots while it accepts no work.
+    fn open_load(&self, now: Instant) -> UpstreamLoad {
+        UpstreamLoad { slots: if self.is_open(now) { self.load.slots } else { 0 }, ..self.load }
+    }
+
     /// Returns the view of this state that the traffic thread reads.
     pub fn view(&self, now: Instant) -> MeshView {
         let peers: Vec<_> = self.hosts.iter().map(|record| self.peer_view(record, now)).collect();
@@ -284,13 +306,11 @@
 
     fn peer_view(&self, record: &HostRecord, now: Instant) -> PeerView {
         let own = record.host == self.settings.host;
-        let load = if own {
-            self.load
-        } else {
-            self.peers.get(&record.host).map_or(UpstreamLoad::default(), |peer| peer.load)
-        };
+        let reported = self.newest_load(&record.host).filter(|_| !own);
+        let load =
+            if own { self.load } else { reported.map_or_else(Default::default, |row| row.0) };
         let ready = record.upstream.as_ref().is_some_and(|row| row.state == UpstreamState::Ready);
-        let recent = self.peers.received_within(&record.host, PEER_TIMEOUT, now);
+        let recent = reported.is_some_and(|row| now < row.1 + PEER_TIMEOUT);
         let available = if own { self.is_open(now) } else { ready && recent && load.slots > 0 };
         PeerView {
             host: record.host.clone(),
--- a/crates/mesh/src/process/control_state/gossip_step.rs
+++ b/crates/mesh/src/process/control_state/gossip_step.rs
@@ -2,26 +2,36 @@
 
 use std::time::{Duration, Instant};
 
-use firspindle_core::connection::{EchoRow, EndedFenceList, GossipMessage, UpstreamLoad};
+use firspindle_core::connection::{
+    AttestationRow, EchoRow, EndedFenceList, GossipMessage, RelayReport,
+};
 use firspindle_core::process::EndedFence;
-use firspindle_core::version::HostRecord;
 use firspindle_edge::PlatformCodec;
 
-use super::{
-    ControlAction, ControlState, GOSSIP_FANOUT, GOSSIP_INTERVAL, PEER_TIMEOUT, PLANNER_COUNT,
-};
+use super::{ControlAction, ControlState};
+use crate::process::peer_table::CollectedAttestation;
 
 /// Most rows of ended fences in one datagram; about 1,200 bytes.
 const MAX_ENDED_ROWS: usize = 40;
 
-/// Time without a datagram that is tolerated from a node that draws the receivers at random, in
-/// mean times between two of its datagrams to one receiver. Chance alone causes a longer gap once
-/// in four hundred times.
-const MISSED_ROUNDS: u32 = 6;
+/// Dates the attestations that a peer passed on: it sent them after `sent_at`, so they are no older
+/// than their age before that.
+fn collect_attestations(
+    rows: &[AttestationRow],
+    plan_end: u64,
+    sent_at: Instant,
+) -> Vec<CollectedAttestation> {
+    let dated = rows.iter().filter_map(|row| {
+        let at = sent_at.checked_sub(Duration::from_millis(row.age_ms))?;
+        let service = row.service.clone();
+        Some(CollectedAttestation { service, plan_end, covered: row.covered, at })
+    });
+    dated.collect()
+}
 
 impl<C: PlatformCodec> ControlState<C> {
-    /// Handles a datagram of another node; returns the sender if it is to get a reply at
-    /// once, because it reported a suspect that is new to this node.
+    /// Handles a datagram of another node; returns the sender if it is to get a reply at once: it
+    /// asks for one, reported ended fences, or a suspect that is new to this node.
     pub fn handle_datagram(&mut self, bytes: &[u8], now: Instant) -> Option<Box<str>> {
         let Some(message) = GossipMessage::decode(bytes) else {
             log::warn!(length = bytes.len(); "datagram decoding failed");
@@ -31,6 +41,7 @@
             return None;
         }
         self.keep_host(message.sender.clone());
+        self.asked.note_answer(&message.sender.host);
         let stamp = self.stamp_ms(now);
         let peer = self.peers.update(&message, now)?;
         for row in &message.ended {
@@ -41,27 +52,41 @@
         }
         self.grants.remove_acknowledged(&message.acknowledged);
         if let Some(echo) = message.echo {
-            self.apply_echo(&message.sender.host, echo, stamp, now);
+            self.apply_echo(&message.sender.host, echo, &message.report, stamp, now);
         }
+        self.apply_report(&message.report, now);
         let ends = [self.confirmation.end(), self.hosts_end, self.manifest_end];
         let behind = ends.iter().zip(message.ends).any(|(own, other)| *own < other);
         if behind {
             self.behind_since.get_or_insert(now);
         }
-        self.merge_suspects(&message.suspects, now).then_some(message.sender.host)
+        let news = self.merge_suspects(&message.suspects, now);
+        let replies = news || message.report.wants_reply || !message.ended.is_empty();
+        replies.then_some(message.sender.host)
     }
 
     /// Applies a peer's echo of a timestamp of this node. The peer sent the echo after this node
     /// sent the timestamp, so dating what it says back to then never makes it look newer than it
     /// is.
-    pub(super) fn apply_echo(&mut self, host: &str, echo: EchoRow, stamp_ms: u64, now: Instant) {
+    pub(super) fn apply_echo(
+        &mut self,
+        host: &str,
+        echo: EchoRow,
+        report: &RelayReport,
+        stamp_ms: u64,
+        now: Instant,
+    ) {
         if echo.stamp_ms > stamp_ms {
             return;
         }
         let sent_at = now.checked_sub(Duration::from_millis(stamp_ms - echo.stamp_ms));
         let Some(sent_at) = sent_at else { return };
-        if let Some(peer) = self.peers.get_mut(host).filter(|_| echo.attests) {
-            peer.attested = Some((echo.plan_end, sent_at));
+        if let Some(peer) = self.peers.get_mut(host) {
+            if echo.attests {
+                peer.attested = Some((echo.plan_end, sent_at));
+            }
+            peer.centre = collect_attestations(&report.centre, echo.plan_end, sent_at);
+            peer.fleet = collect_attestations(&report.fleet, echo.plan_end, sent_at);
         }
         let age = echo.age_ms.map(Duration::from_millis);
         if let Some(at) = age.and_then(|age| sent_at.checked_sub(age)) {
@@ -71,6 +96,15 @@
 
     /// Returns the sends of a datagram to each of these hosts that is known.
     pub fn datagrams(&mut self, hosts: &[Box<str>], now: Instant) -> Vec<ControlAction> {
+        self.sends(hosts, false, now)
+    }
+
+    pub(super) fn sends(
+        &mut self,
+        hosts: &[Box<str>],
+        wants_reply: bool,
+        now: Instant,
+    ) -> Vec<ControlAction> {
         let ended = self.grants.ended_fences(now);
         let mut actions = Vec::with_capacity(hosts.len());
         for host in hosts {
@@ -80,7 +114,8 @@
                 .find(|(name, _)| name == host)
                 .map_or(Vec::new(), |(_, rows)| rows.clone());
             rows.truncate(MAX_ENDED_ROWS);
-            let message = self.datagram(host, rows, now);
+            let mut message = self.datagram(host, rows, now);
+            message.report = self.relay_report(host, wants_reply, now);
             actions.push(ControlAction::Send(address, message.encode().into()));
         }
         actions
@@ -93,21 +128,6 @@
         ended.into_iter().map(|(host, _)| host).filter(|host| *host != self.settings.host).collect()
     }
 
-    /// Returns the time without a datagram after which a node counts as lost that sends to this one
-    /// only when it draws it at random.
-    pub(super) fn gossip_timeout(&self) -> Duration {
-        let rounds = u32::try_from(self.hosts.len() / GOSSIP_FANOUT).unwrap_or(u32::MAX);
-        PEER_TIMEOUT + GOSSIP_INTERVAL * rounds.saturating_sub(1) * MISSED_ROUNDS
-    }
-
-    /// Returns the first other hosts by name that sent a datagram recently. One of them plans and
-    /// must know which nodes are alive, so they get a datagram in each round.
-    pub fn planner_hosts(&self, now: Instant) -> Vec<Box<str>> {
-        let timeout = self.gossip_timeout();
-        let recent = |row: &&HostRecord| self.peers.received_within(&row.host, timeout, now);
-        self.others().filter(recent).take(PLANNER_COUNT).map(|row| row.host.clone()).collect()
-    }
-
     /// Returns all other known hosts.
     pub fn other_hosts(&self) -> Vec<Box<str>> {
         self.others().map(|row| row.host.clone()).collect()
@@ -132,7 +152,6 @@
             age_ms,
             attests,
         });
-        let open = self.is_open(now);
         GossipMessage {
             sender: self.own.clone(),
             stamp_ms,
@@ -140,11 +159,12 @@
             ends: [plan_end, self.hosts_end, self.manifest_end],
             reaches_store: self.reaches_store(),
             settled_version: self.grants.settled_version(now),
-            load: UpstreamLoad { slots: if open { self.load.slots } else { 0 }, ..self.load },
+            load: self.open_load(now),
             demand: self.may_plan(host).then(|| self.demand.clone()),
             ended,
             acknowledged,
             suspects: self.suspects.hints(now),
+            report: RelayReport::default(),
         }
     }
 }
--- a/crates/mesh/src/process/control_state/plan_step.rs
+++ b/crates/mesh/src/process/control_state/plan_step.rs
@@ -9,7 +9,7 @@
 };
 use firspindle_edge::PlatformCodec;
 
-use super::{ControlAction, ControlState, OTHER_PLAN_DELAY, PEER_TIMEOUT, PLANNER_COUNT};
+use super::{ControlAction, ControlState, OTHER_PLAN_DELAY, PEER_TIMEOUT};
 
 /// Time without a datagram after which other nodes count as lost while more than half of them are
 /// silent: then the fault may lie with this node, or all nodes are restarting at once.
@@ -50,42 +50,50 @@
         if senders * 2 >= others { PEER_TIMEOUT } else { MAJORITY_TIMEOUT }
     }
 
-    /// Whether a node from which no datagram ever arrived may be alive: there is no plan yet, or
-    /// the plan names it, so it was not lost when the plan was computed.
+    /// Whether a node from which no datagram arrived since this node may plan may be alive: there is
+    /// no plan yet, or the plan names it, so it was not lost when the plan was computed.
     pub(super) fn may_be_alive(&self, host: &str) -> bool {
-        let never_received = self.peers.get(host).is_none();
+        let since = self.leading_since.unwrap_or(self.started_at);
+        let never_received = self.peers.get(host).is_none_or(|peer| peer.received_at < since);
         let planned = |row: &&ServiceRanges| row.holder_on(host).is_some();
         never_received
             && (self.plan.version == 0 || self.plan.services.iter().any(|row| planned(&row)))
     }
 
     /// Whether a node counts as alive: this node itself, a node that sent a datagram within
-    /// `limit`, or for that long after the start a node for which [`Self::may_be_alive`] holds.
+    /// `limit`, or for that long after this node may plan a node for which [`Self::may_be_alive`]
+    /// holds.
     pub(super) fn is_alive(&self, host: &str, limit: Duration, now: Instant) -> bool {
         host == &*self.settings.host
             || self.peers.received_within(host, limit, now)
-            || (now < self.started_at + limit && self.may_be_alive(host))
+            || (now < self.leading_since.unwrap_or(now) + limit && self.may_be_alive(host))
     }
 
     pub(super) const fn reaches_store(&self) -> bool {
         self.reaches_store
     }
 
-    /// Whether this node is the planner: the first by host name of the nodes that reach the store
-    /// and whose datagrams arrive here.
+    /// Returns the number of relays before this one in the order of duties that reach the store and
+    /// whose datagrams arrive here; `None` if this node is no relay.
+    pub(super) fn duty_rank(&self, now: Instant) -> Option<usize> {
+        let leaders = &self.duties.leaders;
+        let own = leaders.iter().position(|host| *host == self.settings.host)?;
+        let reaches = |host: &&str| {
+            self.peers.received_within(host, PEER_TIMEOUT, now)
+                && self.peers.get(host).is_some_and(|peer| peer.reaches_store)
+        };
+        Some(leaders[..own].iter().map(|host| &**host).filter(reaches).count())
+    }
+
+    /// Whether this node is the planner: the first of the relays that reach the store and whose
+    /// datagrams arrive here.
     pub(super) fn is_planner(&self, now: Instant) -> bool {
-        let first = self.others().find(|row| {
-            self.peers.received_within(&row.host, PEER_TIMEOUT, now)
-                && self.peers.get(&row.host).is_some_and(|peer| peer.reaches_store)
-        });
-        self.reaches_store() && first.is_none_or(|first| first.host > self.settings.host)
+        self.reaches_store() && self.duty_rank(now) == Some(0)
     }
 
-    /// Whether a host is among the first other hosts by name that ever sent a datagram: it may plan
-    /// next.
+    /// Whether a host may plan next.
     pub(super) fn may_plan(&self, host: &str) -> bool {
-        let senders = |row: &&HostRecord| self.peers.get(&row.host).is_some();
-        self.others().filter(senders).take(PLANNER_COUNT).any(|row| &*row.host == host)
+        self.planner_hosts().any(|row| &**row == host)
     }
 
     pub(super) fn plan_step(&mut self, now: Instant) -> Option<ControlAction> {
--- a/crates/mesh/src/process/control_state/record_step.rs
+++ b/crates/mesh/src/process/control_state/record_step.rs
@@ -21,9 +21,8 @@
 /// Least number of readers: nodes that read the store often and announce new records to the others.
 const MIN_READERS: usize = 2;
 
-/// Hosts per reader, if that makes more than [`MIN_READERS`]. With one reader for twelve hosts, a
-/// datagram of a reader reaches a node in about every other round.
-const HOSTS_PER_READER: usize = 12;
+/// Hosts per reader, if that makes more than [`MIN_READERS`].
+const HOSTS_PER_READER: usize = 50;
 
 /// Time that the store may hold a reader's read of the plans. Each answer confirms the plan, and a
 /// connection that fell silent is noticed soon after.
@@ -155,9 +154,17 @@
     /// Keeps a host record if it is newer than the known one.
     pub(super) fn keep_host(&mut self, record: HostRecord) {
         match self.hosts.binary_search_by(|row| row.host.cmp(&record.host)) {
-            Ok(index) if record.is_newer(&self.hosts[index]) => self.hosts[index] = record,
+            Ok(index) if record.is_newer(&self.hosts[index]) => {
+                if !record.says_the_same(&self.hosts[index]) {
+                    self.changes.note_change(&record.host);
+                }
+                self.hosts[index] = record;
+            }
             Ok(_) => {}
-            Err(index) => self.hosts.insert(index, record),
+            Err(index) => {
+                self.changes.note_change(&record.host);
+                self.hosts.insert(index, record);
+            }
         }
     }
 
@@ -256,40 +263,16 @@
         DISCOVERY_INTERVAL * groups.max(1)
     }
 
-    /// Whether this node is a reader: among the first by host name of the nodes that reach the
-    /// store and whose datagrams arrive here.
+    /// Whether this node is a reader: among the first of the relays that reach the store and whose
+    /// datagrams arrive here.
     pub(super) fn is_reader(&self, now: Instant) -> bool {
-        self.reader_rank(now) < self.reader_count()
+        self.duty_rank(now).is_some_and(|rank| rank < self.reader_count())
     }
 
     fn reader_count(&self) -> usize {
         MIN_READERS.max(self.hosts.len() / HOSTS_PER_READER)
     }
 
-    /// Returns the number of nodes before this one by host name that reach the store and whose
-    /// datagrams arrive here.
-    fn reader_rank(&self, now: Instant) -> usize {
-        let timeout = self.gossip_timeout();
-        let reaches = |row: &&HostRecord| {
-            self.peers.received_within(&row.host, timeout, now)
-                && self.peers.get(&row.host).is_some_and(|peer| peer.reaches_store)
-        };
-        let before = self.others().take_while(|row| row.host < self.settings.host);
-        before.filter(reaches).count()
-    }
-
-    /// Returns the hosts that this reader notifies of a new plan at once; each reader has its own
-    /// share of the hosts.
-    pub fn new_plan_hosts(&self, now: Instant) -> Vec<Box<str>> {
-        let (rank, count) = (self.reader_rank(now), self.reader_count());
-        if rank >= count {
-            return Vec::new();
-        }
-        let own_share =
-            |(index, row): (usize, &HostRecord)| (index % count == rank).then(|| row.host.clone());
-        self.others().enumerate().filter_map(own_share).collect()
-    }
-
     pub(super) fn fetch_step(&mut self, now: Instant) -> Option<ControlAction> {
         let since = self.behind_since?;
         let behind_plans =
--- a/crates/mesh/src/process/control_state/suspect_step.rs
+++ b/crates/mesh/src/process/control_state/suspect_step.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use firspindle_core::request::SuspectHint;
+use firspindle_core::version::HostRecord;
 use firspindle_edge::PlatformCodec;
 
 use super::ControlState;
@@ -36,14 +37,13 @@
         }
     }
 
-    /// Whether every other node that sent a datagram recently showed in its newest one that it
-    /// knows of a suspicion.
+    /// Whether every other node that is not silent showed in its newest datagram that it knows of a
+    /// suspicion.
     pub fn all_acknowledged(&self, hint: &SuspectHint, now: Instant) -> bool {
-        let timeout = self.gossip_timeout();
-        let recent =
-            self.others().filter(|row| self.peers.received_within(&row.host, timeout, now));
-        recent
-            .filter_map(|row| self.peers.get(&row.host))
-            .all(|peer| peer.suspects.iter().any(|known| hint.is_known_by(known)))
+        let knows = |row: &HostRecord| {
+            let peer = self.peers.get(&row.host);
+            peer.is_some_and(|peer| peer.suspects.iter().any(|known| hint.is_known_by(known)))
+        };
+        self.others().filter(|row| !self.asked.is_silent(&row.host, now)).all(knows)
     }
 }
--- a/crates/mesh/src/process/control_state/upstream_step.rs
+++ b/crates/mesh/src/process/control_state/upstream_step.rs
@@ -61,16 +61,9 @@
         if now < short {
             return Some(short);
         }
-        let end = self.confirmation.end();
         let ranges = self.plan.service(&self.settings.service)?;
-        let mut until = confirmed + timing.attested;
-        for holder in ranges.holders.iter().filter(|row| row.host != self.settings.host) {
-            let (known, at) = self.peers.get(&holder.host)?.attested?;
-            if known != end {
-                return Some(short);
-            }
-            until = until.min(at + timing.confirm);
-        }
+        let Some(attested) = self.fleet_attested(ranges, now) else { return Some(short) };
+        let until = (confirmed + timing.attested).min(attested + timing.confirm);
         Some(until.max(short))
     }
 
--- a/crates/mesh/src/process/control_thread.rs
+++ b/crates/mesh/src/process/control_thread.rs
@@ -10,14 +10,11 @@
 use firspindle_core::request::SuspectHint;
 use firspindle_edge::{BootClock, PlatformCodec, StateStore, StateTopic, StoreError};
 use http::HeaderName;
-use rand::seq::IndexedRandom;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 use tokio::sync::oneshot;
 
-use super::control_state::{
-    ControlAction, ControlState, GOSSIP_FANOUT, GOSSIP_TICKS, TICK_INTERVAL,
-};
+use super::control_state::{ControlAction, ControlState, GOSSIP_TICKS, TICK_INTERVAL};
 use super::gossip_socket::read_datagrams;
 use super::store_watch::{ReadSchedule, UnansweredAt, watch_topic};
 use super::{ControlEvent, MeshSettings, PeerTraffic};
@@ -107,6 +104,7 @@
             parts.tx.clone(),
             move || schedules.cell(topic).get(),
             unanswered_at.clone(),
+            parts.shared.clone(),
         ));
     }
     let now = parts.clock.now();
@@ -244,17 +242,14 @@
         if self.ticks.is_multiple_of(TRAFFIC_LOG_TICKS) {
             let metrics = &self.shared.metrics;
             let (own, other) = (metrics.peer_bytes_text(true), metrics.peer_bytes_text(false));
-            log::info!(own_data_centre = own, other_data_centres = other; "bytes exchanged with other nodes");
+            log::info!(
+                own_data_centre = &*own, other_data_centres = &*other,
+                calls = &*metrics.store_calls_text();
+                "traffic of the control thread"
+            );
         }
         if self.ticks.is_multiple_of(GOSSIP_TICKS) {
-            let hosts = self.state.other_hosts();
-            let now = self.clock.now();
-            let mut targets: Vec<_> =
-                hosts.choose_multiple(&mut rand::rng(), GOSSIP_FANOUT).cloned().collect();
-            targets.extend(self.state.planner_hosts(now));
-            targets.sort_unstable();
-            targets.dedup();
-            let actions = self.state.datagrams(&targets, now);
+            let actions = self.state.gossip_round(self.clock.now());
             self.execute(actions);
         }
     }
@@ -269,7 +264,7 @@
         let now = self.clock.now();
         let hint = self.state.note_crash(fingerprint, instance, now);
         self.publish();
-        let actions = self.state.datagrams(&self.state.other_hosts(), now);
+        let actions = self.state.questions(&self.state.other_hosts(), now);
         self.execute(actions);
         self.notices.push(CrashNotice { hint, until: now + CRASH_NOTICE_TIMEOUT, ack });
         self.finish_notices();
@@ -346,9 +341,11 @@
         if self.write_pending.replace(true) {
             return;
         }
+        let shared = self.shared.clone();
         let (store, write_pending, write_result) =
             (self.store.clone(), self.write_pending.clone(), self.write_result.clone());
         tokio::task::spawn_local(async move {
+            shared.metrics.count_store_call(StateTopic::Hosts, "append");
             let put = store.append(StateTopic::Hosts, &record.host, record.encode(), None).await;
             if let Err(error) = &put {
                 log::info!(error:%; "writing the host record failed");
@@ -360,8 +357,10 @@
     }
 
     fn spawn_append(&self, plan: &firspindle_core::version::RangePlan, at: u64) {
+        let shared = self.shared.clone();
         let (store, tx, bytes) = (self.store.clone(), self.tx.clone(), plan.encode());
         tokio::task::spawn_local(async move {
+            shared.metrics.count_store_call(StateTopic::Plans, "append");
             let appended = store.append(StateTopic::Plans, "plan", bytes, Some(at)).await;
             match &appended {
                 Ok(end) => log::info!(end; "plan appended"),
--- a/crates/mesh/src/process/mesh_metrics.rs
+++ b/crates/mesh/src/process/mesh_metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics in the Prometheus text format.
 
+use firspindle_edge::StateTopic;
 use prometheus::{
     Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, Opts, Registry,
     TextEncoder,
@@ -34,6 +35,8 @@
     /// Bytes exchanged with other nodes, by purpose and by where the other node is; counted by the
     /// node that sent the request or the datagram, without the headers of TCP and IP.
     pub peer_bytes: IntCounterVec,
+    /// Calls to the store, by topic and kind: newest, read or append.
+    pub store_calls: IntCounterVec,
     /// Requests sent to the upstream.
     pub sends: IntCounter,
 }
@@ -99,6 +102,11 @@
                 "Bytes exchanged with other nodes",
                 &["purpose", "data_centre"],
             ),
+            store_calls: family(
+                "firspindle_store_calls_total",
+                "Calls to the store",
+                &["topic", "kind"],
+            ),
             connects: family("firspindle_connects_total", "Connections opened", &["to"]),
             sends,
             registry,
@@ -106,6 +114,14 @@
     }
 }
 
+const fn topic_name(topic: StateTopic) -> &'static str {
+    match topic {
+        StateTopic::Manifests => "manifests",
+        StateTopic::Hosts => "hosts",
+        StateTopic::Plans => "plans",
+    }
+}
+
 /// What bytes between two nodes are for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PeerTraffic {
@@ -138,6 +154,23 @@
         self.peer_bytes.with_label_values(&[purpose.as_str(), place])
     }
 
+    /// Counts a call to the store.
+    pub fn count_store_call(&self, topic: StateTopic, kind: &str) {
+        self.store_calls.with_label_values(&[topic_name(topic), kind]).inc();
+    }
+
+    /// Returns the calls to the store as text: topic, kind and number, separated by commas.
+    pub fn store_calls_text(&self) -> String {
+        let topics = [StateTopic::Manifests, StateTopic::Hosts, StateTopic::Plans].map(topic_name);
+        let kinds = ["newest", "read", "append"];
+        let rows = topics.iter().flat_map(|topic| kinds.map(|kind| (*topic, kind)));
+        let counted = rows.map(|(topic, kind)| {
+            let calls = self.store_calls.with_label_values(&[topic, kind]).get();
+            format!("{topic}-{kind}:{calls}")
+        });
+        counted.collect::<Vec<_>>().join(",")
+    }
+
     /// Returns the bytes exchanged with nodes of this node's data centre or of others, as text:
     /// purpose and bytes, separated by commas.
     pub fn peer_bytes_text(&self, same_data_centre: bool) -> String {
--- a/crates/mesh/src/process/peer_table.rs
+++ b/crates/mesh/src/process/peer_table.rs
@@ -2,7 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-use firspindle_core::connection::{DemandReport, EndedFenceList, GossipMessage, UpstreamLoad};
+use firspindle_core::connection::{
+    DemandReport, EndedFenceList, GossipMessage, HostHash, UpstreamLoad,
+};
 use firspindle_core::request::SuspectHint;
 
 /// Newest state of one other node.
@@ -30,6 +32,28 @@
     pub(crate) to_acknowledge: EndedFenceList,
     /// Suspected requests in the peer's newest datagram.
     pub(crate) suspects: Vec<SuspectHint>,
+    /// Attestations of the holders in the peer's data centre, as it passed them on.
+    pub(crate) centre: Vec<CollectedAttestation>,
+    /// Attestations of all holders, as the peer passed them on.
+    pub(crate) fleet: Vec<CollectedAttestation>,
+    /// Relays that the peer named in the order of their duties.
+    pub(crate) leaders: Vec<HostHash>,
+    /// Newest change of host records that this node has got from the peer.
+    pub(crate) got_sequence: u64,
+    /// Newest change of host records that the peer has got from this node.
+    pub(crate) seen_there: u64,
+}
+
+/// Attestations of several holders that a peer collected.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct CollectedAttestation {
+    pub(crate) service: Box<str>,
+    /// End of the plans that they attested.
+    pub(crate) plan_end: u64,
+    /// Who attested, as a sum of hashes.
+    pub(crate) covered: u64,
+    /// A time before the oldest of them.
+    pub(crate) at: Instant,
 }
 
 /// State of the other nodes, sorted by host.
@@ -59,6 +83,11 @@
                     attested: None,
                     to_acknowledge: Vec::new(),
                     suspects: Vec::new(),
+                    centre: Vec::new(),
+                    fleet: Vec::new(),
+                    leaders: Vec::new(),
+                    got_sequence: 0,
+                    seen_there: 0,
                 };
                 self.rows.insert(index, row);
                 index
@@ -70,6 +99,9 @@
         if !newer {
             return None;
         }
+        if incarnation != row.incarnation {
+            row.got_sequence = 0;
+        }
         row.received_at = now;
         row.incarnation = incarnation;
         row.stamp_ms = message.stamp_ms;
@@ -78,6 +110,9 @@
         row.settled_version = message.settled_version;
         row.load = message.load;
         row.suspects.clone_from(&message.suspects);
+        row.leaders.clone_from(&message.report.leaders);
+        row.got_sequence = row.got_sequence.max(message.report.sequence);
+        row.seen_there = message.report.seen;
         if let Some(demand) = &message.demand {
             row.demand.clone_from(demand);
         }
--- a/crates/mesh/src/process/store_watch.rs
+++ b/crates/mesh/src/process/store_watch.rs
@@ -2,12 +2,14 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use firspindle_edge::{BootClock, StateStore, StateTopic, StoreError};
 use tokio::sync::mpsc::UnboundedSender;
 
 use super::ControlEvent;
+use crate::request::SharedState;
 
 /// Time before a failed call is repeated.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
@@ -36,12 +38,14 @@
     tx: UnboundedSender<ControlEvent>,
     schedule: impl Fn() -> ReadSchedule,
     unanswered_at: UnansweredAt,
+    shared: Arc<SharedState>,
 ) {
     let mut has_snapshot = false;
     loop {
         let at = clock.now();
         let failed = if has_snapshot {
             let ReadSchedule { from, wait, .. } = schedule();
+            shared.metrics.count_store_call(topic, "read");
             let read = tokio::select! {
                 read = store.read(topic, from, wait) => read,
                 () = wait_outdated(&schedule, from) => continue,
@@ -58,6 +62,7 @@
                 Err(error) => error,
             }
         } else {
+            shared.metrics.count_store_call(topic, "newest");
             match store.newest(topic).await {
                 Ok(snapshot) => {
                     has_snapshot = true;
