perf(mesh): few relays read the store; the others, also starting nodes, are told by relays

Change: readers are the first relays, two or one for 50 hosts, and read plans each 0.9 s without waiting at the store; who appended a plan announces it, and each relay tells its hosts at once; a node that a relay tells reads once a minute; a starting node reads the hosts and takes manifest and plan from a relay, itself after 2.5 s (a relay 0.4 s); a record is not written again unless it says something new (a finished write was forgotten between two steps), and waits for the first heartbeat.

--- a/crates/mesh/src/process/control_event.rs
+++ b/crates/mesh/src/process/control_event.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use firspindle_core::connection::UpstreamReport;
+use firspindle_core::version::RangePlan;
 use firspindle_edge::{ReadBatch, StateTopic, TopicSnapshot};
 use tokio::sync::oneshot;
 
@@ -34,8 +35,9 @@
     Datagram(Bytes),
     /// State fetched from another node.
     PeerState(StateSnapshot),
-    /// An append of this node's plan finished; the end of the plans, if the store answered with it.
-    PlanAppended(Option<u64>),
+    /// An append of this node's plan finished: the end of the plans, if the store answered with it,
+    /// and the plan and the time at which the call began, if it was appended.
+    PlanAppended(Option<u64>, Option<(Box<RangePlan>, Instant)>),
     /// An upstream crashed while it ran a request; answered once every node whose datagrams still
     /// arrive has acknowledged the crash, or after a timeout.
     Crash {
--- a/crates/mesh/src/process/control_state.rs
+++ b/crates/mesh/src/process/control_state.rs
@@ -27,7 +27,7 @@
 use super::asked_table::AskedTable;
 use super::change_log::ChangeLog;
 use super::peer_table::PeerTable;
-use super::store_watch::ReadSchedule;
+use super::store_watch::{ReadSchedule, ReadStart};
 use crate::version::{MeshView, PeerView, RangeView, StateSnapshot, UpstreamView};
 use relay_step::{AttestationCache, RelayDuties, RelayedRow};
 
@@ -37,6 +37,10 @@
 /// Ticks between two rounds of datagrams to other nodes.
 pub(super) const GOSSIP_TICKS: u32 = 3;
 
+/// Time after the start within which the upstream's first heartbeat arrives, so that one record of
+/// this host is written and not two: heartbeats are up to 1.9 s apart.
+const FIRST_HEARTBEAT_WAIT: Duration = Duration::from_millis(2_200);
+
 /// Time without a datagram from another node after which it counts as lost: six rounds.
 const PEER_TIMEOUT: Duration = Duration::from_millis(2_000);
 
@@ -82,6 +86,8 @@
     plan_known: bool,
     /// End of the plans that were applied, and when the store last confirmed it.
     confirmation: PlanConfirmation,
+    /// When the plan in force was applied.
+    plan_applied_at: Option<Instant>,
     /// Whether an append of this node's plan is in flight.
     plan_pending: bool,
     /// When this node last computed a plan.
@@ -166,6 +172,7 @@
             plan: RangePlan::default(),
             plan_known: false,
             confirmation: PlanConfirmation::default(),
+            plan_applied_at: None,
             plan_pending: false,
             planned_at: now,
             planned_end: 0,
@@ -225,8 +232,10 @@
         self.expire_suspects(now);
         self.refresh_duties(now);
         // A record without the upstream that the previous process recorded would move its cells.
-        let complete = self.own.upstream.is_some() || self.hosts_known;
-        if complete && self.own_written.as_ref() != Some(&self.own) {
+        let waited = now >= self.started_at + FIRST_HEARTBEAT_WAIT;
+        let complete = self.own.upstream.is_some() || (self.hosts_known && waited);
+        let written = self.own_written.as_ref().is_some_and(|row| row.says_the_same(&self.own));
+        if complete && !written {
             actions.push(ControlAction::PutHost(self.own.clone()));
         }
         actions.extend(self.probe_step(now));
--- a/crates/mesh/src/process/control_state/gossip_step.rs
+++ b/crates/mesh/src/process/control_state/gossip_step.rs
@@ -55,9 +55,8 @@
             self.apply_echo(&message.sender.host, echo, &message.report, stamp, now);
         }
         self.apply_report(&message.report, now);
-        let ends = [self.confirmation.end(), self.hosts_end, self.manifest_end];
-        let behind = ends.iter().zip(message.ends).any(|(own, other)| *own < other);
-        if behind {
+        let [plan_end, _, manifest_end] = message.ends;
+        if plan_end > self.confirmation.end() || manifest_end > self.manifest_end {
             self.behind_since.get_or_insert(now);
         }
         let news = self.merge_suspects(&message.suspects, now);
--- a/crates/mesh/src/process/control_state/record_step.rs
+++ b/crates/mesh/src/process/control_state/record_step.rs
@@ -7,16 +7,12 @@
 use firspindle_core::version::{HostRecord, RangePlan};
 use firspindle_edge::{PlatformCodec, ReadBatch, StateTopic, TopicRecord, TopicSnapshot};
 
-use super::{ControlAction, ControlState, PEER_TIMEOUT, ReadSchedule};
+use super::{ControlAction, ControlState, PEER_TIMEOUT, ReadSchedule, ReadStart};
 use crate::version::{RangeView, StateSnapshot};
 
-/// Time for which this node is behind a peer before it fetches the peer's state, as its own read of
-/// the store may be faster.
-const FETCH_DELAY: Duration = Duration::from_millis(300);
-
-/// The same if the peer has newer plans, for which this node may have no read waiting at the store:
-/// the datagrams of two nodes arrive within one round trip, and one fetch answers both.
-const PLAN_FETCH_DELAY: Duration = Duration::from_millis(30);
+/// Time for which this node is behind a peer before it fetches the peer's state: the datagrams of two
+/// nodes arrive within one round trip, and one fetch answers both.
+const FETCH_DELAY: Duration = Duration::from_millis(30);
 
 /// Least number of readers: nodes that read the store often and announce new records to the others.
 const MIN_READERS: usize = 2;
@@ -24,27 +20,38 @@
 /// Hosts per reader, if that makes more than [`MIN_READERS`].
 const HOSTS_PER_READER: usize = 50;
 
-/// Time that the store may hold a reader's read of the plans. Each answer confirms the plan, and a
-/// connection that fell silent is noticed soon after.
-const CONFIRM_WAIT: Duration = Duration::from_millis(900);
+/// Time between a reader's reads of the plans. They do not wait at the store, so each confirms the plan
+/// as of that moment; who appended a plan announces it.
+const CONFIRM_INTERVAL: Duration = Duration::from_millis(900);
+
+/// Time that the store may hold a reader's read of the manifests. A connection that fell silent is
+/// noticed soon after.
+const MANIFEST_WAIT: Duration = Duration::from_millis(3_000);
 
-/// Time that the store may hold a reader's read while the store does not answer.
+/// The same while the store does not answer.
 const UNREACHABLE_WAIT: Duration = Duration::from_millis(300);
 
-/// Time that the store may hold a reader's read of the manifests.
-const MANIFEST_WAIT: Duration = Duration::from_millis(3_000);
+/// Time after the start for which a node waits for the state of a relay before it reads manifests and
+/// plans itself: three questions.
+const START_WAIT: Duration = Duration::from_millis(2_500);
+
+/// The same for a relay: its first question.
+const RELAY_START_WAIT: Duration = Duration::from_millis(400);
 
-/// Time that the store may hold other reads of the manifests, and the time between other reads of
-/// the plans. A peer that has newer records says so in its datagrams.
-const IDLE_WAIT: Duration = Duration::from_secs(15);
+/// The same for a node that knows no other: in a fleet that starts as a whole, the others have written
+/// their records by then.
+const LONE_START_WAIT: Duration = Duration::from_millis(2_500);
 
-/// Time between reads of the host records, which datagrams carry too.
-const HOSTS_INTERVAL: Duration = Duration::from_secs(20);
+/// Time between reads of nodes that are told of new records by relays.
+const IDLE_INTERVAL: Duration = Duration::from_secs(60);
+
+/// Time without an answer of a relay after which a node reads the store itself.
+const RELAY_TIMEOUT: Duration = Duration::from_millis(1_600);
 
 /// Time after the start in which nodes that started together discover each other.
 const DISCOVERY_TIME: Duration = Duration::from_secs(8);
 
-/// Time between reads of the host records during discovery, per [`HOSTS_PER_READER`] hosts.
+/// Time between reads of the host records during discovery.
 const DISCOVERY_INTERVAL: Duration = Duration::from_millis(900);
 
 /// Age of the plan's confirmation below which a node relies on the readers' confirmations.
@@ -60,6 +67,11 @@
         now: Instant,
     ) {
         self.note_store_answer(true);
+        if topic == StateTopic::Hosts {
+            let records = state.values.iter().filter_map(|row| HostRecord::decode(&row.value));
+            let own = records.into_iter().find(|record| record.host == self.settings.host);
+            self.own_written = self.own_written.take().or(own);
+        }
         let contiguous = false;
         let values = state.values;
         self.apply_values(topic, &values, state.end, at, contiguous, now);
@@ -190,6 +202,7 @@
         if let Some(ranges) = plan.service(&self.settings.service) {
             self.grants.apply_ranges(plan.version, ranges.clone(), contiguous, now);
         }
+        self.plan_applied_at = Some(now);
         self.ranges = Arc::new(plan.services.iter().map(RangeView::new).collect());
         self.plan = plan;
     }
@@ -232,22 +245,66 @@
     /// fail to arrive.
     pub fn read_schedule(&self, topic: StateTopic, now: Instant) -> ReadSchedule {
         let reader = self.is_reader(now);
-        let recently_confirmed =
-            self.confirmation.age(now).is_some_and(|age| age < PEER_CONFIRM_AGE);
+        let told = !reader && self.told_recently(now);
+        let since = self.confirmation.confirmed_at().max(self.plan_applied_at);
+        let confirmed = since.is_some_and(|at| now < at + PEER_CONFIRM_AGE);
         let (from, wait, interval) = match topic {
-            StateTopic::Manifests if reader => (self.manifest_end, MANIFEST_WAIT, Duration::ZERO),
-            StateTopic::Manifests => (self.manifest_end, IDLE_WAIT, Duration::ZERO),
+            StateTopic::Manifests if told => (self.manifest_end, Duration::ZERO, IDLE_INTERVAL),
+            StateTopic::Manifests => (self.manifest_end, MANIFEST_WAIT, Duration::ZERO),
             StateTopic::Hosts => (self.hosts_end, Duration::ZERO, self.hosts_interval(now)),
-            StateTopic::Plans if reader || !recently_confirmed => {
-                (self.confirmation.end(), CONFIRM_WAIT, Duration::ZERO)
+            StateTopic::Plans if told && confirmed => {
+                (self.confirmation.end(), Duration::ZERO, IDLE_INTERVAL)
             }
-            // A reader announces a new plan at once, and the plan is fetched from it.
-            StateTopic::Plans => (self.confirmation.end(), Duration::ZERO, IDLE_WAIT),
+            StateTopic::Plans => (self.confirmation.end(), Duration::ZERO, CONFIRM_INTERVAL),
         };
         // While the store does not answer, a read is to fail soon: its failure restarts the other
         // reads that hang.
         let limit = if reader && !self.reaches_store { UNREACHABLE_WAIT } else { wait };
-        ReadSchedule { from, wait: wait.min(limit), interval }
+        let start = self.read_start(topic, now);
+        ReadSchedule { from, wait: wait.min(limit), interval, start }
+    }
+
+    /// Returns whether a topic whose newest records this node has not read is to be read now. Only
+    /// the hosts are read at once; manifest and plan come from a peer, unless none answers in time.
+    fn read_start(&self, topic: StateTopic, now: Instant) -> ReadStart {
+        let known = match topic {
+            StateTopic::Manifests => self.manifest.is_some(),
+            StateTopic::Hosts => return ReadStart::Newest,
+            StateTopic::Plans => self.plan_known,
+        };
+        let wait = match self.hosts.len() {
+            0 | 1 => LONE_START_WAIT,
+            _ if self.duties.relays => RELAY_START_WAIT,
+            _ => START_WAIT,
+        };
+        match known {
+            true => ReadStart::Following,
+            false if now < self.started_at + wait => ReadStart::Wait,
+            false => ReadStart::Newest,
+        }
+    }
+
+    /// Returns the ends of the logs of plans and manifests up to which this node has applied records.
+    pub fn news_ends(&self) -> [u64; 2] {
+        [self.confirmation.end(), self.manifest_end]
+    }
+
+    /// Applies a plan of this node that the store appended as the last before `end`, by a call that
+    /// began at `at`.
+    pub fn plan_stored(&mut self, plan: RangePlan, end: u64, at: Instant, now: Instant) {
+        if self.confirmation.end() + 1 == end {
+            self.apply_plan(plan, now);
+            self.confirmation.note_applied(end, at);
+            self.refresh_snapshot();
+        }
+    }
+
+    /// Whether a relay that reaches the store sent a datagram recently, so that this node learns of
+    /// new records without reading the store.
+    fn told_recently(&self, now: Instant) -> bool {
+        self.peers.rows().iter().any(|peer| {
+            !peer.leaders.is_empty() && peer.reaches_store && now < peer.received_at + RELAY_TIMEOUT
+        })
     }
 
     /// Returns the time between reads of the host records: short after the start and while a
@@ -257,10 +314,11 @@
         let mut holders = self.plan.services.iter().flat_map(|ranges| &ranges.holders);
         let unknown = holders.any(|holder| self.host(&holder.host).is_none());
         if !unknown && now >= self.started_at + DISCOVERY_TIME {
-            return HOSTS_INTERVAL;
+            return IDLE_INTERVAL;
         }
-        let groups = u32::try_from(self.hosts.len() / HOSTS_PER_READER).unwrap_or(u32::MAX);
-        DISCOVERY_INTERVAL * groups.max(1)
+        // Relays pass new records on, so only a node that no relay answers has to find one.
+        let told = !self.is_reader(now) && self.told_recently(now);
+        if told { IDLE_INTERVAL } else { DISCOVERY_INTERVAL }
     }
 
     /// Whether this node is a reader: among the first of the relays that reach the store and whose
@@ -275,16 +333,13 @@
 
     pub(super) fn fetch_step(&mut self, now: Instant) -> Option<ControlAction> {
         let since = self.behind_since?;
-        let behind_plans =
-            self.peers.rows().iter().any(|row| row.ends[0] > self.confirmation.end());
-        let limit = if behind_plans { PLAN_FETCH_DELAY } else { FETCH_DELAY };
-        if now < since + limit {
+        if now < since + FETCH_DELAY {
             return None;
         }
-        let own = [self.confirmation.end(), self.hosts_end, self.manifest_end];
+        let (plan_end, manifest_end) = (self.confirmation.end(), self.manifest_end);
         let ahead = |row: &&crate::process::peer_table::PeerRow| {
             now < row.received_at + PEER_TIMEOUT
-                && row.ends.iter().zip(own).any(|(other, own)| *other > own)
+                && (row.ends[0] > plan_end || row.ends[2] > manifest_end)
         };
         // Incarnations differ between nodes, so their fetches spread over the peers that are ahead.
         let count = self.peers.rows().iter().filter(ahead).count().max(1) as u64;
--- a/crates/mesh/src/process/control_thread.rs
+++ b/crates/mesh/src/process/control_thread.rs
@@ -82,6 +82,8 @@
     /// Record of the last finished write and whether the store acknowledged it.
     write_result: Rc<Cell<Option<(firspindle_core::version::HostRecord, bool)>>>,
     notices: Vec<CrashNotice>,
+    /// Ends of plans and manifests that the others were told of last.
+    told_ends: [u64; 2],
     ticks: u32,
     upstream: SocketAddr,
     upstream_id: HeaderName,
@@ -123,6 +125,7 @@
         write_pending: Rc::default(),
         write_result: Rc::default(),
         notices: Vec::new(),
+        told_ends: [0; 2],
         ticks: 0,
         upstream,
         upstream_id,
@@ -174,6 +177,12 @@
             ControlEvent::Snapshot(topic, snapshot, at) => {
                 self.state.handle_snapshot(topic, snapshot, at, now);
                 self.publish_and_step();
+                self.tell_news();
+                if topic == StateTopic::Hosts {
+                    // A relay may know more, and the wait for its answer is short.
+                    let actions = self.state.gossip_round(now);
+                    self.execute(actions);
+                }
             }
             ControlEvent::Records(topic, batch, at) => {
                 let changed = !batch.records.is_empty();
@@ -182,11 +191,7 @@
                     self.publish_and_step();
                     self.send_ended_fences();
                 }
-                if changed && topic == StateTopic::Plans {
-                    let hosts = self.state.new_plan_hosts(now);
-                    let actions = self.state.datagrams(&hosts, now);
-                    self.execute(actions);
-                }
+                self.tell_news();
             }
             ControlEvent::StoreFailed(_) => self.state.note_store_answer(false),
             ControlEvent::Datagram(bytes) => {
@@ -207,8 +212,20 @@
             ControlEvent::PeerState(snapshot) => {
                 self.state.handle_peer_state(&snapshot, now);
                 self.publish_and_step();
+                if self.tell_news() {
+                    // The answers confirm the plan that was just applied.
+                    let actions = self.state.gossip_round(now);
+                    self.execute(actions);
+                }
+            }
+            ControlEvent::PlanAppended(end, stored) => {
+                if let (Some(end), Some((plan, at))) = (end, stored) {
+                    self.state.plan_stored(*plan, end, at, now);
+                    self.publish();
+                }
+                self.state.plan_appended(end);
+                self.tell_news();
             }
-            ControlEvent::PlanAppended(end) => self.state.plan_appended(end),
             ControlEvent::Shutdown => {
                 self.state.stop();
                 self.publish();
@@ -217,6 +234,21 @@
         self.update_schedules();
     }
 
+    /// Tells others at once of plans and manifests that this node has just applied; returns whether
+    /// there were any.
+    fn tell_news(&mut self) -> bool {
+        let ends = self.state.news_ends();
+        if ends == self.told_ends {
+            return false;
+        }
+        self.told_ends = ends;
+        let now = self.clock.now();
+        let hosts = self.state.new_plan_hosts(now);
+        let actions = self.state.datagrams(&hosts, now);
+        self.execute(actions);
+        true
+    }
+
     fn update_schedules(&self) {
         let now = self.clock.now();
         for topic in TOPICS {
@@ -233,9 +265,6 @@
         self.ticks = self.ticks.wrapping_add(1);
         self.update_schedules();
         self.state.set_load(self.shared.load(), self.shared.demand());
-        if let Some((record, done)) = self.write_result.take() {
-            self.state.host_written(record, done);
-        }
         self.finish_notices();
         self.publish();
         self.step();
@@ -255,6 +284,10 @@
     }
 
     fn step(&mut self) {
+        // First, so that a record that was just written is not written again.
+        if let Some((record, done)) = self.write_result.take() {
+            self.state.host_written(record, done);
+        }
         let actions = self.state.tick(self.clock.now());
         self.execute(actions);
     }
@@ -305,7 +338,7 @@
                 ControlAction::ProbeUpstream(path) => self.spawn_probe(&path),
                 ControlAction::FetchState(address) => self.spawn_fetch(address),
                 ControlAction::PutHost(record) => self.spawn_put(record),
-                ControlAction::AppendPlan(plan, at) => self.spawn_append(&plan, at),
+                ControlAction::AppendPlan(plan, at) => self.spawn_append(plan, at),
             }
         }
     }
@@ -356,9 +389,10 @@
         });
     }
 
-    fn spawn_append(&self, plan: &firspindle_core::version::RangePlan, at: u64) {
+    fn spawn_append(&self, plan: firspindle_core::version::RangePlan, at: u64) {
         let shared = self.shared.clone();
         let (store, tx, bytes) = (self.store.clone(), self.tx.clone(), plan.encode());
+        let began = self.clock.now();
         tokio::task::spawn_local(async move {
             shared.metrics.count_store_call(StateTopic::Plans, "append");
             let appended = store.append(StateTopic::Plans, "plan", bytes, Some(at)).await;
@@ -376,7 +410,8 @@
                     None
                 }
             };
-            let _ = tx.send(ControlEvent::PlanAppended(end));
+            let stored = appended.is_ok().then(|| (Box::new(plan), began));
+            let _ = tx.send(ControlEvent::PlanAppended(end, stored));
         });
     }
 }
--- a/crates/mesh/src/process/store_watch.rs
+++ b/crates/mesh/src/process/store_watch.rs
@@ -14,6 +14,18 @@
 /// Time before a failed call is repeated.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
 
+/// How a topic is read whose newest records were not read yet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum ReadStart {
+    /// A peer's state may arrive soon.
+    #[default]
+    Wait,
+    /// The newest records are to be read.
+    Newest,
+    /// The newest records are known from a peer; those after them are to be read.
+    Following,
+}
+
 /// How a topic is read: from where, how long, how often.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct ReadSchedule {
@@ -23,6 +35,8 @@
     pub wait: Duration,
     /// Time between two reads.
     pub interval: Duration,
+    /// How a reader starts that has not read the newest records.
+    pub start: ReadStart,
 }
 
 /// When a call to the store last failed without an answer, shared by the readers of all topics.
@@ -40,7 +54,7 @@
     unanswered_at: UnansweredAt,
     shared: Arc<SharedState>,
 ) {
-    let mut has_snapshot = false;
+    let mut has_snapshot = wait_start(&schedule).await;
     loop {
         let at = clock.now();
         let failed = if has_snapshot {
@@ -86,6 +100,20 @@
     }
 }
 
+/// Time between checks whether the newest records are to be read.
+const START_POLL_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Waits until the newest records are to be read; returns whether they are known from a peer instead.
+async fn wait_start(schedule: &impl Fn() -> ReadSchedule) -> bool {
+    loop {
+        match schedule().start {
+            ReadStart::Following => return true,
+            ReadStart::Newest => return false,
+            ReadStart::Wait => tokio::time::sleep(START_POLL_INTERVAL).await,
+        }
+    }
+}
+
 /// Time between checks whether the schedule has changed.
 const SCHEDULE_POLL_INTERVAL: Duration = Duration::from_millis(500);
 
