fix(core): hundreds of upstreams get equal shares of the keys

Cause: unowned cells are assigned in runs of at least 12, and a share is 33 cells at 245, 10 at 840. Ruled out: weights (equal in the test). Change: runs are an eighth of a share where that is shorter; up to 85 upstreams nothing changes. Test before: 245 upstreams held 24 to 36 cells; after: all of 45, 245 and 840 within an eighth of the share.

--- a/crates/core/src/process/range_planner.rs
+++ b/crates/core/src/process/range_planner.rs
@@ -15,6 +15,10 @@
 /// keys is spread over three upstreams, and ten upstreams have about 70 ranges each.
 const RUN_CELLS: usize = 12;
 
+/// Runs in which an upstream's share is assigned at least, so that shares differ little: with runs of 12
+/// cells, 157 of 840 upstreams would get none.
+const SHARE_RUNS: usize = 8;
+
 /// Ranges that each upstream gets when all cells are assigned to a few upstreams at once.
 const PLACED_RANGES: usize = 90;
 
@@ -181,6 +185,7 @@
 
     /// Moves runs of cells from candidates above their share to warm candidates far below theirs.
     fn rebalance_cells(&mut self) {
+        let run_cells = self.short_run_cells();
         for receiver in 0..self.candidates.len() {
             let threshold = self.shares[receiver] * UNDERFILLED_PERCENT / 100;
             if !self.candidates[receiver].warm || self.held[receiver] >= threshold {
@@ -189,7 +194,7 @@
             let mut run_start = 0;
             while run_start < CELLS && self.held[receiver] < self.shares[receiver] {
                 let owner = self.owners[run_start];
-                let limit = CELLS.min(run_start + RUN_CELLS);
+                let limit = CELLS.min(run_start + run_cells);
                 let same = |index: &usize| self.owners[*index] == owner;
                 let run_end = (run_start..limit).find(|index| !same(index)).unwrap_or(limit);
                 let cells = run_end - run_start;
@@ -234,7 +239,14 @@
     /// Returns the length in cells of the runs in which unowned cells are assigned. It grows as the
     /// number of candidates shrinks.
     fn run_cells(&self) -> usize {
-        RUN_CELLS.max(CELLS / (self.candidates.len() * PLACED_RANGES).max(1))
+        self.short_run_cells().max(CELLS / (self.candidates.len() * PLACED_RANGES).max(1))
+    }
+
+    /// Returns the length in cells of the runs that move between candidates: shorter than
+    /// [`RUN_CELLS`] where shares are small.
+    fn short_run_cells(&self) -> usize {
+        let share = CELLS / self.candidates.len().max(1);
+        (share / SHARE_RUNS).clamp(1, RUN_CELLS)
     }
 
     /// Moves cells by demand, if the capacity of every candidate is known.
--- a/crates/core/tests/ranges/plans.rs
+++ b/crates/core/tests/ranges/plans.rs
@@ -34,6 +34,21 @@
     assert!(plan.encode().len() < 8_000);
 }
 
+/// Guards against upstreams of a large service that get no keys, or far more than others, because
+/// neighbouring cells are assigned in runs that are long for their share.
+#[test]
+fn hundreds_of_upstreams_get_equal_shares() {
+    for count in [45_u16, 245, 840] {
+        let rows: Vec<_> = (0..count).map(|host| (host, 0)).collect();
+        let plan = plan_ranges(&RangePlan::default(), &service(&rows)).expect("a first plan");
+        let held = plan.services[0].cells_held();
+        let share = CELLS / usize::from(count);
+        let most = share + (share / 8).max(1);
+        let least = share - share / 8;
+        assert!(held.iter().all(|cells| (least..=most).contains(cells)), "{count}: {held:?}");
+    }
+}
+
 #[test]
 fn a_lost_upstream_moves_only_its_own_cells() {
     let rows: Vec<_> = (0..10).map(|host| (host, 0)).collect();
