perf(core): nodes that know the same loads spread requests without keys

Cause: relays tell all nodes of a data centre the same loads, up to a second old, and all choose the least loaded until the next ones. Ruled out: links as the cause of the difference (their part in a choice did not change). Change: among the upstreams of the data centre with room, a node draws one, the more likely the more room it has and the faster it is; where there is no room, it compares four drawn ones.

--- a/crates/core/src/request/node_choice.rs
+++ b/crates/core/src/request/node_choice.rs
@@ -14,9 +14,9 @@
 /// when they are nearly full.
 const LOCAL_ROOM: f64 = 0.85;
 
-/// Largest random part of a cost, so that nodes with the same knowledge do not all choose one
-/// upstream.
-const NOISE: f64 = 0.05;
+/// Nodes, drawn at random, whose costs are compared where the data centre has no room: the costs of
+/// other data centres must have a chance to be seen.
+const COMPARED_ANYWHERE: usize = 4;
 
 /// Where a node is, as seen from the node that chooses.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -71,11 +71,57 @@
     let stays = |option: &NodeOption| {
         option.distance != NodeDistance::OtherDataCentre && option.load_cost(kind) <= LOCAL_ROOM
     };
-    let any_stays = options.iter().any(stays);
-    let costs = options.iter().enumerate().filter(|(_, option)| !any_stays || stays(option)).map(
-        |(index, option)| {
-            (index, option.load_cost(kind) + option.distance_cost() + random() * NOISE)
-        },
-    );
-    costs.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(index, _)| index)
+    let near: Vec<usize> = (0..options.len()).filter(|index| stays(&options[*index])).collect();
+    if near.is_empty() {
+        return cheapest_of_few(options, kind, random);
+    }
+    draw_by_room(options, kind, &near, random())
+}
+
+/// Draws one of the nodes that have room, the more likely the more room it has and the faster its
+/// upstream is. All nodes of a data centre know about the same loads, up to a second old: if each chose
+/// the least loaded, all would choose the same upstream until the next loads arrive.
+fn draw_by_room(
+    options: &[NodeOption],
+    kind: RequestKind,
+    near: &[usize],
+    random: f64,
+) -> Option<usize> {
+    let weight = |index: &usize| {
+        let option = &options[*index];
+        let room = 1.0 - option.load_cost(kind);
+        room / f64::from(option.load.service_ms.max(1))
+    };
+    let total: f64 = near.iter().map(weight).sum();
+    let mut left = random * total;
+    let drawn = near.iter().find(|index| {
+        left -= weight(index);
+        left < 0.0
+    });
+    drawn.or(near.last()).copied()
+}
+
+/// Compares a few nodes drawn at random and returns the one with the least cost.
+fn cheapest_of_few(
+    options: &[NodeOption],
+    kind: RequestKind,
+    mut random: impl FnMut() -> f64,
+) -> Option<usize> {
+    let mut left: Vec<usize> = (0..options.len()).collect();
+    let mut cheapest: Option<(usize, f64)> = None;
+    for _ in 0..COMPARED_ANYWHERE.min(options.len()) {
+        let index = left.swap_remove(pick(left.len(), random()));
+        let option = &options[index];
+        let cost = option.load_cost(kind) + option.distance_cost();
+        if cheapest.is_none_or(|(_, least)| cost < least) {
+            cheapest = Some((index, cost));
+        }
+    }
+    cheapest.map(|(index, _)| index)
+}
+
+/// Returns an index below `count` for a random number from 0 to 1.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss, clippy::cast_precision_loss)]
+fn pick(count: usize, random: f64) -> usize {
+    ((random * count as f64) as usize).min(count - 1)
 }
--- a/crates/core/tests/choice.rs
+++ b/crates/core/tests/choice.rs
@@ -21,6 +21,9 @@
 /// Time between two reports of load that responses carry, in milliseconds.
 const RESPONSE_MS: usize = 50;
 
+/// Time between two reports of load that relays pass on, in milliseconds.
+const RELAYED_MS: usize = 600;
+
 /// Length of a play, in milliseconds.
 const PLAY_MS: usize = 120_000;
 
@@ -116,3 +119,11 @@
     let result = play(&[1.3, 0.2, 0.2], 2, RESPONSE_MS, 1);
     assert!(result.mean_wait_ms < RUN_MS, "requests waited {:.0} ms", result.mean_wait_ms);
 }
+
+/// Guards against all nodes of a data centre choosing the same upstream because they know the same
+/// loads: with the least loaded chosen, requests waited for four runs (412 ms).
+#[test]
+fn nodes_with_the_same_knowledge_spread_their_requests() {
+    let result = play(&[0.6; 6], 8, RELAYED_MS, 1);
+    assert!(result.mean_wait_ms < RUN_MS, "requests waited {:.0} ms", result.mean_wait_ms);
+}
