perf(mesh): an outage of the store is probed by few nodes and one topic

Cause: a node believed its relays only while these reached the store themselves. Ruled out: relays silent (they answered throughout). Change: a node that relays answer reads plans that nobody confirms as seldom as eight hosts a reader allow, and nothing else; while the store fails, a reader probes with the plans alone. At a first start the record of a host is written at once, so that relays are found before all nodes read everything.

--- a/crates/mesh/src/process/control_state.rs
+++ b/crates/mesh/src/process/control_state.rs
@@ -126,6 +126,8 @@
     leading_since: Option<Instant>,
     /// Whether the store answered this node's last call.
     reaches_store: bool,
+    /// Whether this node's last call to the store failed.
+    store_failed: bool,
     /// Since when a peer is known to have applied more records than this node.
     behind_since: Option<Instant>,
     /// Whether changes that a peer sent did not fit this node's plan.
@@ -197,6 +199,7 @@
             attestations: None,
             leading_since: None,
             reaches_store: false,
+            store_failed: false,
             behind_since: None,
             needs_whole_state: false,
             ranges: Arc::default(),
@@ -235,7 +238,8 @@
         self.expire_suspects(now);
         self.refresh_duties(now);
         // A record without the upstream that the previous process recorded would move its cells.
-        let waited = now >= self.started_at + FIRST_HEARTBEAT_WAIT;
+        // Other nodes are to find this one soon, unless an earlier process has written its record.
+        let waited = self.own_written.is_none() || now >= self.started_at + FIRST_HEARTBEAT_WAIT;
         let complete = self.own.upstream.is_some() || (self.hosts_known && waited);
         let written = self.own_written.as_ref().is_some_and(|row| row.says_the_same(&self.own));
         if complete && !written {
--- a/crates/mesh/src/process/control_state/record_step.rs
+++ b/crates/mesh/src/process/control_state/record_step.rs
@@ -42,6 +42,9 @@
 /// their records by then.
 const LONE_START_WAIT: Duration = Duration::from_millis(2_500);
 
+/// Hosts that together read the store about as often as one reader, while nobody confirms the plan.
+const SHARING_HOSTS: u32 = 8;
+
 /// Time between reads of nodes that are told of new records by relays.
 const IDLE_INTERVAL: Duration = Duration::from_secs(60);
 
@@ -91,6 +94,7 @@
 
     /// Notes whether the store answered a call of this node.
     pub fn note_store_answer(&mut self, answers: bool) {
+        self.store_failed = !answers;
         if answers != self.reaches_store {
             log::info!(answers; "store reachability changed");
         }
@@ -290,13 +294,19 @@
             StateTopic::Plans if told && confirmed => {
                 (self.confirmation.end(), Duration::ZERO, IDLE_INTERVAL)
             }
+            // The relays read as well; if they cannot, the others try in turn.
+            StateTopic::Plans if told => {
+                (self.confirmation.end(), Duration::ZERO, self.shared_interval())
+            }
             StateTopic::Plans => (self.confirmation.end(), Duration::ZERO, CONFIRM_INTERVAL),
         };
         // While the store does not answer, a read is to fail soon: its failure restarts the other
         // reads that hang.
         let limit = if reader && !self.reaches_store { UNREACHABLE_WAIT } else { wait };
         let start = self.read_start(topic, now);
-        ReadSchedule { from, wait: wait.min(limit), interval, start }
+        // While the store does not answer, one topic is enough to notice its return.
+        let paused = self.store_failed && topic != StateTopic::Plans;
+        ReadSchedule { from, wait: wait.min(limit), interval, start, paused }
     }
 
     /// Returns whether a topic whose newest records this node has not read is to be read now. Only
@@ -334,12 +344,20 @@
         }
     }
 
-    /// Whether a relay that reaches the store sent a datagram recently, so that this node learns of
-    /// new records without reading the store.
+    /// Whether a relay sent a datagram recently, so that this node learns of new records without
+    /// reading the store.
     fn told_recently(&self, now: Instant) -> bool {
-        self.peers.rows().iter().any(|peer| {
-            !peer.leaders.is_empty() && peer.reaches_store && now < peer.received_at + RELAY_TIMEOUT
-        })
+        self.peers
+            .rows()
+            .iter()
+            .any(|peer| !peer.leaders.is_empty() && now < peer.received_at + RELAY_TIMEOUT)
+    }
+
+    /// Returns the time between two reads of a node if all nodes together read about as often as a
+    /// small fleet.
+    fn shared_interval(&self) -> Duration {
+        let hosts = u32::try_from(self.hosts.len()).unwrap_or(u32::MAX);
+        CONFIRM_INTERVAL * (hosts / SHARING_HOSTS).max(1)
     }
 
     /// Returns the time between reads of the host records: short after the start and while a
--- a/crates/mesh/src/process/store_watch.rs
+++ b/crates/mesh/src/process/store_watch.rs
@@ -35,6 +35,8 @@
     pub wait: Duration,
     /// Time between two reads.
     pub interval: Duration,
+    /// Whether the topic is not to be read at present.
+    pub paused: bool,
     /// How a reader starts that has not read the newest records.
     pub start: ReadStart,
 }
@@ -56,6 +58,7 @@
 ) {
     let mut has_snapshot = wait_start(&schedule).await;
     loop {
+        wait_unpaused(&schedule).await;
         let at = clock.now();
         let failed = if has_snapshot {
             let ReadSchedule { from, wait, .. } = schedule();
@@ -97,6 +100,20 @@
         }
         let _ = tx.send(ControlEvent::StoreFailed(topic));
         tokio::time::sleep(RETRY_DELAY).await;
+        if schedule().interval > FREQUENT_INTERVAL {
+            wait_interval(&schedule).await;
+        }
+    }
+}
+
+/// Interval up to which a read that failed is repeated at once: the reader is to notice the store's
+/// return for the others.
+const FREQUENT_INTERVAL: Duration = Duration::from_millis(900);
+
+/// Waits while the topic is not to be read.
+async fn wait_unpaused(schedule: &impl Fn() -> ReadSchedule) {
+    while schedule().paused {
+        tokio::time::sleep(UNANSWERED_POLL_INTERVAL).await;
     }
 }
 
