fix(mesh): a first start knows every plan again, and a restart waits a second at most for relays

Ruled out: confirmations (372 ms old). Change: a host without a record reads the plans at once and so knows that there was none; a restarting relay reads at once, others after 1 s.

--- a/crates/mesh/src/process/control_state.rs
+++ b/crates/mesh/src/process/control_state.rs
@@ -126,6 +126,8 @@
     leading_since: Option<Instant>,
     /// Whether the store answered this node's last call.
     reaches_store: bool,
+    /// Whether the store had no record of this host when it started.
+    first_start: bool,
     /// Whether this node's last call to the store failed.
     store_failed: bool,
     /// Since when a peer is known to have applied more records than this node.
@@ -199,6 +201,7 @@
             attestations: None,
             leading_since: None,
             reaches_store: false,
+            first_start: false,
             store_failed: false,
             behind_since: None,
             needs_whole_state: false,
--- a/crates/mesh/src/process/control_state/record_step.rs
+++ b/crates/mesh/src/process/control_state/record_step.rs
@@ -32,15 +32,8 @@
 const UNREACHABLE_WAIT: Duration = Duration::from_millis(300);
 
 /// Time after the start for which a node waits for the state of a relay before it reads manifests and
-/// plans itself: three questions.
-const START_WAIT: Duration = Duration::from_millis(2_500);
-
-/// The same for a relay: its first question.
-const RELAY_START_WAIT: Duration = Duration::from_millis(400);
-
-/// The same for a node that knows no other: in a fleet that starts as a whole, the others have written
-/// their records by then.
-const LONE_START_WAIT: Duration = Duration::from_millis(2_500);
+/// plans itself: the relay's own start and two questions.
+const START_WAIT: Duration = Duration::from_millis(1_000);
 
 /// Hosts that together read the store about as often as one reader, while nobody confirms the plan.
 const SHARING_HOSTS: u32 = 8;
@@ -73,6 +66,7 @@
         if topic == StateTopic::Hosts {
             let records = state.values.iter().filter_map(|row| HostRecord::decode(&row.value));
             let own = records.into_iter().find(|record| record.host == self.settings.host);
+            self.first_start = own.is_none() && !self.hosts_known;
             self.own_written = self.own_written.take().or(own);
         }
         let contiguous = false;
@@ -309,22 +303,24 @@
         ReadSchedule { from, wait: wait.min(limit), interval, start, paused }
     }
 
-    /// Returns whether a topic whose newest records this node has not read is to be read now. Only
-    /// the hosts are read at once; manifest and plan come from a peer, unless none answers in time.
+    /// Returns whether a topic whose newest records this node has not read is to be read now. The hosts
+    /// are read at once; a node that starts again gets manifest and plan from a relay, unless it is one
+    /// or none answers in time. A host that starts for the first time reads the plans: one that knows
+    /// every plan from the first on need not wait for holds under plans that it missed.
     fn read_start(&self, topic: StateTopic, now: Instant) -> ReadStart {
         let known = match topic {
             StateTopic::Manifests => self.manifest.is_some(),
             StateTopic::Hosts => return ReadStart::Newest,
             StateTopic::Plans => self.plan_known,
         };
-        let wait = match self.hosts.len() {
-            0 | 1 => LONE_START_WAIT,
-            _ if self.duties.relays => RELAY_START_WAIT,
-            _ => START_WAIT,
-        };
+        let waits = !self.hosts_known
+            || match topic {
+                StateTopic::Plans => !self.first_start && !self.duties.relays,
+                _ => !self.duties.relays,
+            };
         match known {
             true => ReadStart::Following,
-            false if now < self.started_at + wait => ReadStart::Wait,
+            false if waits && now < self.started_at + START_WAIT => ReadStart::Wait,
             false => ReadStart::Newest,
         }
     }
