--- a/crates/mesh/src/process/control_state.rs
+++ b/crates/mesh/src/process/control_state.rs
@@ -5,6 +5,7 @@
 
 mod gossip_step;
 mod plan_step;
+mod read_step;
 mod record_step;
 mod relay_step;
 mod suspect_step;
--- a/crates/mesh/src/process/control_state/gossip_step.rs
+++ b/crates/mesh/src/process/control_state/gossip_step.rs
@@ -16,7 +16,7 @@
 
 /// Dates the attestations that a peer passed on: it sent them after `sent_at`, so they are no older
 /// than their age before that.
-fn collect_attestations(
+fn date_attestations(
     rows: &[AttestationRow],
     plan_end: u64,
     sent_at: Instant,
@@ -84,8 +84,8 @@
             if echo.attests {
                 peer.attested = Some((echo.plan_end, sent_at));
             }
-            peer.centre = collect_attestations(&report.centre, echo.plan_end, sent_at);
-            peer.fleet = collect_attestations(&report.fleet, echo.plan_end, sent_at);
+            peer.centre = date_attestations(&report.centre, echo.plan_end, sent_at);
+            peer.fleet = date_attestations(&report.fleet, echo.plan_end, sent_at);
         }
         let age = echo.age_ms.map(Duration::from_millis);
         if let Some(at) = age.and_then(|age| sent_at.checked_sub(age)) {
--- /dev/null
+++ b/crates/mesh/src/process/control_state/read_step.rs
@@ -0,0 +1,139 @@
+//! Decides how often this node reads each topic of the store.
+
+use std::time::{Duration, Instant};
+
+use firspindle_edge::{PlatformCodec, StateTopic};
+
+use super::{ControlState, ReadSchedule, ReadStart};
+
+/// Least number of readers: nodes that read the store often and announce new records to the others.
+const MIN_READERS: usize = 2;
+
+/// Hosts per reader, if that makes more than [`MIN_READERS`].
+const HOSTS_PER_READER: usize = 50;
+
+/// Time between a reader's reads of the plans. They do not wait at the store, so each confirms the plan
+/// as of that moment; who appended a plan announces it.
+const CONFIRM_INTERVAL: Duration = Duration::from_millis(900);
+
+/// Time that the store may hold a reader's read of the manifests. A connection that fell silent is
+/// noticed soon after.
+const MANIFEST_WAIT: Duration = Duration::from_millis(3_000);
+
+/// The same while the store does not answer.
+const UNREACHABLE_WAIT: Duration = Duration::from_millis(300);
+
+/// Time after the start for which a node waits for the state of a relay before it reads manifests and
+/// plans itself: the relay's own start and two questions.
+const START_WAIT: Duration = Duration::from_millis(1_000);
+
+/// Hosts that together read the store about as often as one reader, while nobody confirms the plan.
+const SHARING_HOSTS: u32 = 8;
+
+/// Time between reads of nodes that are told of new records by relays.
+const IDLE_INTERVAL: Duration = Duration::from_secs(60);
+
+/// Time without an answer of a relay after which a node reads the store itself.
+const RELAY_TIMEOUT: Duration = Duration::from_millis(1_600);
+
+/// Time after the start in which nodes that started together discover each other.
+const DISCOVERY_TIME: Duration = Duration::from_secs(8);
+
+/// Time between reads of the host records during discovery.
+const DISCOVERY_INTERVAL: Duration = Duration::from_millis(900);
+
+/// Age of the plan's confirmation below which a node relies on the readers' confirmations.
+const PEER_CONFIRM_AGE: Duration = Duration::from_millis(1_600);
+
+impl<C: PlatformCodec> ControlState<C> {
+    /// Returns how a topic is to be read at present. The readers, the first of the relays, read often;
+    /// the others are told of new records and read often only if nobody tells them.
+    pub fn read_schedule(&self, topic: StateTopic, now: Instant) -> ReadSchedule {
+        let reader = self.is_reader(now);
+        let told = !reader && self.told_recently(now);
+        let since = self.confirmation.confirmed_at().max(self.plan_applied_at);
+        let confirmed = since.is_some_and(|at| now < at + PEER_CONFIRM_AGE);
+        let (from, wait, interval) = match topic {
+            StateTopic::Manifests if told => (self.manifest_end, Duration::ZERO, IDLE_INTERVAL),
+            StateTopic::Manifests => (self.manifest_end, MANIFEST_WAIT, Duration::ZERO),
+            StateTopic::Hosts => (self.hosts_end, Duration::ZERO, self.hosts_interval(now)),
+            StateTopic::Plans if told && confirmed => {
+                (self.confirmation.end(), Duration::ZERO, IDLE_INTERVAL)
+            }
+            // The relays read as well; if they cannot, the others try in turn.
+            StateTopic::Plans if told => {
+                (self.confirmation.end(), Duration::ZERO, self.shared_interval())
+            }
+            StateTopic::Plans => (self.confirmation.end(), Duration::ZERO, CONFIRM_INTERVAL),
+        };
+        // While the store does not answer, a read is to fail soon: its failure restarts the other
+        // reads that hang.
+        let limit = if reader && !self.reaches_store { UNREACHABLE_WAIT } else { wait };
+        let start = self.read_start(topic, now);
+        // While the store does not answer, one topic is enough to notice its return.
+        let paused = self.store_failed && topic != StateTopic::Plans;
+        ReadSchedule { from, wait: wait.min(limit), interval, start, paused }
+    }
+
+    /// Returns whether a topic whose newest records this node has not read is to be read now. The hosts
+    /// are read at once; a node that starts again gets manifest and plan from a relay, unless it is one
+    /// or none answers in time. A host that starts for the first time reads the plans: one that knows
+    /// every plan from the first on need not wait for holds under plans that it missed.
+    fn read_start(&self, topic: StateTopic, now: Instant) -> ReadStart {
+        let known = match topic {
+            StateTopic::Manifests => self.manifest.is_some(),
+            StateTopic::Hosts => return ReadStart::Newest,
+            StateTopic::Plans => self.plan_known,
+        };
+        let waits = !self.hosts_known
+            || match topic {
+                StateTopic::Plans => !self.first_start && !self.duties.relays,
+                _ => !self.duties.relays,
+            };
+        match known {
+            true => ReadStart::Following,
+            false if waits && now < self.started_at + START_WAIT => ReadStart::Wait,
+            false => ReadStart::Newest,
+        }
+    }
+
+    /// Whether a relay sent a datagram recently, so that this node learns of new records without
+    /// reading the store.
+    fn told_recently(&self, now: Instant) -> bool {
+        self.peers
+            .rows()
+            .iter()
+            .any(|peer| !peer.leaders.is_empty() && now < peer.received_at + RELAY_TIMEOUT)
+    }
+
+    /// Returns the time between two reads of a node if all nodes together read about as often as a
+    /// small fleet.
+    fn shared_interval(&self) -> Duration {
+        let hosts = u32::try_from(self.hosts.len()).unwrap_or(u32::MAX);
+        CONFIRM_INTERVAL * (hosts / SHARING_HOSTS).max(1)
+    }
+
+    /// Returns the time between reads of the host records: short after the start and while a
+    /// holder's host is unknown, as nodes that start together may read before the others have
+    /// written.
+    pub(super) fn hosts_interval(&self, now: Instant) -> Duration {
+        let mut holders = self.plan.services.iter().flat_map(|ranges| &ranges.holders);
+        let unknown = holders.any(|holder| self.host(&holder.host).is_none());
+        if !unknown && now >= self.started_at + DISCOVERY_TIME {
+            return IDLE_INTERVAL;
+        }
+        // Relays pass new records on, so only a node that no relay answers has to find one.
+        let told = !self.is_reader(now) && self.told_recently(now);
+        if told { IDLE_INTERVAL } else { DISCOVERY_INTERVAL }
+    }
+
+    /// Whether this node is a reader: among the first of the relays that reach the store and whose
+    /// datagrams arrive here.
+    pub(super) fn is_reader(&self, now: Instant) -> bool {
+        self.duty_rank(now).is_some_and(|rank| rank < self.reader_count())
+    }
+
+    fn reader_count(&self) -> usize {
+        MIN_READERS.max(self.hosts.len() / HOSTS_PER_READER)
+    }
+}
--- a/crates/mesh/src/process/control_thread.rs
+++ b/crates/mesh/src/process/control_thread.rs
@@ -1,5 +1,7 @@
 //! The thread that owns the control state, feeds it with events and carries out its actions.
 
+mod call_step;
+
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -8,7 +10,7 @@
 
 use firspindle_core::process::GrantGuards;
 use firspindle_core::request::SuspectHint;
-use firspindle_edge::{BootClock, PlatformCodec, StateStore, StateTopic, StoreError};
+use firspindle_edge::{BootClock, PlatformCodec, StateStore, StateTopic};
 use http::HeaderName;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
@@ -18,7 +20,6 @@
 use super::gossip_socket::read_datagrams;
 use super::store_watch::{ReadSchedule, UnansweredAt, watch_topic};
 use super::{ControlEvent, MeshSettings, PeerTraffic};
-use crate::connection::{fetch_state, fetch_upstream_id};
 use crate::request::SharedState;
 use crate::version::PeerState;
 
@@ -351,72 +352,4 @@
         let same = self.state.is_in_own_data_centre(address);
         self.shared.metrics.peer_bytes(purpose, same).inc_by(bytes as u64);
     }
-
-    fn spawn_probe(&self, path: &str) {
-        let (tx, probe) =
-            (self.tx.clone(), fetch_upstream_id(self.upstream, path, &self.upstream_id));
-        tokio::task::spawn_local(async move {
-            let _ = tx.send(ControlEvent::UpstreamProbed(probe.await));
-        });
-    }
-
-    fn spawn_fetch(&self, address: SocketAddr) {
-        let (tx, shared) = (self.tx.clone(), self.shared.clone());
-        let same = self.state.is_in_own_data_centre(address);
-        let known = self.state.known_state();
-        tokio::task::spawn_local(async move {
-            match fetch_state(address, known).await {
-                Some((state, bytes)) => {
-                    shared.metrics.peer_bytes(PeerTraffic::State, same).inc_by(bytes as u64);
-                    let _ = tx.send(ControlEvent::PeerState(state));
-                }
-                None => log::info!(address:%; "fetching the state of a peer failed"),
-            }
-        });
-    }
-
-    fn spawn_put(&self, record: firspindle_core::version::HostRecord) {
-        if self.write_pending.replace(true) {
-            return;
-        }
-        let shared = self.shared.clone();
-        let (store, write_pending, write_result) =
-            (self.store.clone(), self.write_pending.clone(), self.write_result.clone());
-        tokio::task::spawn_local(async move {
-            shared.metrics.count_store_call(StateTopic::Hosts, "append");
-            let put = store.append(StateTopic::Hosts, &record.host, record.encode(), None).await;
-            if let Err(error) = &put {
-                log::info!(error:%; "writing the host record failed");
-                tokio::time::sleep(TICK_INTERVAL).await;
-            }
-            write_result.set(Some((record, put.is_ok())));
-            write_pending.set(false);
-        });
-    }
-
-    fn spawn_append(&self, plan: firspindle_core::version::RangePlan, at: u64) {
-        let shared = self.shared.clone();
-        let (store, tx, bytes) = (self.store.clone(), self.tx.clone(), plan.encode());
-        let began = self.clock.now();
-        tokio::task::spawn_local(async move {
-            shared.metrics.count_store_call(StateTopic::Plans, "append");
-            let appended = store.append(StateTopic::Plans, "plan", bytes, Some(at)).await;
-            match &appended {
-                Ok(end) => log::info!(end; "plan appended"),
-                Err(StoreError::Conflict { end }) => {
-                    log::info!(end; "plan append lost the compare-and-set");
-                }
-                Err(error) => log::info!(error:%; "plan append failed"),
-            }
-            let end = match appended {
-                Ok(end) | Err(StoreError::Conflict { end }) => Some(end),
-                Err(_) => {
-                    tokio::time::sleep(TICK_INTERVAL).await;
-                    None
-                }
-            };
-            let stored = appended.is_ok().then(|| (Box::new(plan), began));
-            let _ = tx.send(ControlEvent::PlanAppended(end, stored));
-        });
-    }
 }
--- /dev/null
+++ b/crates/mesh/src/process/control_thread/call_step.rs
@@ -0,0 +1,81 @@
+//! Calls of the control thread to the store, to peers and to the upstream, each a task of its own.
+
+use std::net::SocketAddr;
+
+use firspindle_core::version::{HostRecord, RangePlan};
+use firspindle_edge::{PlatformCodec, StateStore, StateTopic, StoreError};
+
+use super::ControlThread;
+use crate::connection::{fetch_state, fetch_upstream_id};
+use crate::process::control_state::TICK_INTERVAL;
+use crate::process::{ControlEvent, PeerTraffic};
+
+impl<C: PlatformCodec, S: StateStore> ControlThread<C, S> {
+    pub(super) fn spawn_probe(&self, path: &str) {
+        let (tx, probe) =
+            (self.tx.clone(), fetch_upstream_id(self.upstream, path, &self.upstream_id));
+        tokio::task::spawn_local(async move {
+            let _ = tx.send(ControlEvent::UpstreamProbed(probe.await));
+        });
+    }
+
+    pub(super) fn spawn_fetch(&self, address: SocketAddr) {
+        let (tx, shared) = (self.tx.clone(), self.shared.clone());
+        let same = self.state.is_in_own_data_centre(address);
+        let known = self.state.known_state();
+        tokio::task::spawn_local(async move {
+            match fetch_state(address, known).await {
+                Some((state, bytes)) => {
+                    shared.metrics.peer_bytes(PeerTraffic::State, same).inc_by(bytes as u64);
+                    let _ = tx.send(ControlEvent::PeerState(state));
+                }
+                None => log::info!(address:%; "fetching the state of a peer failed"),
+            }
+        });
+    }
+
+    pub(super) fn spawn_put(&self, record: HostRecord) {
+        if self.write_pending.replace(true) {
+            return;
+        }
+        let shared = self.shared.clone();
+        let (store, write_pending, write_result) =
+            (self.store.clone(), self.write_pending.clone(), self.write_result.clone());
+        tokio::task::spawn_local(async move {
+            shared.metrics.count_store_call(StateTopic::Hosts, "append");
+            let put = store.append(StateTopic::Hosts, &record.host, record.encode(), None).await;
+            if let Err(error) = &put {
+                log::info!(error:%; "writing the host record failed");
+                tokio::time::sleep(TICK_INTERVAL).await;
+            }
+            write_result.set(Some((record, put.is_ok())));
+            write_pending.set(false);
+        });
+    }
+
+    pub(super) fn spawn_append(&self, plan: RangePlan, at: u64) {
+        let shared = self.shared.clone();
+        let (store, tx, bytes) = (self.store.clone(), self.tx.clone(), plan.encode());
+        let began = self.clock.now();
+        tokio::task::spawn_local(async move {
+            shared.metrics.count_store_call(StateTopic::Plans, "append");
+            let appended = store.append(StateTopic::Plans, "plan", bytes, Some(at)).await;
+            match &appended {
+                Ok(end) => log::info!(end; "plan appended"),
+                Err(StoreError::Conflict { end }) => {
+                    log::info!(end; "plan append lost the compare-and-set");
+                }
+                Err(error) => log::info!(error:%; "plan append failed"),
+            }
+            let end = match appended {
+                Ok(end) | Err(StoreError::Conflict { end }) => Some(end),
+                Err(_) => {
+                    tokio::time::sleep(TICK_INTERVAL).await;
+                    None
+                }
+            };
+            let stored = appended.is_ok().then(|| (Box::new(plan), began));
+            let _ = tx.send(ControlEvent::PlanAppended(end, stored));
+        });
+    }
+}
