--- a/crates/firspindle/src/process/log_client.rs
+++ b/crates/firspindle/src/process/log_client.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http::{Request, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
@@ -16,6 +16,9 @@
 /// Timeout of a call, in addition to the time that it asks the log to wait.
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Largest body of an answer, in bytes: that of a message between nodes.
+const MAX_REPLY_BYTES: usize = 32 * 1024 * 1024;
+
 /// Client of the log; clones share its connections.
 #[derive(Debug, Clone)]
 pub struct LogClient {
@@ -119,7 +122,8 @@
         let call = async {
             let response = self.client.request(request).await.map_err(|error| no_answer(&error))?;
             let status = response.status();
-            let body = response.into_body().collect().await.map_err(|error| no_answer(&error))?;
+            let body = Limited::new(response.into_body(), MAX_REPLY_BYTES).collect().await;
+            let body = body.map_err(|error| no_answer(&error))?;
             match status {
                 StatusCode::OK => Ok(body.to_bytes()),
                 StatusCode::GONE => Err(LogError::Expired),
--- a/crates/mesh/src/request/owner_step.rs
+++ b/crates/mesh/src/request/owner_step.rs
@@ -5,7 +5,7 @@
 
 use firspindle_core::version::{RequestKind, UpstreamState};
 use http::{HeaderMap, HeaderName, HeaderValue, Request, StatusCode};
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
 
 use super::crash_step::{clear_suspect, refuse_suspect, report_crash};
@@ -43,6 +43,10 @@
 /// link could not carry it by its objective. Half of them take longer than the mean.
 const RUN_TIME_FACTOR: u32 = 2;
 
+/// Largest body of a forwarded request, in bytes. The entry node has applied the manifest's own limit,
+/// which another version of the manifest may have raised.
+const MAX_FORWARDED_BYTES: usize = 32 * 1024 * 1024;
+
 /// `Retry-After` while keys change owner or a node restarts.
 const HANDOVER_RETRY_AFTER: Duration = Duration::from_millis(700);
 
@@ -93,8 +97,8 @@
         });
     }
     let (head, body) = request.into_parts();
-    let Ok(body) = body.collect().await else {
-        return local_response(StatusCode::BAD_REQUEST, "the body is cut short", None);
+    let Ok(body) = Limited::new(body, MAX_FORWARDED_BYTES).collect().await else {
+        return local_response(StatusCode::BAD_REQUEST, "the body is cut short or too large", None);
     };
     let mut headers = head.headers;
     headers.remove(METADATA_HEADER);
