--- a/crates/core/src/process/grant_table.rs
+++ b/crates/core/src/process/grant_table.rs
@@ -77,6 +77,8 @@
     /// Whether a heartbeat to this process showed that the upstream holds nothing under a plan
     /// later than the applied one.
     no_later_holds: bool,
+    /// Whether any cell may have a revoked fence. Every datagram asks for those that ended.
+    has_revoked: bool,
 }
 
 impl GrantTable {
@@ -97,6 +99,7 @@
             version: 0,
             member_since: None,
             no_later_holds: false,
+            has_revoked: false,
         }
     }
 
@@ -168,6 +171,7 @@
             }
             if cell.fence > 0 {
                 cell.revoke();
+                self.has_revoked = true;
             }
             let ours = holder.host == self.host && Some(&holder.instance) == self.instance.as_ref();
             cell.fence = 0;
@@ -244,6 +248,9 @@
 
     /// Ends the revoked fences whose last hold has expired or is known to have been given up.
     fn end_revoked_fences(&mut self, now: Instant) {
+        if !self.has_revoked {
+            return;
+        }
         let earlier_holds_ended = now >= self.earlier_holds_end;
         for cell in &mut self.cells {
             if cell.revoked.is_empty() {
@@ -263,7 +270,11 @@
     /// The caller sends them again until that host acknowledges them
     /// ([`Self::remove_acknowledged`]).
     pub fn ended_fences(&mut self, now: Instant) -> Vec<(Box<str>, Vec<EndedFence>)> {
+        if !self.has_revoked {
+            return Vec::new();
+        }
         self.end_revoked_fences(now);
+        self.has_revoked = self.cells.iter().any(|cell| !cell.revoked.is_empty());
         let Some(ranges) = &self.ranges else { return Vec::new() };
         let mut found: Vec<(Box<str>, Vec<EndedFence>)> = Vec::new();
         for (index, new) in ranges.cells().into_iter().enumerate() {
--- a/crates/core/src/process/grant_table/instance_step.rs
+++ b/crates/core/src/process/grant_table/instance_step.rs
@@ -78,6 +78,7 @@
         for cell in &mut self.cells {
             cell.revoke_instance(ended);
         }
+        self.has_revoked = true;
     }
 
     /// Assigns the cells that the plan in force gives to the current instance, and ends the fences
--- a/crates/mesh/src/process.rs
+++ b/crates/mesh/src/process.rs
@@ -14,7 +14,7 @@
 mod store_watch;
 
 pub use control_event::ControlEvent;
-pub use control_state::{ControlAction, ControlState};
+pub use control_state::{ControlAction, ControlState, PeerPlace};
 pub use mesh_metrics::{MeshMetrics, PeerTraffic};
 pub use mesh_node::{NodeError, run_mesh_node};
 pub use mesh_settings::{MeshBounds, MeshListen, MeshSettings};
--- a/crates/mesh/src/process/control_state.rs
+++ b/crates/mesh/src/process/control_state.rs
@@ -30,7 +30,7 @@
 use super::peer_table::PeerTable;
 use super::store_watch::{ReadSchedule, ReadStart};
 use crate::version::{MeshView, PeerView, RangeView, StateSnapshot, UpstreamView};
-use relay_step::{AttestationCache, RelayDuties, RelayedRow};
+use relay_step::{RelayCache, RelayDuties, RelayedRow};
 
 /// Time between runs of [`ControlState::tick`].
 pub(super) const TICK_INTERVAL: Duration = Duration::from_millis(100);
@@ -53,6 +53,15 @@
 /// plan at once.
 const PLANNER_COUNT: usize = 3;
 
+/// Where another node is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PeerPlace {
+    /// In this node's data centre.
+    OwnDataCentre,
+    /// In another data centre.
+    OtherDataCentre,
+}
+
 /// An action that the control thread carries out for the state.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ControlAction {
@@ -60,13 +69,13 @@
     AppendPlan(RangePlan, u64),
     /// Write this node's host record to the store.
     PutHost(HostRecord),
-    /// Send a datagram to a node.
-    Send(SocketAddr, Bytes),
+    /// Send a datagram to a node, which is in this node's data centre or in another.
+    Send(SocketAddr, Bytes, PeerPlace),
     /// Send a health check to this path of the node's upstream; the response names the upstream's
     /// id.
     ProbeUpstream(Box<str>),
     /// Fetch the state of the peer at this address.
-    FetchState(SocketAddr),
+    FetchState(SocketAddr, PeerPlace),
 }
 
 /// Control state of a node.
@@ -122,7 +131,8 @@
     /// Number of the round of datagrams.
     round: u32,
     duties: RelayDuties,
-    attestations: Option<AttestationCache>,
+    /// What this node as a relay collected last.
+    collected: Option<RelayCache>,
     /// Since when this node is among those that may plan.
     leading_since: Option<Instant>,
     /// Whether the store answered this node's last call.
@@ -199,7 +209,7 @@
             relayed: Vec::new(),
             round: 0,
             duties: RelayDuties::default(),
-            attestations: None,
+            collected: None,
             leading_since: None,
             reaches_store: false,
             first_start: false,
@@ -278,11 +288,12 @@
         Some(&self.hosts[index])
     }
 
-    /// Whether the node with this address for datagrams or requests is in this node's data centre.
-    pub fn is_in_own_data_centre(&self, address: SocketAddr) -> bool {
-        let at_address = |row: &&HostRecord| row.gossip == address || row.forward == address;
-        let record = self.hosts.iter().find(at_address);
-        record.is_some_and(|row| row.data_centre == self.settings.data_centre)
+    /// Returns where a host is.
+    fn place_of(&self, record: &HostRecord) -> PeerPlace {
+        match record.data_centre == self.settings.data_centre {
+            true => PeerPlace::OwnDataCentre,
+            false => PeerPlace::OtherDataCentre,
+        }
     }
 
     fn others(&self) -> impl Iterator<Item = &HostRecord> {
--- a/crates/mesh/src/process/control_state/gossip_step.rs
+++ b/crates/mesh/src/process/control_state/gossip_step.rs
@@ -107,7 +107,8 @@
         let ended = self.grants.ended_fences(now);
         let mut actions = Vec::with_capacity(hosts.len());
         for host in hosts {
-            let Some(address) = self.host(host).map(|record| record.gossip) else { continue };
+            let Some(record) = self.host(host) else { continue };
+            let (address, place) = (record.gossip, self.place_of(record));
             let mut rows: EndedFenceList = ended
                 .iter()
                 .find(|(name, _)| name == host)
@@ -115,7 +116,7 @@
             rows.truncate(MAX_ENDED_ROWS);
             let mut message = self.datagram(host, rows, now);
             message.report = self.relay_report(host, wants_reply, now);
-            actions.push(ControlAction::Send(address, message.encode().into()));
+            actions.push(ControlAction::Send(address, message.encode().into(), place));
         }
         actions
     }
--- a/crates/mesh/src/process/control_state/record_step.rs
+++ b/crates/mesh/src/process/control_state/record_step.rs
@@ -263,8 +263,9 @@
         let count = self.peers.rows().iter().filter(ahead).count().max(1) as u64;
         let choice = usize::try_from((self.incarnation + self.stamp_ms(now)) % count).unwrap_or(0);
         let peer = self.peers.rows().iter().filter(ahead).nth(choice);
-        let address = peer.and_then(|peer| self.host(&peer.host)).map(|record| record.forward);
-        self.behind_since = address.map(|_| now);
-        address.map(ControlAction::FetchState)
+        let record = peer.and_then(|peer| self.host(&peer.host));
+        let fetch = record.map(|row| ControlAction::FetchState(row.forward, self.place_of(row)));
+        self.behind_since = fetch.as_ref().map(|_| now);
+        fetch
     }
 }
--- a/crates/mesh/src/process/control_state/relay_step.rs
+++ b/crates/mesh/src/process/control_state/relay_step.rs
@@ -27,9 +27,8 @@
     reported_at: Instant,
 }
 
-/// Time for which collected attestations are used again. A relay of 170 hosts gets 570 questions a
-/// second.
-const ATTESTATION_CACHE_TIME: Duration = Duration::from_millis(50);
+/// Time for which what a relay collected is used again. A relay of 170 hosts gets 570 questions a second.
+const COLLECTED_TIME: Duration = Duration::from_millis(50);
 
 /// This node's duties towards others, by what it knew at the last choice.
 #[derive(Debug, Clone, Default)]
@@ -40,15 +39,42 @@
     pub(super) leaders: Vec<Box<str>>,
 }
 
-/// Attestations of several holders that this node collected.
+/// What this node as a relay collected for its answers.
 #[derive(Debug, Clone)]
-pub(super) struct AttestationCache {
+pub(super) struct RelayCache {
     collected_at: Instant,
     plan_end: u64,
-    /// Of the holders in this data centre.
+    /// Attestations of the holders in this data centre.
     centre: Vec<CollectedAttestation>,
-    /// Of all holders.
+    /// Attestations of all holders.
     fleet: Vec<CollectedAttestation>,
+    /// Loads of the upstreams without keys in this data centre.
+    centre_loads: Vec<RelayedRow>,
+    /// Loads of all upstreams without keys.
+    all_loads: Vec<RelayedRow>,
+}
+
+impl RelayedRow {
+    /// Returns the load for a datagram, with its age.
+    fn aged(&self, now: Instant) -> RelayedLoad {
+        let age = now.saturating_duration_since(self.reported_at).as_millis();
+        RelayedLoad {
+            host: self.host,
+            age_ms: u32::try_from(age).unwrap_or(u32::MAX),
+            load: self.load,
+            link_ms: self.load.link_ms,
+        }
+    }
+}
+
+/// Returns attestations for a datagram, with their ages.
+fn aged_attestations(rows: &[CollectedAttestation], now: Instant) -> Vec<AttestationRow> {
+    let aged = rows.iter().map(|row| AttestationRow {
+        service: row.service.clone(),
+        covered: row.covered,
+        age_ms: age_ms(row.at, now),
+    });
+    aged.collect()
 }
 
 fn age_ms(at: Instant, now: Instant) -> u64 {
@@ -188,23 +214,26 @@
         if !self.duties.relays {
             return RelayReport { wants_reply, seen, ..RelayReport::default() };
         }
-        let (centre, fleet) = self.cached_attestations(now);
+        let collected = self.collected(now);
         let in_own_centre =
             self.host(host).is_some_and(|row| row.data_centre == self.settings.data_centre);
+        let loads = if in_own_centre { &collected.all_loads } else { &collected.centre_loads };
         let leaders = self.duties.leaders.iter().take(PLANNER_COUNT).map(|host| hash_host(host));
         let known_there = self.peers.get(host).map_or(0, |peer| peer.seen_there);
         let (changed, sequence) = self.changes.after(known_there);
         let records = changed.into_iter().filter_map(|name| self.host(name).cloned());
-        RelayReport {
+        let report = RelayReport {
             wants_reply,
-            centre,
-            fleet,
+            centre: aged_attestations(&collected.centre, now),
+            fleet: aged_attestations(&collected.fleet, now),
             leaders: leaders.collect(),
-            loads: self.relayed_loads(in_own_centre, now),
+            loads: loads.iter().map(|row| row.aged(now)).collect(),
             records: records.filter(|row| &*row.host != host).collect(),
             sequence,
             seen,
-        }
+        };
+        self.collected = Some(collected);
+        report
     }
 
     /// Applies what a relay passed on, except for attestations.
@@ -239,32 +268,23 @@
         heard.into_iter().chain(relayed).max_by_key(|row| row.1)
     }
 
-    /// Returns the recent loads of upstreams of services without keys: to a node of this data centre
-    /// all of them, to another those of this data centre.
-    fn relayed_loads(&self, to_own_centre: bool, now: Instant) -> Vec<RelayedLoad> {
+    /// Returns the recent loads of upstreams without keys, and whether they are in this data centre.
+    fn free_loads(&self, now: Instant) -> Vec<(RelayedRow, bool)> {
         let chosen_freely = |row: &&HostRecord| {
             let ready = row.upstream.as_ref().is_some_and(|row| row.state == UpstreamState::Ready);
             ready && !self.is_sharded(&row.service)
         };
-        let in_scope =
-            |row: &&HostRecord| to_own_centre || row.data_centre == self.settings.data_centre;
-        let rows = self.hosts.iter().filter(chosen_freely).filter(in_scope);
-        let loads = rows.filter_map(|row| {
-            let (load, at) = if row.host == self.settings.host {
+        let rows = self.hosts.iter().filter(chosen_freely).filter_map(|row| {
+            let (load, reported_at) = if row.host == self.settings.host {
                 (self.open_load(now), now)
             } else {
                 self.newest_load(&row.host)?
             };
-            let age = now.saturating_duration_since(at);
-            let age_ms = u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
-            (age < PEER_TIMEOUT).then(|| RelayedLoad {
-                host: hash_host(&row.host),
-                age_ms,
-                load,
-                link_ms: load.link_ms,
-            })
+            let here = row.data_centre == self.settings.data_centre;
+            let relayed = RelayedRow { host: hash_host(&row.host), load, reported_at };
+            (now < reported_at + PEER_TIMEOUT).then_some((relayed, here))
         });
-        loads.collect()
+        rows.collect()
     }
 
     /// Returns when the oldest attestation of a service's holders in this data centre was given;
@@ -332,32 +352,27 @@
         matching.map(|row| row.at).max()
     }
 
-    /// Returns the attestations of the holders in this data centre and of all holders. What was
-    /// collected a moment ago for the plan in force is used again: it stays true, with its age.
-    fn cached_attestations(&mut self, now: Instant) -> (Vec<AttestationRow>, Vec<AttestationRow>) {
+    /// Takes what was collected a moment ago for the plan in force, which stays true with its age, or
+    /// collects it anew.
+    fn collected(&mut self, now: Instant) -> RelayCache {
         let end = self.confirmation.end();
-        let cached = self
-            .attestations
-            .take()
-            .filter(|row| row.plan_end == end && now < row.collected_at + ATTESTATION_CACHE_TIME);
-        let rows = cached.unwrap_or_else(|| self.collect_attestations(now));
-        let aged = |rows: &[CollectedAttestation]| {
-            let aged = rows.iter().map(|row| AttestationRow {
-                service: row.service.clone(),
-                covered: row.covered,
-                age_ms: age_ms(row.at, now),
-            });
-            aged.collect()
-        };
-        let result = (aged(&rows.centre), aged(&rows.fleet));
-        self.attestations = Some(rows);
-        result
+        let kept = self.collected.take();
+        let kept =
+            kept.filter(|row| row.plan_end == end && now < row.collected_at + COLLECTED_TIME);
+        kept.unwrap_or_else(|| self.collect(now))
     }
 
-    fn collect_attestations(&self, now: Instant) -> AttestationCache {
+    fn collect(&self, now: Instant) -> RelayCache {
         let plan_end = self.confirmation.end();
-        let mut cache =
-            AttestationCache { collected_at: now, plan_end, centre: Vec::new(), fleet: Vec::new() };
+        let loads = self.free_loads(now);
+        let mut cache = RelayCache {
+            collected_at: now,
+            plan_end,
+            centre: Vec::new(),
+            fleet: Vec::new(),
+            centre_loads: loads.iter().filter(|row| row.1).map(|row| row.0).collect(),
+            all_loads: loads.iter().map(|row| row.0).collect(),
+        };
         let row = |ranges: &ServiceRanges, covered, at| CollectedAttestation {
             service: ranges.service.clone(),
             plan_end,
--- a/crates/mesh/src/process/control_thread.rs
+++ b/crates/mesh/src/process/control_thread.rs
@@ -16,7 +16,7 @@
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 use tokio::sync::oneshot;
 
-use super::control_state::{ControlAction, ControlState, GOSSIP_TICKS, TICK_INTERVAL};
+use super::control_state::{ControlAction, ControlState, GOSSIP_TICKS, PeerPlace, TICK_INTERVAL};
 use super::gossip_socket::read_datagrams;
 use super::store_watch::{ReadSchedule, UnansweredAt, watch_topic};
 use super::{ControlEvent, MeshSettings, PeerTraffic};
@@ -275,7 +275,10 @@
         self.step();
         if self.ticks.is_multiple_of(TRAFFIC_LOG_TICKS) {
             let metrics = &self.shared.metrics;
-            let (own, other) = (metrics.peer_bytes_text(true), metrics.peer_bytes_text(false));
+            let (own, other) = (
+                metrics.peer_bytes_text(PeerPlace::OwnDataCentre),
+                metrics.peer_bytes_text(PeerPlace::OtherDataCentre),
+            );
             log::info!(
                 own_data_centre = &*own, other_data_centres = &*other,
                 calls = &*metrics.store_calls_text();
@@ -334,22 +337,18 @@
     fn execute(&mut self, actions: Vec<ControlAction>) {
         for action in actions {
             match action {
-                ControlAction::Send(address, bytes) => {
-                    self.count_bytes(PeerTraffic::Datagram, address, bytes.len());
+                ControlAction::Send(address, bytes, place) => {
+                    let counter = self.shared.metrics.peer_bytes(PeerTraffic::Datagram, place);
+                    counter.inc_by(bytes.len() as u64);
                     if let Err(error) = self.socket.try_send_to(&bytes, address) {
                         log::debug!(address:%, error:%; "sending a datagram failed");
                     }
                 }
                 ControlAction::ProbeUpstream(path) => self.spawn_probe(&path),
-                ControlAction::FetchState(address) => self.spawn_fetch(address),
+                ControlAction::FetchState(address, place) => self.spawn_fetch(address, place),
                 ControlAction::PutHost(record) => self.spawn_put(record),
                 ControlAction::AppendPlan(plan, at) => self.spawn_append(plan, at),
             }
         }
     }
-
-    fn count_bytes(&self, purpose: PeerTraffic, address: SocketAddr, bytes: usize) {
-        let same = self.state.is_in_own_data_centre(address);
-        self.shared.metrics.peer_bytes(purpose, same).inc_by(bytes as u64);
-    }
 }
--- a/crates/mesh/src/process/control_thread/call_step.rs
+++ b/crates/mesh/src/process/control_thread/call_step.rs
@@ -7,7 +7,7 @@
 
 use super::ControlThread;
 use crate::connection::{fetch_state, fetch_upstream_id};
-use crate::process::control_state::TICK_INTERVAL;
+use crate::process::control_state::{PeerPlace, TICK_INTERVAL};
 use crate::process::{ControlEvent, PeerTraffic};
 
 impl<C: PlatformCodec, S: StateStore> ControlThread<C, S> {
@@ -19,14 +19,13 @@
         });
     }
 
-    pub(super) fn spawn_fetch(&self, address: SocketAddr) {
+    pub(super) fn spawn_fetch(&self, address: SocketAddr, place: PeerPlace) {
         let (tx, shared) = (self.tx.clone(), self.shared.clone());
-        let same = self.state.is_in_own_data_centre(address);
         let known = self.state.known_state();
         tokio::task::spawn_local(async move {
             match fetch_state(address, known).await {
                 Some((state, bytes)) => {
-                    shared.metrics.peer_bytes(PeerTraffic::State, same).inc_by(bytes as u64);
+                    shared.metrics.peer_bytes(PeerTraffic::State, place).inc_by(bytes as u64);
                     let _ = tx.send(ControlEvent::PeerState(state));
                 }
                 None => log::info!(address:%; "fetching the state of a peer failed"),
--- a/crates/mesh/src/process/mesh_metrics.rs
+++ b/crates/mesh/src/process/mesh_metrics.rs
@@ -6,6 +6,8 @@
     TextEncoder,
 };
 
+use super::PeerPlace;
+
 /// Upper bounds of the latency buckets in seconds, around the latency objectives of the services.
 const LATENCY_BUCKETS_S: [f64; 12] =
     [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.6, 1.0, 2.0, 4.0, 8.0];
@@ -32,9 +34,9 @@
     pub retries: IntCounterVec,
     /// Connections opened, by destination: peer or upstream.
     pub connects: IntCounterVec,
-    /// Bytes exchanged with other nodes, by purpose and by where the other node is; counted by the
-    /// node that sent the request or the datagram, without the headers of TCP and IP.
-    pub peer_bytes: IntCounterVec,
+    /// Bytes exchanged with other nodes, by where the other node is and by purpose; counted by the node
+    /// that sent the request or the datagram, without the headers of TCP and IP.
+    peer_bytes: [[IntCounter; 4]; 2],
     /// Calls to the store, by topic and kind: newest, read or append.
     pub store_calls: IntCounterVec,
     /// Requests sent to the upstream.
@@ -68,6 +70,11 @@
         )
         .expect("valid");
         registry.register(Box::new(link_backlog.clone())).expect("the name is new");
+        let peer_bytes = family(
+            "firspindle_peer_bytes_total",
+            "Bytes exchanged with other nodes",
+            &["purpose", "data_centre"],
+        );
         Self {
             answers: family(
                 "firspindle_answers_total",
@@ -97,11 +104,10 @@
                 &["role", "stage"],
             ),
             retries: family("firspindle_retries_total", "Sends beyond the first", &["service"]),
-            peer_bytes: family(
-                "firspindle_peer_bytes_total",
-                "Bytes exchanged with other nodes",
-                &["purpose", "data_centre"],
-            ),
+            peer_bytes: ["own", "other"].map(|place| {
+                PeerTraffic::ALL
+                    .map(|purpose| peer_bytes.with_label_values(&[purpose.as_str(), place]))
+            }),
             store_calls: family(
                 "firspindle_store_calls_total",
                 "Calls to the store",
@@ -136,6 +142,9 @@
 }
 
 impl PeerTraffic {
+    /// All purposes, in their order.
+    const ALL: [Self; 4] = [Self::Request, Self::Response, Self::Datagram, Self::State];
+
     const fn as_str(self) -> &'static str {
         match self {
             Self::Request => "request",
@@ -147,11 +156,9 @@
 }
 
 impl MeshMetrics {
-    /// Returns the counter of bytes for a purpose, exchanged with nodes of this node's data centre
-    /// or of others.
-    pub fn peer_bytes(&self, purpose: PeerTraffic, same_data_centre: bool) -> IntCounter {
-        let place = if same_data_centre { "own" } else { "other" };
-        self.peer_bytes.with_label_values(&[purpose.as_str(), place])
+    /// Returns the counter of bytes for a purpose, exchanged with nodes at a place.
+    pub fn peer_bytes(&self, purpose: PeerTraffic, place: PeerPlace) -> &IntCounter {
+        &self.peer_bytes[place as usize][purpose as usize]
     }
 
     /// Counts a call to the store.
@@ -171,17 +178,11 @@
         counted.collect::<Vec<_>>().join(",")
     }
 
-    /// Returns the bytes exchanged with nodes of this node's data centre or of others, as text:
-    /// purpose and bytes, separated by commas.
-    pub fn peer_bytes_text(&self, same_data_centre: bool) -> String {
-        let purposes = [
-            PeerTraffic::Request,
-            PeerTraffic::Response,
-            PeerTraffic::Datagram,
-            PeerTraffic::State,
-        ];
-        let bytes = purposes.map(|purpose| {
-            format!("{}:{}", purpose.as_str(), self.peer_bytes(purpose, same_data_centre).get())
+    /// Returns the bytes exchanged with nodes at a place as text: purpose and bytes, separated by
+    /// commas.
+    pub fn peer_bytes_text(&self, place: PeerPlace) -> String {
+        let bytes = PeerTraffic::ALL.map(|purpose| {
+            format!("{}:{}", purpose.as_str(), self.peer_bytes(purpose, place).get())
         });
         bytes.join(",")
     }
--- a/crates/mesh/src/request/forward_step.rs
+++ b/crates/mesh/src/request/forward_step.rs
@@ -9,7 +9,7 @@
 use super::routed_request::{METADATA_HEADER, OWNER_TIME_HEADER, REASON_HEADER, VERDICT_HEADER};
 use super::{AttemptOutcome, HEAD_BYTES, NotRunReason, RoutedRequest, TrafficContext};
 use crate::connection::{OutboundBody, ProxyBody, SendError, StreamedBody};
-use crate::process::PeerTraffic;
+use crate::process::{PeerPlace, PeerTraffic};
 use crate::version::PeerView;
 
 /// Time after which an idle connection to another node is not reused.
@@ -24,7 +24,10 @@
     network_time: &mut Duration,
 ) -> AttemptOutcome {
     let started = Instant::now();
-    let same_data_centre = peer.data_centre == context.settings.data_centre;
+    let place = match peer.data_centre == context.settings.data_centre {
+        true => PeerPlace::OwnDataCentre,
+        false => PeerPlace::OtherDataCentre,
+    };
     let metrics = &context.shared.metrics;
     let Some(metadata) = request.metadata(started) else {
         return AttemptOutcome::MayHaveRun { reason: "the service's name is no header value" };
@@ -38,7 +41,7 @@
     outgoing.headers_mut().insert(METADATA_HEADER, metadata);
     let sent_bytes =
         head_bytes(outgoing.headers()) + outgoing.uri().path().len() + request.body.len();
-    metrics.peer_bytes(PeerTraffic::Request, same_data_centre).inc_by(sent_bytes as u64);
+    metrics.peer_bytes(PeerTraffic::Request, place).inc_by(sent_bytes as u64);
     let sent = context.peers.send(peer.forward, outgoing, IDLE_LIMIT).await;
     let (response, connection, is_new) = match sent {
         Ok(sent) => sent,
@@ -58,7 +61,7 @@
     let verdict = response.headers().get(VERDICT_HEADER).and_then(|value| value.to_str().ok());
     let verdict = verdict.map_or(RequestVerdict::MayHaveRun, RequestVerdict::parse);
     let (mut head, body) = response.into_parts();
-    let received = metrics.peer_bytes(PeerTraffic::Response, same_data_centre);
+    let received = metrics.peer_bytes(PeerTraffic::Response, place).clone();
     received.inc_by(head_bytes(&head.headers) as u64);
     let body = StreamedBody::new(body, connection, request.deadline.into()).count_with(received);
     match verdict {
--- a/crates/mesh/tests/fleet/main.rs
+++ b/crates/mesh/tests/fleet/main.rs
@@ -7,6 +7,8 @@
 #[path = "../ownership/codec.rs"]
 mod codec;
 mod model;
+#[path = "../ownership/node_settings.rs"]
+mod node_settings;
 #[path = "../ownership/upstream.rs"]
 mod upstream;
 
--- a/crates/mesh/tests/fleet/model.rs
+++ b/crates/mesh/tests/fleet/model.rs
@@ -12,9 +12,10 @@
     HostRecord, RangePlan, UpstreamInstance, UpstreamRecord, UpstreamState,
 };
 use firspindle_edge::{ReadBatch, StateTopic, TopicRecord, TopicSnapshot};
-use firspindle_mesh::process::{ControlAction, ControlState, MeshBounds, MeshListen, MeshSettings};
+use firspindle_mesh::process::{ControlAction, ControlState, MeshSettings};
 
 use crate::codec::{SERVICE, TestCodec};
+use crate::node_settings::node_settings;
 use crate::upstream::Upstream;
 
 /// Delay of a message, in milliseconds.
@@ -73,37 +74,11 @@
     format!("host-{index:03}").into()
 }
 
-fn address(index: usize, port: u16) -> SocketAddr {
-    let (high, low) = (index / 250, index % 250);
-    let octet = |value: usize| u8::try_from(value).expect("a small number");
-    SocketAddr::from(([10, 0, octet(high), octet(low)], port))
-}
-
 fn settings(index: usize, centres: usize) -> MeshSettings {
-    MeshSettings {
-        host: host_name(index),
-        data_centre: format!("centre-{}", index % centres).into(),
-        service: SERVICE.into(),
-        upstream: address(index, 1),
-        store: "store".into(),
-        listen: MeshListen {
-            traffic: address(index, 2),
-            forward: address(index, 3),
-            readiness: address(index, 4),
-            heartbeats: address(index, 5),
-            gossip: address(index, 6),
-            admin: address(index, 7),
-        },
-        bounds: MeshBounds {
-            link_rate: None,
-            drain: Duration::from_secs(2),
-            grace: Duration::from_secs(6),
-            hold_limit: Duration::from_secs(10),
-            retry_ratio: 0.2,
-            retry_window: Duration::from_secs(10),
-            retry_allowance: 64.0,
-        },
-    }
+    let data_centre = format!("centre-{}", index % centres);
+    let octet = |value: usize| u8::try_from(value).expect("a small number");
+    let ip = [10, 0, octet(index / 250), octet(index % 250)].into();
+    node_settings(&host_name(index), &data_centre, ip)
 }
 
 fn instance(index: usize) -> UpstreamInstance {
@@ -265,7 +240,7 @@
 
     fn execute(&mut self, from: usize, actions: Vec<ControlAction>) {
         for action in actions {
-            let ControlAction::Send(to, bytes) = action else { continue };
+            let ControlAction::Send(to, bytes, _) = action else { continue };
             let SocketAddr::V4(to) = to else { continue };
             let [_, _, high, low] = to.ip().octets();
             let traffic = &mut self.nodes[from].traffic;
--- a/crates/mesh/tests/ownership/main.rs
+++ b/crates/mesh/tests/ownership/main.rs
@@ -3,6 +3,7 @@
 //! Further tests remove one guard each and show that two upstreams then hold the same key.
 
 mod codec;
+mod node_settings;
 mod suspects;
 mod upstream;
 mod world;
--- /dev/null
+++ b/crates/mesh/tests/ownership/node_settings.rs
@@ -0,0 +1,37 @@
+//! Settings of nodes in memory.
+
+use std::net::{IpAddr, SocketAddr};
+use std::time::Duration;
+
+use firspindle_mesh::process::{MeshBounds, MeshListen, MeshSettings};
+
+use crate::codec::SERVICE;
+
+/// Returns the settings of a node whose addresses all have this IP address.
+pub fn node_settings(host: &str, data_centre: &str, ip: IpAddr) -> MeshSettings {
+    let address = |port| SocketAddr::new(ip, port);
+    MeshSettings {
+        host: host.into(),
+        data_centre: data_centre.into(),
+        service: SERVICE.into(),
+        upstream: address(1),
+        store: "store".into(),
+        listen: MeshListen {
+            traffic: address(2),
+            forward: address(3),
+            readiness: address(4),
+            heartbeats: address(5),
+            gossip: address(6),
+            admin: address(7),
+        },
+        bounds: MeshBounds {
+            link_rate: None,
+            drain: Duration::from_secs(2),
+            grace: Duration::from_secs(6),
+            hold_limit: Duration::from_secs(10),
+            retry_ratio: 0.2,
+            retry_window: Duration::from_secs(10),
+            retry_allowance: 64.0,
+        },
+    }
+}
--- a/crates/mesh/tests/ownership/suspects.rs
+++ b/crates/mesh/tests/ownership/suspects.rs
@@ -79,7 +79,7 @@
         let host = format!("host-{to}").into_boxed_str();
         let actions = self.nodes[from].datagrams(&[host], self.now);
         let sent = actions.into_iter().find_map(|action| match action {
-            ControlAction::Send(_, bytes) => Some(bytes),
+            ControlAction::Send(_, bytes, _) => Some(bytes),
             _ => None,
         });
         sent.expect("the host is known")
--- a/crates/mesh/tests/ownership/world.rs
+++ b/crates/mesh/tests/ownership/world.rs
@@ -7,7 +7,6 @@
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
-use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -15,7 +14,7 @@
 use firspindle_core::process::GrantGuards;
 use firspindle_core::version::{CELLS, UpstreamInstance};
 use firspindle_edge::{ReadBatch, StateTopic, TopicRecord, TopicSnapshot};
-use firspindle_mesh::process::{ControlState, MeshBounds, MeshListen, MeshSettings};
+use firspindle_mesh::process::{ControlState, MeshSettings};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -24,6 +23,7 @@
 pub use event::PlanScript;
 
 use super::codec::{SERVICE, TestCodec};
+use super::node_settings::node_settings;
 use super::upstream::Upstream;
 
 /// Number of hosts, each with a node and an upstream.
@@ -107,32 +107,9 @@
 }
 
 pub fn settings(index: usize) -> MeshSettings {
-    let address =
-        |port: u16| SocketAddr::from(([10, 0, 0, u8::try_from(index).unwrap_or(0)], port));
-    MeshSettings {
-        host: format!("host-{index}").into(),
-        data_centre: format!("centre-{}", index % CENTRES).into(),
-        service: SERVICE.into(),
-        upstream: address(1),
-        store: "store".into(),
-        listen: MeshListen {
-            traffic: address(2),
-            forward: address(3),
-            readiness: address(4),
-            heartbeats: address(5),
-            gossip: address(6),
-            admin: address(7),
-        },
-        bounds: MeshBounds {
-            link_rate: None,
-            drain: Duration::from_secs(2),
-            grace: Duration::from_secs(6),
-            hold_limit: Duration::from_secs(10),
-            retry_ratio: 0.2,
-            retry_window: Duration::from_secs(10),
-            retry_allowance: 64.0,
-        },
-    }
+    let data_centre = format!("centre-{}", index % CENTRES);
+    let ip = [10, 0, 0, u8::try_from(index).unwrap_or(0)].into();
+    node_settings(&format!("host-{index}"), &data_centre, ip)
 }
 
 impl World {
--- a/crates/mesh/tests/ownership/world/network.rs
+++ b/crates/mesh/tests/ownership/world/network.rs
@@ -15,8 +15,8 @@
         let incarnation = self.hosts[host].incarnation;
         for action in actions {
             match action {
-                ControlAction::Send(address, bytes) => self.send(host, address, bytes),
-                ControlAction::FetchState(address) => self.fetch(host, address),
+                ControlAction::Send(address, bytes, _) => self.send(host, address, bytes),
+                ControlAction::FetchState(address, _) => self.fetch(host, address),
                 ControlAction::ProbeUpstream(_) => self.enqueue(host, incarnation, 5, Event::Probe),
                 ControlAction::PutHost(record) => {
                     let (key, value) = (record.host.to_string(), record.encode());
