feat(mesh): what upstreams say of limits and leaving is logged and measured

Callers' view: unchanged; nothing is limited yet.

Change: the node beside the upstream reads both headers in every answer, logs a limit that changed and a header with an invalid value, and has firspindle_upstream_limit. Which of several answers counts, when they arrive in any order, is LimitTracker, without IO.

--- a/crates/core/src/connection.rs
+++ b/crates/core/src/connection.rs
@@ -9,6 +9,7 @@
 mod link_schedule;
 mod peer_message;
 mod relay_report;
+mod upstream_limit;
 mod upstream_report;
 
 pub use demand_report::{DemandReport, HOT_CELLS, HotCell};
@@ -22,4 +23,5 @@
 pub use relay_report::{
     AttestationRow, HostHash, RelayReport, RelayedLoad, cover_hosts, hash_host,
 };
+pub use upstream_limit::{LimitError, UpstreamLimit};
 pub use upstream_report::{FreedRow, GrantReply, GrantRow, HeldRow, UpstreamReport};
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -2,6 +2,7 @@
 
 mod admission_queue;
 mod dedup_table;
+mod limit_tracker;
 mod node_choice;
 mod request_failure;
 mod request_verdict;
@@ -13,6 +14,7 @@
 
 pub use admission_queue::{Admission, AdmissionQueue, Completion};
 pub use dedup_table::{DedupDecision, DedupTable, id_unix_ms};
+pub use limit_tracker::LimitTracker;
 pub use node_choice::{NodeDistance, NodeOption, choose_node};
 pub use request_failure::RequestFailure;
 pub use request_verdict::RequestVerdict;
--- a/crates/edge/src/header_names.rs
+++ b/crates/edge/src/header_names.rs
@@ -17,6 +17,10 @@
     pub upstream_id: HeaderName,
     /// Load of the upstream: running requests, waiting requests and slots.
     pub load: HeaderName,
+    /// Requests per second that the upstream takes from all nodes together, while it limits them.
+    pub limit: HeaderName,
+    /// Present on a response, as `1`, if the upstream leaves.
+    pub leaving: HeaderName,
     /// Present on a response if the upstream did not run the request.
     pub not_run: HeaderName,
     /// Service of the host that the request came from.
--- a/crates/mesh/src/process/mesh_metrics.rs
+++ b/crates/mesh/src/process/mesh_metrics.rs
@@ -30,6 +30,8 @@
     pub abandoned: IntCounterVec,
     /// Seconds until the host's link has sent all that it is to carry.
     pub link_backlog: Gauge,
+    /// Requests per second that the upstream takes, as it named them; 0 without a limit.
+    pub upstream_limit: Gauge,
     /// Sends of a request beyond its first, by service.
     pub retries: IntCounterVec,
     /// Connections opened, by destination: peer or upstream.
@@ -70,6 +72,12 @@
         )
         .expect("valid");
         registry.register(Box::new(link_backlog.clone())).expect("the name is new");
+        let upstream_limit = Gauge::new(
+            "firspindle_upstream_limit",
+            "Requests a second that the upstream takes, as it named them; 0 without a limit",
+        )
+        .expect("valid");
+        registry.register(Box::new(upstream_limit.clone())).expect("the name is new");
         let peer_bytes = family(
             "firspindle_peer_bytes_total",
             "Bytes exchanged with other nodes",
@@ -98,6 +106,7 @@
             ),
             timer_lag,
             link_backlog,
+            upstream_limit,
             abandoned: family(
                 "firspindle_abandoned_total",
                 "Requests whose caller left before the response",
--- a/crates/mesh/src/request.rs
+++ b/crates/mesh/src/request.rs
@@ -7,6 +7,7 @@
 mod crash_step;
 mod demand_meter;
 mod forward_step;
+mod notice_step;
 mod owner_step;
 mod request_progress;
 mod response_step;
@@ -14,6 +15,7 @@
 mod routed_request;
 mod shared_state;
 mod traffic_context;
+mod upstream_notice;
 
 /// Bytes that the head of a request or response takes on the link, about.
 const HEAD_BYTES: usize = 600;
--- /dev/null
+++ b/crates/mesh/src/request/notice_step.rs
@@ -0,0 +1,43 @@
+//! Takes note of what the upstream says about itself in its answers.
+
+use std::time::Instant;
+
+use http::{HeaderMap, StatusCode};
+
+use super::TrafficContext;
+use super::upstream_notice::{LimitNotice, UpstreamNotice};
+use crate::version::UpstreamView;
+
+/// Takes note of the headers of an answer to a request that was sent at `sent_at`.
+pub(super) fn note_answer(
+    context: &TrafficContext,
+    upstream: &UpstreamView,
+    status: StatusCode,
+    headers: &HeaderMap,
+    sent_at: Instant,
+) {
+    let notice = UpstreamNotice::read(headers, &context.headers);
+    if let Some(header) = notice.invalid {
+        context.log_rate_limited(|left_out| {
+            log::warn!(header, left_out; "invalid notice of the upstream ignored");
+        });
+    }
+    // Another upstream, or another instance, may have refused a request that was not meant for it.
+    let misdirected = status == StatusCode::MISDIRECTED_REQUEST;
+    if notice.leaving && !misdirected {
+        context.log_rate_limited(|left_out| {
+            log::info!(life = &*upstream.instance.id, left_out; "answer says that the upstream leaves");
+        });
+    }
+    let limit = match notice.limit {
+        LimitNotice::Unknown => return,
+        LimitNotice::Unlimited if misdirected => return,
+        LimitNotice::Unlimited => None,
+        LimitNotice::Limited(limit) => Some(limit),
+    };
+    if context.note_limit(limit, sent_at) {
+        let per_second = limit.map(firspindle_core::connection::UpstreamLimit::per_second);
+        context.shared.metrics.upstream_limit.set(per_second.unwrap_or(0.0));
+        log::info!(life = &*upstream.instance.id, per_second:?; "limit of the upstream changed");
+    }
+}
--- a/crates/mesh/src/request/owner_step.rs
+++ b/crates/mesh/src/request/owner_step.rs
@@ -9,6 +9,7 @@
 use hyper::body::{Body, Incoming};
 
 use super::crash_step::{clear_suspect, refuse_suspect, report_crash};
+use super::notice_step::note_answer;
 use super::request_progress::AbandonGuard;
 use super::response_step::{local_response, peer_response, strip_hop_by_hop_headers};
 use super::routed_request::{METADATA_HEADER, OWNER_TIME_HEADER, RequestMetadata};
@@ -281,6 +282,7 @@
     let non_idempotent = request.kind == RequestKind::NonIdempotent;
     let idle_limit = if non_idempotent { NON_IDEMPOTENT_IDLE_LIMIT } else { IDLE_LIMIT };
     context.shared.metrics.sends.inc();
+    let sent_at = Instant::now();
     let sending = context.upstream.send(context.settings.upstream, outgoing, idle_limit);
     let sent = tokio::time::timeout_at(request.deadline.into(), sending).await;
     let (response, connection, is_new) = match sent {
@@ -304,6 +306,7 @@
     if is_new {
         context.shared.metrics.connects.with_label_values(&["upstream"]).inc();
     }
+    note_answer(context, upstream, response.status(), response.headers(), sent_at);
     let stream_response = |response: OutboundResponse| {
         let (mut head, body) = response.into_parts();
         strip_hop_by_hop_headers(&mut head.headers);
--- a/crates/mesh/tests/ownership/codec.rs
+++ b/crates/mesh/tests/ownership/codec.rs
@@ -29,6 +29,8 @@
             expected_upstream: name.clone(),
             upstream_id: name.clone(),
             load: name.clone(),
+            limit: name.clone(),
+            leaving: name.clone(),
             not_run: name.clone(),
             caller_service: name.clone(),
             key: name,
