fix(mesh): an upstream gets no more requests a second than its answers allow

Cause: the node beside an upstream, through which all requests to it pass, limits how many run at once and never how many start in a second; the header that names the limit was read by nobody. Ruled out by the record: a limit for each node, and a burst of those that waited (the rate did not change at all).

Change: the admission queue, which both kinds of nodes share, has a meter of starts (GCRA): any interval has at most two starts more than the limit allows, also when it changes, and what started before it was named counts. Waiting requests start when their turn comes; those for which the limit leaves no turn before they are too late are refused at once, the less urgent first, each with the time of a turn of its own. The limit ends with an answer without it, unless the request to that answer was sent before the limit was known, and with the instance.

--- a/crates/core/src/request/admission_queue.rs
+++ b/crates/core/src/request/admission_queue.rs
@@ -3,10 +3,16 @@
 //! As many requests run as the upstream announced slots. Others wait, ordered by priority class
 //! and then by arrival. A full queue sheds the least urgent request: the newest of the lowest
 //! waiting class, or the arriving one. The caller of a shed request gets its response at once.
+//!
+//! If the upstream limits the rate of requests, they also start no faster than that. Then the turn
+//! of each waiting request is known to come no sooner than those before it allow, and a request
+//! whose turn would come too late is shed at once.
 
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
+use super::RateMeter;
+use crate::connection::UpstreamLimit;
 use crate::version::PriorityClass;
 
 /// Number of priority classes.
@@ -18,6 +24,9 @@
 /// Service time that is assumed before one is measured.
 const INITIAL_SERVICE_TIME: Duration = Duration::from_millis(10);
 
+/// Time over which the returns of callers that a limited upstream cannot serve are spread.
+const RETURN_SPREAD: Duration = Duration::from_secs(4);
+
 /// Requests that run at one upstream or wait for it.
 #[derive(Debug, Clone)]
 pub struct AdmissionQueue {
@@ -31,6 +40,9 @@
     waiting: [VecDeque<WaitingRow>; CLASS_COUNT],
     service_time: Duration,
     next_ticket: u64,
+    meter: RateMeter,
+    /// Latest turn of a limited upstream with which a caller was told to return.
+    told_turn: Option<Instant>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -77,6 +89,8 @@
             waiting: Default::default(),
             service_time: INITIAL_SERVICE_TIME,
             next_ticket: 0,
+            meter: RateMeter::default(),
+            told_turn: None,
         }
     }
 
@@ -86,24 +100,30 @@
         self.limit = limit;
     }
 
+    /// Limits the rate at which requests start, or ends the limit.
+    pub fn limit_rate(&mut self, limit: Option<UpstreamLimit>, now: Instant) {
+        self.meter.set_interval(limit.map(UpstreamLimit::interval), now);
+        self.told_turn = None;
+    }
+
     /// Decides on an arriving request.
     pub fn offer(&mut self, class: PriorityClass, deadline: Instant, now: Instant) -> Admission {
-        if self.running < self.slots {
+        let ahead = self.waiting[..=class as usize].iter().map(VecDeque::len).sum();
+        if self.has_turn(now) && ahead == 0 {
             self.running += 1;
+            self.meter.count_start(now);
             return Admission::Start;
         }
-        let retry_after = self.wait_time(self.len());
         // A request that would not start before its deadline is shed now, while the caller still
         // has time to react.
-        let ahead = self.waiting[..=class as usize].iter().map(VecDeque::len).sum();
-        if now + self.wait_time(ahead) > deadline {
-            return Admission::Shed { retry_after };
+        if self.expected_start(ahead, now) > deadline {
+            return Admission::Shed { retry_after: self.retry_after(now) };
         }
         let mut displaced = None;
         if self.len() >= self.limit {
             displaced = self.evict_lower(class);
             if displaced.is_none() {
-                return Admission::Shed { retry_after };
+                return Admission::Shed { retry_after: self.retry_after(now) };
             }
         }
         self.next_ticket += 1;
@@ -126,8 +146,13 @@
                 / SERVICE_TIME_SMOOTHING;
         }
         self.running = self.running.saturating_sub(1);
+        self.start_next(now)
+    }
+
+    /// Starts the next waiting request if a slot is free and the limit lets one start.
+    pub fn start_next(&mut self, now: Instant) -> Completion {
         let mut completion = Completion::default();
-        if self.running >= self.slots {
+        if !self.has_turn(now) {
             return completion;
         }
         for queue in &mut self.waiting {
@@ -137,6 +162,7 @@
                     continue;
                 }
                 self.running += 1;
+                self.meter.count_start(now);
                 completion.start = Some(row.ticket);
                 return completion;
             }
@@ -155,7 +181,59 @@
         false
     }
 
-    /// Time until a request behind `ahead` others would start.
+    /// Removes the waiting requests for which the limit leaves no turn before their deadlines, and
+    /// returns their tickets.
+    pub fn shed_lost(&mut self, now: Instant) -> Vec<u64> {
+        let mut lost = Vec::new();
+        let Some(interval) = self.meter.interval() else { return lost };
+        let mut turn = self.meter.next_start(now);
+        for queue in &mut self.waiting {
+            queue.retain(|row| {
+                let kept = turn <= row.deadline;
+                if kept {
+                    turn += interval;
+                } else {
+                    lost.push(row.ticket);
+                }
+                kept
+            });
+        }
+        lost
+    }
+
+    /// Returns when the limit lets the next waiting request start; `None` if none waits, or waits
+    /// for a slot or without a limit.
+    pub fn next_turn(&self, now: Instant) -> Option<Instant> {
+        let limited = self.meter.interval().is_some() && self.running < self.slots;
+        (limited && !self.is_empty()).then(|| self.meter.next_start(now))
+    }
+
+    /// Returns the time after which a caller that is refused may return: the expected wait, and
+    /// under a limit a turn of its own behind those that wait and those told to return before.
+    pub fn retry_after(&mut self, now: Instant) -> Duration {
+        let Some(interval) = self.meter.interval() else { return self.wait_time(self.len()) };
+        let first = self.expected_start(self.len(), now);
+        let after_last = self.told_turn.map(|at| at + interval);
+        let turn = after_last.filter(|at| (first..first + RETURN_SPREAD).contains(at));
+        let turn = turn.unwrap_or(first);
+        self.told_turn = Some(turn);
+        turn.saturating_duration_since(now)
+    }
+
+    /// Whether a slot is free and the limit lets a request start.
+    fn has_turn(&self, now: Instant) -> bool {
+        self.running < self.slots && self.meter.next_start(now) <= now
+    }
+
+    /// Returns when a request behind `ahead` others is expected to start.
+    fn expected_start(&self, ahead: usize, now: Instant) -> Instant {
+        let by_slots = now + self.wait_time(ahead);
+        let Some(interval) = self.meter.interval() else { return by_slots };
+        let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
+        by_slots.max(self.meter.next_start(now) + interval.saturating_mul(ahead))
+    }
+
+    /// Time until a slot is free for a request behind `ahead` others.
     fn wait_time(&self, ahead: usize) -> Duration {
         let slots = u32::try_from(self.slots).unwrap_or(u32::MAX);
         self.service_time * u32::try_from(ahead).unwrap_or(u32::MAX) / slots
--- /dev/null
+++ b/crates/core/src/request/rate_meter.rs
@@ -0,0 +1,55 @@
+//! Meter of the requests that start at a limited upstream.
+//!
+//! A leaky bucket in the form of the generic cell rate algorithm: one point in time says when all
+//! requests that have started would have been due at the limit. After a pause two requests may start
+//! at once, so that a timer that fires late costs no turn; in any interval at most two more start than
+//! the limit allows.
+
+use std::time::{Duration, Instant};
+
+/// Meter of the requests that start at a limited upstream.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct RateMeter {
+    /// Time between two requests at the limit; `None` without one.
+    interval: Option<Duration>,
+    /// When the last request started.
+    last_start: Option<Instant>,
+    /// When the next request would be due at the limit.
+    due_at: Option<Instant>,
+}
+
+impl RateMeter {
+    /// Sets the time between two requests, or removes the limit. What started before counts: under a
+    /// first limit the next request starts an interval after the last one, and under a changed one
+    /// the turns that were taken ahead stay taken.
+    pub fn set_interval(&mut self, interval: Option<Duration>, now: Instant) {
+        let ahead = self.due_at.map(|due_at| due_at.saturating_duration_since(now));
+        self.due_at = match (interval, self.interval, ahead) {
+            (None, ..) => None,
+            (Some(new), Some(old), Some(ahead)) => {
+                Some(now + new.mul_f64(ahead.as_secs_f64() / old.as_secs_f64()))
+            }
+            (Some(new), ..) => self.last_start.map(|at| at + new * 2),
+        };
+        self.interval = interval;
+    }
+
+    /// Time between two requests at the limit; `None` without one.
+    pub const fn interval(&self) -> Option<Duration> {
+        self.interval
+    }
+
+    /// Returns the earliest time from `now` on at which a request may start.
+    pub fn next_start(&self, now: Instant) -> Instant {
+        let (Some(interval), Some(due_at)) = (self.interval, self.due_at) else { return now };
+        due_at.checked_sub(interval).map_or(now, |at| at.max(now))
+    }
+
+    /// Counts a request that starts now.
+    pub fn count_start(&mut self, now: Instant) {
+        self.last_start = Some(now);
+        if let Some(interval) = self.interval {
+            self.due_at = Some(self.due_at.map_or(now, |at| at.max(now)) + interval);
+        }
+    }
+}
--- a/crates/core/tests/limits.rs
+++ b/crates/core/tests/limits.rs
@@ -1,9 +1,15 @@
 //! Limits that upstreams name: what counts as one, which one is in force, and what it lets start.
 
+// Counts and times in these tests are far below the limits of their types.
+#![allow(clippy::cast_precision_loss, clippy::cast_possible_truncation)]
+
 use std::time::{Duration, Instant};
 
 use firspindle_core::connection::UpstreamLimit;
-use firspindle_core::request::LimitTracker;
+use firspindle_core::request::{Admission, AdmissionQueue, LimitTracker};
+use firspindle_core::version::PriorityClass;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 
 fn limit(text: &str) -> UpstreamLimit {
     UpstreamLimit::parse(text).expect("a valid limit")
@@ -57,3 +63,172 @@
     assert!(tracker.note(None, at(420), at(500)));
     assert_eq!(tracker.limit(), None);
 }
+
+/// Guards against more starts than the limit allows when it is named, changes and ends in the middle
+/// of a load that never lets up.
+#[test]
+fn no_interval_has_more_starts_than_its_limits_allow() {
+    let start = Instant::now();
+    let at = |ms: u64| start + Duration::from_millis(ms);
+    for seed in 0..50 {
+        let mut random = StdRng::seed_from_u64(seed);
+        let mut queue = AdmissionQueue::new(9, 54);
+        let mut starts: Vec<u64> = Vec::new();
+        let mut named: Vec<(u64, f64)> = Vec::new();
+        for ms in 0..30_000 {
+            let now = at(ms);
+            if ms >= 1_000 && random.random_bool(0.001) {
+                let per_second = random.random_range(0.4..12.0);
+                queue.limit_rate(Some(limit(&format!("{per_second:.3}"))), now);
+                named.push((ms, per_second));
+            }
+            while queue.running() > 0 && random.random_bool(0.2) {
+                starts.extend(queue.finish(None, now).start.map(|_| ms));
+            }
+            if random.random_bool(0.05) {
+                let admission = queue.offer(PriorityClass::Normal, at(ms + 3_000), now);
+                starts.extend((admission == Admission::Start).then_some(ms));
+                queue.shed_lost(now);
+            }
+            while queue.start_next(now).start.is_some() {
+                starts.push(ms);
+            }
+        }
+        // The limits in force in an interval, each for its part of it.
+        let allowed = |from: u64, to: u64| -> f64 {
+            let ends = named.iter().skip(1).map(|row| row.0).chain([u64::MAX]);
+            let parts = named.iter().zip(ends).map(|((since, per_second), end)| {
+                let length = end.min(to).saturating_sub((*since).max(from));
+                Duration::from_millis(length).as_secs_f64() * per_second
+            });
+            parts.sum()
+        };
+        let Some(first) = named.first().map(|row| row.0) else { continue };
+        let limited: Vec<u64> = starts.into_iter().filter(|ms| *ms >= first).collect();
+        for (index, from) in limited.iter().enumerate() {
+            for (count, to) in limited[index..].iter().enumerate() {
+                let most = allowed(*from, *to + 1) + 2.01;
+                assert!((count + 1) as f64 <= most, "seed {seed}: {from} to {to} ms");
+            }
+        }
+    }
+}
+
+/// What an upstream and its callers got in a play.
+#[derive(Default)]
+struct PlayResult {
+    /// Requests that started, by class.
+    started: [usize; 3],
+    /// Requests that waited until it was too late for them.
+    expired: usize,
+}
+
+/// Plays requests of two classes, 30 a second each, at an upstream that takes `per_second`. Each has
+/// a second until it would start too late; refused callers do not return.
+fn play(per_second: &str) -> PlayResult {
+    let start = Instant::now();
+    let at = |ms: u64| start + Duration::from_millis(ms);
+    let mut random = StdRng::seed_from_u64(1);
+    let mut queue = AdmissionQueue::new(9, 54);
+    queue.limit_rate(Some(limit(per_second)), start);
+    let mut result = PlayResult::default();
+    let mut waiting: Vec<(u64, usize)> = Vec::new();
+    let mut running: Vec<u64> = Vec::new();
+    for ms in 0..20_000_u64 {
+        let now = at(ms);
+        let mut refused = Vec::new();
+        let mut started = Vec::new();
+        running.retain(|end| {
+            if *end <= ms {
+                let completion = queue.finish(Some(Duration::from_millis(220)), now);
+                result.expired += completion.expired.len();
+                refused.extend(completion.expired);
+                started.extend(completion.start);
+            }
+            *end > ms
+        });
+        for (index, class) in [PriorityClass::High, PriorityClass::Normal].into_iter().enumerate() {
+            if !random.random_bool(0.03) {
+                continue;
+            }
+            match queue.offer(class, at(ms + 1_000), now) {
+                Admission::Start => {
+                    result.started[index] += 1;
+                    running.push(ms + 220);
+                }
+                Admission::Wait { ticket, displaced } => {
+                    waiting.push((ticket, index));
+                    refused.extend(displaced);
+                }
+                Admission::Shed { .. } => {}
+            }
+        }
+        refused.extend(queue.shed_lost(now));
+        loop {
+            let completion = queue.start_next(now);
+            result.expired += completion.expired.len();
+            refused.extend(completion.expired);
+            let Some(ticket) = completion.start else { break };
+            started.push(ticket);
+        }
+        for ticket in started {
+            let index = waiting.iter().position(|row| row.0 == ticket).expect("it waits");
+            result.started[waiting.remove(index).1] += 1;
+            running.push(ms + 220);
+        }
+        for ticket in refused {
+            waiting.retain(|row| row.0 != ticket);
+        }
+    }
+    result
+}
+
+/// Guards against a limited upstream whose turns go unused, or to the less urgent requests.
+#[test]
+fn urgent_requests_get_the_turns_of_a_limited_upstream() {
+    for (text, per_second) in [("4.6", 4.6), ("7.9", 7.9), ("20", 20.0)] {
+        let result = play(text);
+        let started: usize = result.started.iter().sum();
+        assert!(started as f64 >= per_second * 20.0 * 0.95, "{text}: {started}");
+        assert!(result.started[0] as f64 >= started as f64 * 0.9, "{text}: {:?}", result.started);
+        assert!(result.expired <= started / 50, "{text}: {} expired", result.expired);
+    }
+}
+
+/// Guards against requests that wait although the limit leaves no turn before their deadline.
+#[test]
+fn a_request_without_a_turn_is_refused_at_once() {
+    let start = Instant::now();
+    let mut queue = AdmissionQueue::new(9, 54);
+    queue.limit_rate(Some(limit("2")), start);
+    let soon = start + Duration::from_millis(900);
+    let offer = |queue: &mut AdmissionQueue, class| queue.offer(class, soon, start);
+    assert_eq!(offer(&mut queue, PriorityClass::Normal), Admission::Start);
+    assert_eq!(offer(&mut queue, PriorityClass::Normal), Admission::Start);
+    let waits = Admission::Wait { ticket: 1, displaced: None };
+    assert_eq!(offer(&mut queue, PriorityClass::Normal), waits);
+    let retry_after = Duration::from_secs(1);
+    assert_eq!(offer(&mut queue, PriorityClass::Normal), Admission::Shed { retry_after });
+    // A more urgent one takes the last turn from the one that waits.
+    let waits = Admission::Wait { ticket: 2, displaced: None };
+    assert_eq!(offer(&mut queue, PriorityClass::High), waits);
+    assert_eq!(queue.shed_lost(start), vec![1]);
+    queue.limit_rate(Some(limit("0.1")), start);
+    assert_eq!(queue.shed_lost(start), vec![2], "a lower limit leaves it no turn");
+}
+
+/// Guards against callers that are refused in the same moment and all told to return at the same
+/// time, when one of them can be served.
+#[test]
+fn refused_callers_are_told_to_return_at_different_turns() {
+    let start = Instant::now();
+    let mut queue = AdmissionQueue::new(9, 54);
+    queue.limit_rate(Some(limit("5")), start);
+    let soon = start + Duration::from_millis(100);
+    let turns = (0..12).filter_map(|_| match queue.offer(PriorityClass::Normal, soon, start) {
+        Admission::Shed { retry_after } => Some(retry_after.as_millis()),
+        _ => None,
+    });
+    let expected: Vec<u128> = (1..=10).map(|turn| turn * 200).collect();
+    assert_eq!(turns.collect::<Vec<_>>(), expected);
+}
--- a/crates/mesh/src/connection/upstream_limiter.rs
+++ b/crates/mesh/src/connection/upstream_limiter.rs
@@ -1,13 +1,13 @@
-//! Concurrency limit and queue in front of the upstream. All requests to the upstream pass through
-//! it.
+//! Concurrency limit, rate limit and queue in front of the upstream. All requests to the upstream
+//! pass through it.
 
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use firspindle_core::connection::UpstreamLoad;
-use firspindle_core::request::{Admission, AdmissionQueue, Completion};
-use firspindle_core::version::PriorityClass;
+use firspindle_core::connection::{UpstreamLimit, UpstreamLoad};
+use firspindle_core::request::{Admission, AdmissionQueue, Completion, LimitTracker};
+use firspindle_core::version::{PriorityClass, UpstreamInstance};
 use tokio::sync::oneshot;
 
 /// Requests that may wait, per slot of the upstream.
@@ -30,9 +30,15 @@
     waiting: Vec<(u64, oneshot::Sender<bool>)>,
     slots: u32,
     service_time: Duration,
+    /// Instance that the limit is about.
+    instance: Option<UpstreamInstance>,
+    /// Limit that the instance named.
+    limit: LimitTracker,
+    /// Time of the next turn that a task waits for.
+    wake_at: Option<Instant>,
 }
 
-/// Concurrency limit and queue in front of the upstream.
+/// Concurrency limit, rate limit and queue in front of the upstream.
 #[derive(Clone)]
 pub struct UpstreamLimiter {
     state: Rc<RefCell<LimiterState>>,
@@ -70,6 +76,9 @@
             waiting: Vec::new(),
             slots: 1,
             service_time: Duration::ZERO,
+            instance: None,
+            limit: LimitTracker::default(),
+            wake_at: None,
         };
         Self { state: Rc::new(RefCell::new(state)) }
     }
@@ -85,6 +94,55 @@
         }
     }
 
+    /// Sets the instance of the upstream. Another one has named no limit yet.
+    pub fn set_instance(&self, instance: &UpstreamInstance) {
+        let mut state = self.state.borrow_mut();
+        if state.instance.as_ref() == Some(instance) {
+            return;
+        }
+        state.instance = Some(instance.clone());
+        let limited = state.limit.reset();
+        drop(state);
+        if limited {
+            self.apply_limit();
+        }
+    }
+
+    /// Notes the limit that an instance names, or that it names none, in its answer to a request that
+    /// was sent at `sent_at`; returns whether the limit in force changed.
+    pub fn note_limit(
+        &self,
+        instance: &UpstreamInstance,
+        limit: Option<UpstreamLimit>,
+        sent_at: Instant,
+    ) -> bool {
+        let mut state = self.state.borrow_mut();
+        if state.instance.as_ref() != Some(instance) {
+            return false;
+        }
+        let changed = state.limit.note(limit, sent_at, Instant::now());
+        drop(state);
+        if changed {
+            self.apply_limit();
+        }
+        changed
+    }
+
+    /// Returns the limit in force.
+    pub fn limit(&self) -> Option<UpstreamLimit> {
+        self.state.borrow().limit.limit()
+    }
+
+    /// Applies a limit that has changed to those that wait.
+    fn apply_limit(&self) {
+        let mut state = self.state.borrow_mut();
+        let limit = state.limit.limit();
+        state.queue.limit_rate(limit, Instant::now());
+        drop(state);
+        self.refuse_lost();
+        self.start_ready();
+    }
+
     /// Returns the current load.
     pub fn load(&self) -> UpstreamLoad {
         let state = self.state.borrow();
@@ -119,9 +177,7 @@
             Admission::Start => Ok(self.permit()),
             Admission::Shed { retry_after } => Err(AdmissionRefusal { retry_after }),
             Admission::Wait { ticket, displaced } => {
-                if let Some((_, waiter)) = displaced.and_then(|ticket| self.remove(ticket)) {
-                    let _ = waiter.send(false);
-                }
+                self.refuse(displaced);
                 self.wait(ticket).await
             }
         }
@@ -131,12 +187,19 @@
         let (tx, rx) = oneshot::channel();
         self.state.borrow_mut().waiting.push((ticket, tx));
         let mut guard = WaitGuard { limiter: self, ticket: Some(ticket) };
+        self.refuse_lost();
+        self.await_turn();
         let admitted = rx.await.unwrap_or(false);
         guard.ticket = None;
         if admitted {
             return Ok(self.permit());
         }
-        Err(AdmissionRefusal { retry_after: self.state.borrow().service_time })
+        let mut state = self.state.borrow_mut();
+        let retry_after = match state.limit.limit() {
+            Some(_) => state.queue.retry_after(Instant::now()),
+            None => state.service_time,
+        };
+        Err(AdmissionRefusal { retry_after })
     }
 
     fn permit(&self) -> UpstreamPermit {
@@ -166,17 +229,57 @@
         self.apply_completion(&completion);
     }
 
-    /// Notifies the requests that a freed slot concerns: expired ones and the next to start.
-    fn apply_completion(&self, completion: &Completion) {
-        for ticket in &completion.expired {
-            if let Some((_, waiter)) = self.remove(*ticket) {
+    /// Starts the waiting requests whose turn has come, and waits for the next turn.
+    fn start_ready(&self) {
+        loop {
+            let completion = self.state.borrow_mut().queue.start_next(Instant::now());
+            if completion == Completion::default() {
+                break;
+            }
+            self.apply_completion(&completion);
+        }
+        self.await_turn();
+    }
+
+    /// Starts a task that waits for the next turn under the limit, unless one waits already.
+    fn await_turn(&self) {
+        let mut state = self.state.borrow_mut();
+        let Some(turn) = state.queue.next_turn(Instant::now()) else { return };
+        if state.wake_at.is_some_and(|at| at <= turn) {
+            return;
+        }
+        state.wake_at = Some(turn);
+        drop(state);
+        let limiter = self.clone();
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep_until(turn.into()).await;
+            limiter.state.borrow_mut().wake_at.take_if(|at| *at == turn);
+            limiter.start_ready();
+        });
+    }
+
+    /// Refuses the waiting requests for which the limit leaves no turn in time.
+    fn refuse_lost(&self) {
+        let lost = self.state.borrow_mut().queue.shed_lost(Instant::now());
+        self.refuse(lost);
+    }
+
+    fn refuse(&self, tickets: impl IntoIterator<Item = u64>) {
+        for ticket in tickets {
+            if let Some((_, waiter)) = self.remove(ticket) {
                 let _ = waiter.send(false);
             }
         }
+    }
+
+    /// Notifies the requests that a freed slot or a turn concerns: expired ones and the next to start.
+    fn apply_completion(&self, completion: &Completion) {
+        self.refuse(completion.expired.iter().copied());
         let started = completion.start.and_then(|ticket| self.remove(ticket));
         if started.is_some_and(|(_, waiter)| waiter.send(true).is_err()) {
             self.finish(None);
         }
+        self.await_turn();
     }
 }
 
--- a/crates/mesh/src/process/mesh_node.rs
+++ b/crates/mesh/src/process/mesh_node.rs
@@ -177,9 +177,9 @@
             let due = Instant::now() + LOAD_UPDATE_INTERVAL;
             tokio::time::sleep_until(due.into()).await;
             context.shared.metrics.timer_lag.observe(due.elapsed().as_secs_f64());
-            let slots = context.shared.view.load().upstream.as_ref().map(|row| row.slots);
-            if let Some(slots) = slots {
-                context.limiter.resize(slots);
+            if let Some(upstream) = &context.shared.view.load().upstream {
+                context.limiter.resize(upstream.slots);
+                context.limiter.set_instance(&upstream.instance);
             }
             context.shared.metrics.link_backlog.set(context.link.backlog().as_secs_f64());
             let link_ms = u32::try_from(context.link.expected_wait().as_millis());
--- a/crates/mesh/src/request/notice_step.rs
+++ b/crates/mesh/src/request/notice_step.rs
@@ -35,7 +35,7 @@
         LimitNotice::Unlimited => None,
         LimitNotice::Limited(limit) => Some(limit),
     };
-    if context.note_limit(limit, sent_at) {
+    if context.limiter.note_limit(&upstream.instance, limit, sent_at) {
         let per_second = limit.map(firspindle_core::connection::UpstreamLimit::per_second);
         context.shared.metrics.upstream_limit.set(per_second.unwrap_or(0.0));
         log::info!(life = &*upstream.instance.id, per_second:?; "limit of the upstream changed");
--- a/crates/mesh/src/request/owner_step.rs
+++ b/crates/mesh/src/request/owner_step.rs
@@ -155,7 +155,8 @@
     let permit = match context.limiter.acquire(request.class, latest_start).await {
         Ok(permit) => permit,
         Err(refusal) => {
-            log_run(context, request, "full", arrived);
+            let limited = context.limiter.limit().is_some();
+            log_run(context, request, if limited { "limited" } else { "full" }, arrived);
             let retry_after = Some(refusal.retry_after);
             return AttemptOutcome::NotRun { reason: NotRunReason::QueueFull, retry_after };
         }
@@ -170,6 +171,7 @@
     if let Some(refusal) = refuse_suspect(context, request) {
         return refusal;
     }
+    context.limiter.set_instance(&upstream.instance);
     request.progress.enter(RequestStage::Sent);
     let outcome = send(context, request, &upstream, permit).await;
     if request.kind == RequestKind::Download && matches!(outcome, AttemptOutcome::Answered(_)) {
--- a/crates/mesh/src/request/traffic_context.rs
+++ b/crates/mesh/src/request/traffic_context.rs
@@ -6,8 +6,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use firspindle_core::connection::UpstreamLimit;
-use firspindle_core::request::{LimitTracker, RetryWindow};
+use firspindle_core::request::RetryWindow;
 use firspindle_core::version::RequestKind;
 use firspindle_edge::{BootClock, HeaderNames, unix_ms};
 use tokio::sync::Notify;
@@ -42,8 +41,6 @@
     pub exit_notify: Notify,
     /// Mean time from a download's arrival at this node to the upstream's response.
     download_time: Cell<Duration>,
-    /// Limit that the upstream named.
-    limit: Cell<LimitTracker>,
     meter: RefCell<DemandMeter>,
     /// Retry budgets, sorted by service.
     budgets: RefCell<Vec<(Box<str>, RetryWindow)>>,
@@ -93,7 +90,6 @@
             link,
             exit_notify: Notify::new(),
             download_time: Cell::default(),
-            limit: Cell::default(),
             meter: RefCell::default(),
             budgets: RefCell::default(),
             news: RefCell::default(),
@@ -138,14 +134,6 @@
         self.download_time.set(if mean.is_zero() { time } else { smoothed });
     }
 
-    /// Notes the limit that an answer names to a request sent at `sent_at`; returns whether it changed.
-    pub fn note_limit(&self, limit: Option<UpstreamLimit>, sent_at: Instant) -> bool {
-        let mut tracker = self.limit.get();
-        let changed = tracker.note(limit, sent_at, Instant::now());
-        self.limit.set(tracker);
-        changed
-    }
-
     /// Counts a request for a cell in the demand measurement.
     pub fn count_demand(&self, cell: usize) {
         self.meter.borrow_mut().count(cell);
