fix(mesh): an answer that says that its upstream leaves drains it

Callers' view: requests went on to reach an upstream that said in its answers that it leaves, until it was gone, and then failed.

Change: the node beside the upstream drains it at the first such answer, as after a leave call: no request starts there from the drain time less 0.4 s on, whoever began it and whether the store answers; the next plan gives its keys to others. A refusal of a misdirected request says nothing, as it may come from another instance at the address.

--- a/crates/mesh/src/process/control_event.rs
+++ b/crates/mesh/src/process/control_event.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use firspindle_core::connection::UpstreamReport;
-use firspindle_core::version::RangePlan;
+use firspindle_core::version::{RangePlan, UpstreamInstance};
 use firspindle_edge::{ReadBatch, StateTopic, TopicSnapshot};
 use tokio::sync::oneshot;
 
@@ -20,6 +20,8 @@
     /// The upstream with this id announces that it leaves; answered once the published view shows
     /// it as draining.
     Leave(Box<str>, oneshot::Sender<()>),
+    /// An answer of this instance of the upstream says that it leaves.
+    UpstreamLeaving(UpstreamInstance),
     /// The upstream's address refused a connection.
     UpstreamRefused,
     /// Upstream id in the response of the upstream's address to a health check; `None` without a
--- a/crates/mesh/src/process/control_state/upstream_step.rs
+++ b/crates/mesh/src/process/control_state/upstream_step.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use firspindle_core::connection::UpstreamReport;
-use firspindle_core::version::{UpstreamRecord, UpstreamState};
+use firspindle_core::version::{UpstreamInstance, UpstreamRecord, UpstreamState};
 use firspindle_edge::PlatformCodec;
 
 use super::{ControlAction, ControlState};
@@ -98,12 +98,29 @@
     /// Handles the announcement that the upstream with this id leaves.
     pub fn handle_leave(&mut self, id: &str, now: Instant) {
         log::info!(id; "upstream leave requested");
-        let Some(upstream) = &mut self.own.upstream else { return };
-        if &*upstream.instance.id != id {
-            return;
+        let known = self.own.upstream.as_ref().map(|upstream| &upstream.instance);
+        if let Some(instance) = known.filter(|known| &*known.id == id).cloned() {
+            self.close_upstream(instance, now);
+        }
+    }
+
+    /// Notes that an answer of this instance of the upstream says that it leaves.
+    pub fn answer_says_leaving(&mut self, instance: UpstreamInstance, now: Instant) {
+        let is_ready =
+            self.own.upstream.as_ref().is_some_and(|known| {
+                known.instance == instance && known.state == UpstreamState::Ready
+            });
+        if is_ready {
+            log::info!(life = &*instance.id; "upstream says in an answer that it leaves");
+            self.close_upstream(instance, now);
         }
-        self.leaving.push(upstream.instance.clone());
+    }
+
+    /// Drains the upstream, of which this is the instance; its later heartbeats do not end that.
+    fn close_upstream(&mut self, instance: UpstreamInstance, now: Instant) {
+        let Some(upstream) = &mut self.own.upstream else { return };
         upstream.state = UpstreamState::Draining;
+        self.leaving.push(instance);
         if self.closes_at.is_none() {
             self.closes_at = Some(now + self.settings.bounds.drain.saturating_sub(DRAIN_MARGIN));
         }
--- a/crates/mesh/src/process/control_thread.rs
+++ b/crates/mesh/src/process/control_thread.rs
@@ -167,6 +167,10 @@
                 let _ = reply.send(());
                 self.step();
             }
+            ControlEvent::UpstreamLeaving(instance) => {
+                self.state.answer_says_leaving(instance, now);
+                self.publish_and_step();
+            }
             ControlEvent::UpstreamRefused => {
                 self.state.upstream_refused();
                 self.publish();
