fix(mesh): a node that starts again is told what its upstream said before its first request

Callers' view: after a restart of the node beside an upstream in need, the upstream got as many requests at once as it has slots; beside one that leaves, requests reached it after its drain time. Cause: what answers say is known to the process that read them alone, while the nodes that passed them on stay bound.

Change: a node repeats what it knows of another host's upstream (limit, and since when it leaves) with each request that it forwards there, and that host's node applies it before the request waits for its turn, if it is about the same instance, and a limit only until the instance has answered itself. Rows exist for upstreams that limit or leave only; other requests carry nothing more.

--- a/crates/mesh/src/connection/upstream_limiter.rs
+++ b/crates/mesh/src/connection/upstream_limiter.rs
@@ -34,6 +34,8 @@
     instance: Option<UpstreamInstance>,
     /// Limit that the instance named.
     limit: LimitTracker,
+    /// Whether the instance has answered a request of this process.
+    answered: bool,
     /// Time of the next turn that a task waits for.
     wake_at: Option<Instant>,
 }
@@ -78,6 +80,7 @@
             service_time: Duration::ZERO,
             instance: None,
             limit: LimitTracker::default(),
+            answered: false,
             wake_at: None,
         };
         Self { state: Rc::new(RefCell::new(state)) }
@@ -101,6 +104,7 @@
             return;
         }
         state.instance = Some(instance.clone());
+        state.answered = false;
         let limited = state.limit.reset();
         drop(state);
         if limited {
@@ -120,6 +124,7 @@
         if state.instance.as_ref() != Some(instance) {
             return false;
         }
+        state.answered = true;
         let changed = state.limit.note(limit, sent_at, Instant::now());
         drop(state);
         if changed {
@@ -128,6 +133,22 @@
         changed
     }
 
+    /// Applies a limit that another node knows of, until the instance has answered itself.
+    pub fn adopt_limit(&self, instance: &UpstreamInstance, limit: UpstreamLimit) {
+        self.set_instance(instance);
+        let now = Instant::now();
+        let mut state = self.state.borrow_mut();
+        let adopted = !state.answered && state.limit.note(Some(limit), now, now);
+        drop(state);
+        if adopted {
+            log::info!(
+                life = &*instance.id, per_second = limit.per_second();
+                "limit of the upstream told by another node"
+            );
+            self.apply_limit();
+        }
+    }
+
     /// Returns the limit in force.
     pub fn limit(&self) -> Option<UpstreamLimit> {
         self.state.borrow().limit.limit()
--- a/crates/mesh/src/process/control_event.rs
+++ b/crates/mesh/src/process/control_event.rs
@@ -1,6 +1,6 @@
 //! Events that the control thread handles.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use firspindle_core::connection::UpstreamReport;
@@ -20,8 +20,8 @@
     /// The upstream with this id announces that it leaves; answered once the published view shows
     /// it as draining.
     Leave(Box<str>, oneshot::Sender<()>),
-    /// An answer of this instance of the upstream says that it leaves.
-    UpstreamLeaving(UpstreamInstance),
+    /// An answer of this instance of the upstream said so long ago that it leaves.
+    UpstreamLeaving(UpstreamInstance, Duration),
     /// The upstream's address refused a connection.
     UpstreamRefused,
     /// Upstream id in the response of the upstream's address to a health check; `None` without a
--- a/crates/mesh/src/process/control_state/upstream_step.rs
+++ b/crates/mesh/src/process/control_state/upstream_step.rs
@@ -12,9 +12,6 @@
 /// Silence of the upstream after which it counts as gone: three heartbeat intervals.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(2_800);
 
-/// Part of the drain time that is reserved for requests already on their way to the upstream.
-const DRAIN_MARGIN: Duration = Duration::from_millis(400);
-
 /// Time between two probes of the upstream's address.
 const PROBE_INTERVAL: Duration = Duration::from_millis(600);
 
@@ -79,7 +76,7 @@
             );
         }
         if state == UpstreamState::Draining && self.closes_at.is_none() {
-            self.closes_at = Some(now + self.settings.bounds.drain.saturating_sub(DRAIN_MARGIN));
+            self.closes_at = Some(now + self.settings.bounds.close_delay());
             log::info!(life = &*report.instance.id; "upstream draining");
         }
         self.own.upstream = Some(UpstreamRecord {
@@ -104,25 +101,26 @@
         }
     }
 
-    /// Notes that an answer of this instance of the upstream says that it leaves.
-    pub fn answer_says_leaving(&mut self, instance: UpstreamInstance, now: Instant) {
+    /// Notes that an answer of this instance of the upstream said at a time that it leaves.
+    pub fn answer_said_leaving(&mut self, instance: UpstreamInstance, said_at: Instant) {
         let is_ready =
             self.own.upstream.as_ref().is_some_and(|known| {
                 known.instance == instance && known.state == UpstreamState::Ready
             });
         if is_ready {
             log::info!(life = &*instance.id; "upstream says in an answer that it leaves");
-            self.close_upstream(instance, now);
+            self.close_upstream(instance, said_at);
         }
     }
 
-    /// Drains the upstream, of which this is the instance; its later heartbeats do not end that.
-    fn close_upstream(&mut self, instance: UpstreamInstance, now: Instant) {
+    /// Drains the upstream, of which this is the instance, from `since` on; its later heartbeats do not
+    /// end that.
+    fn close_upstream(&mut self, instance: UpstreamInstance, since: Instant) {
         let Some(upstream) = &mut self.own.upstream else { return };
         upstream.state = UpstreamState::Draining;
         self.leaving.push(instance);
         if self.closes_at.is_none() {
-            self.closes_at = Some(now + self.settings.bounds.drain.saturating_sub(DRAIN_MARGIN));
+            self.closes_at = Some(since + self.settings.bounds.close_delay());
         }
     }
 
--- a/crates/mesh/src/process/control_thread.rs
+++ b/crates/mesh/src/process/control_thread.rs
@@ -167,8 +167,8 @@
                 let _ = reply.send(());
                 self.step();
             }
-            ControlEvent::UpstreamLeaving(instance) => {
-                self.state.answer_says_leaving(instance, now);
+            ControlEvent::UpstreamLeaving(instance, time) => {
+                self.state.answer_said_leaving(instance, now.checked_sub(time).unwrap_or(now));
                 self.publish_and_step();
             }
             ControlEvent::UpstreamRefused => {
--- a/crates/mesh/src/process/mesh_settings.rs
+++ b/crates/mesh/src/process/mesh_settings.rs
@@ -16,6 +16,9 @@
 /// Highest rate of a link that the settings may give, in megabits a second.
 const MAX_LINK_MBPS: f64 = 1_000_000.0;
 
+/// Part of the drain time that is reserved for requests already on their way to the upstream.
+const DRAIN_MARGIN: Duration = Duration::from_millis(400);
+
 /// Validated settings of a mesh node.
 #[derive(Debug, Clone, PartialEq)]
 pub struct MeshSettings {
@@ -71,6 +74,13 @@
     pub link_rate: Option<u64>,
 }
 
+impl MeshBounds {
+    /// Time from the start of a drain after which no request starts at the upstream.
+    pub fn close_delay(&self) -> Duration {
+        self.drain.saturating_sub(DRAIN_MARGIN)
+    }
+}
+
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct RawSettings {
--- a/crates/mesh/src/request.rs
+++ b/crates/mesh/src/request.rs
@@ -8,6 +8,7 @@
 mod demand_meter;
 mod forward_step;
 mod notice_step;
+mod notice_table;
 mod owner_step;
 mod request_progress;
 mod response_step;
@@ -27,5 +28,6 @@
 pub use traffic_context::{InFlightGuard, TrafficContext};
 
 pub(crate) use demand_meter::{DemandMeter, METER_INTERVAL};
+pub(crate) use notice_table::ToldNotice;
 pub(crate) use request_progress::{RequestProgress, RequestStage};
 pub(crate) use routed_request::RoutedRequest;
--- a/crates/mesh/src/request/notice_step.rs
+++ b/crates/mesh/src/request/notice_step.rs
@@ -1,13 +1,16 @@
-//! Takes note of what the upstream says about itself in its answers.
+//! Takes note of what the upstream says about itself in its answers, and of what other nodes know of
+//! it.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use firspindle_core::connection::UpstreamLimit;
-use firspindle_core::version::UpstreamState;
+use firspindle_core::version::{UpstreamInstance, UpstreamState};
 use http::{HeaderMap, StatusCode};
 
-use super::TrafficContext;
+use super::notice_table::hash_instance;
+use super::owner_step::HANDOVER_RETRY_AFTER;
 use super::upstream_notice::{LimitNotice, UpstreamNotice};
+use super::{AttemptOutcome, NotRunReason, RoutedRequest, ToldNotice, TrafficContext};
 use crate::process::ControlEvent;
 use crate::version::UpstreamView;
 
@@ -28,7 +31,7 @@
     // Another upstream, or another instance, may have refused a request that was not meant for it.
     let misdirected = status == StatusCode::MISDIRECTED_REQUEST;
     if notice.leaving && !misdirected {
-        report_leaving(context, upstream);
+        report_leaving(context, &upstream.instance, Duration::ZERO);
     }
     let limit = match notice.limit {
         LimitNotice::Unknown => return,
@@ -43,14 +46,53 @@
     }
 }
 
-/// Reports that the upstream leaves, unless the control thread knows that it drains.
-fn report_leaving(context: &TrafficContext, upstream: &UpstreamView) {
+/// Reports that the upstream has been leaving for `time`, unless the control thread knows that it
+/// drains.
+fn report_leaving(context: &TrafficContext, instance: &UpstreamInstance, time: Duration) {
     let view = context.shared.view.load();
-    let is_ready = view.upstream.as_ref().is_some_and(|known| {
-        known.instance == upstream.instance && known.state == UpstreamState::Ready
-    });
+    let is_ready = view
+        .upstream
+        .as_ref()
+        .is_some_and(|known| known.instance == *instance && known.state == UpstreamState::Ready);
     if is_ready {
-        let event = ControlEvent::UpstreamLeaving(upstream.instance.clone());
-        let _ = context.control_tx.send(event);
+        let _ = context.control_tx.send(ControlEvent::UpstreamLeaving(instance.clone(), time));
     }
 }
+
+/// Takes note of what the node that forwarded a request knows of the upstream; returns a refusal if
+/// the upstream is to get no more requests.
+pub(super) fn apply_told(
+    context: &TrafficContext,
+    request: &RoutedRequest,
+) -> Option<AttemptOutcome> {
+    let told = request.told?;
+    let view = context.shared.view.load();
+    let upstream = view.upstream.as_ref()?;
+    if told.instance != hash_instance(&upstream.instance) {
+        return None;
+    }
+    if let Some(limit) = told.limit {
+        context.limiter.adopt_limit(&upstream.instance, limit);
+    }
+    let leaving_for = told.leaving_for?;
+    report_leaving(context, &upstream.instance, leaving_for);
+    let closed = leaving_for >= context.settings.bounds.close_delay();
+    closed.then_some(AttemptOutcome::NotRun {
+        reason: NotRunReason::Leaving,
+        retry_after: Some(HANDOVER_RETRY_AFTER),
+    })
+}
+
+/// Returns what to tell other nodes of this node's upstream; `None` if it neither names a limit nor
+/// leaves.
+pub(super) fn own_notice(context: &TrafficContext) -> Option<ToldNotice> {
+    let view = context.shared.view.load();
+    let upstream = view.upstream.as_ref()?;
+    let limit = context.limiter.limit();
+    let leaving = upstream.state == UpstreamState::Draining;
+    (limit.is_some() || leaving).then(|| ToldNotice {
+        instance: hash_instance(&upstream.instance),
+        limit,
+        leaving_for: leaving.then_some(Duration::ZERO),
+    })
+}
--- a/crates/mesh/src/request/owner_step.rs
+++ b/crates/mesh/src/request/owner_step.rs
@@ -9,14 +9,15 @@
 use hyper::body::{Body, Incoming};
 
 use super::crash_step::{clear_suspect, refuse_suspect, report_crash};
-use super::notice_step::note_answer;
+use super::notice_step::{apply_told, note_answer, own_notice};
+use super::notice_table::NOTICE_HEADER;
 use super::request_progress::AbandonGuard;
 use super::response_step::{local_response, peer_response, strip_hop_by_hop_headers};
 use super::routed_request::{METADATA_HEADER, OWNER_TIME_HEADER, RequestMetadata};
 use super::traffic_context::elapsed_ms;
 use super::{
     AttemptOutcome, HEAD_BYTES, NotRunReason, RequestProgress, RequestStage, RoutedRequest,
-    TrafficContext,
+    ToldNotice, TrafficContext,
 };
 use crate::connection::{
     OutboundBody, OutboundRequest, OutboundResponse, ProxyBody, ProxyResponse, STATE_PATH,
@@ -49,7 +50,7 @@
 const MAX_FORWARDED_BYTES: usize = 32 * 1024 * 1024;
 
 /// `Retry-After` while keys change owner or a node restarts.
-const HANDOVER_RETRY_AFTER: Duration = Duration::from_millis(700);
+pub(super) const HANDOVER_RETRY_AFTER: Duration = Duration::from_millis(700);
 
 /// Handles a request of another node: one for this node's state, or a forwarded one.
 pub async fn handle_peer_request(
@@ -68,6 +69,9 @@
     guard.answered();
     context.link.charge(HEAD_BYTES);
     response.headers_mut().insert(OWNER_TIME_HEADER, elapsed_ms(arrived).into());
+    if let Some(notice) = own_notice(context).and_then(|notice| notice.encode()) {
+        response.headers_mut().insert(NOTICE_HEADER, notice);
+    }
     response.body_mut().attach_guard(in_flight);
     response
 }
@@ -103,6 +107,7 @@
     };
     let mut headers = head.headers;
     headers.remove(METADATA_HEADER);
+    let told = ToldNotice::take(&mut headers);
     strip_hop_by_hop_headers(&mut headers);
     let id = headers.get(&context.headers.request_id).and_then(|value| value.to_str().ok());
     let id: Box<str> = id.unwrap_or_default().into();
@@ -122,6 +127,7 @@
         owner_wait_until: metadata.owner_wait_until,
         objective_at: metadata.objective_at,
         over_link: true,
+        told,
         progress,
     };
     let expected =
@@ -146,6 +152,10 @@
     if let Err(outcome) = wait_for_grant(context, request).await {
         return outcome;
     }
+    if let Some(refusal) = apply_told(context, request) {
+        log_run(context, request, "leaving", arrived);
+        return refusal;
+    }
     if let Some(refusal) = refuse_for_link(context, request) {
         log_run(context, request, "link-full", arrived);
         return refusal;
--- a/crates/mesh/src/request/route_step.rs
+++ b/crates/mesh/src/request/route_step.rs
@@ -10,6 +10,7 @@
 use hyper::body::Incoming;
 
 use super::caller_entry::AccessRecord;
+use super::notice_table::NOTICE_HEADER;
 use super::response_step::{local_response, strip_hop_by_hop_headers};
 use super::routed_request::{METADATA_HEADER, REASON_HEADER, VERDICT_HEADER};
 use super::{RequestProgress, RoutedRequest, TrafficContext};
@@ -116,7 +117,8 @@
     let (head, body) = request.into_parts();
     let mut headers = head.headers;
     strip_hop_by_hop_headers(&mut headers);
-    for name in [&METADATA_HEADER, &VERDICT_HEADER, &REASON_HEADER, &CONTENT_LENGTH] {
+    for name in [&METADATA_HEADER, &VERDICT_HEADER, &REASON_HEADER, &NOTICE_HEADER, &CONTENT_LENGTH]
+    {
         headers.remove(name);
     }
     let body = match Limited::new(body, body_bytes).collect().await {
@@ -154,6 +156,7 @@
         owner_wait_until: arrived
             + (route.objective / OWNER_WAIT_DIVISOR).min((deadline - arrived) / 4),
         over_link: false,
+        told: None,
         progress: progress.clone(),
     })
 }
--- a/crates/mesh/src/request/routed_request.rs
+++ b/crates/mesh/src/request/routed_request.rs
@@ -7,7 +7,7 @@
 use firspindle_core::version::{CellIndex, PriorityClass, RequestKind};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Uri};
 
-use super::RequestProgress;
+use super::{RequestProgress, ToldNotice};
 
 /// Header of a forwarded request with the routing result of the entry node.
 pub(crate) const METADATA_HEADER: HeaderName = HeaderName::from_static("firspindle-facts");
@@ -45,6 +45,8 @@
     pub(crate) objective_at: Instant,
     /// Whether the response leaves over this host's link, to another node.
     pub(crate) over_link: bool,
+    /// What the node that forwarded the request knows of the upstream.
+    pub(crate) told: Option<ToldNotice>,
     /// How far this node has got with the request.
     pub(crate) progress: Rc<RequestProgress>,
 }
--- a/crates/mesh/src/request/traffic_context.rs
+++ b/crates/mesh/src/request/traffic_context.rs
@@ -12,6 +12,7 @@
 use tokio::sync::Notify;
 use tokio::sync::mpsc::UnboundedSender;
 
+use super::notice_table::NoticeTable;
 use super::{DemandMeter, SharedState};
 use crate::connection::{ConnectionPool, LinkPacer, UpstreamLimiter};
 use crate::process::{ControlEvent, MeshSettings};
@@ -41,6 +42,8 @@
     pub exit_notify: Notify,
     /// Mean time from a download's arrival at this node to the upstream's response.
     download_time: Cell<Duration>,
+    /// What upstreams of other hosts said.
+    pub(super) notices: RefCell<NoticeTable>,
     meter: RefCell<DemandMeter>,
     /// Retry budgets, sorted by service.
     budgets: RefCell<Vec<(Box<str>, RetryWindow)>>,
@@ -90,6 +93,7 @@
             link,
             exit_notify: Notify::new(),
             download_time: Cell::default(),
+            notices: RefCell::default(),
             meter: RefCell::default(),
             budgets: RefCell::default(),
             news: RefCell::default(),
