perf(core): requests without keys go where a limit leaves room

Callers' view: requests of services without keys were sent to an upstream with a low limit as to any other, waited for its turn or were refused, though others had room. Cause: the load that nodes hear of one another says nothing of the limit.

Change: the limit is the last part of a datagram (earlier versions leave it unread), for the sender's own upstream and for those that a relay passes on. A limited upstream counts as one with as few slots as it needs at its limit; beside others with room it gets its part of the flow, as its being idle or full at one moment says little; it is never left without requests, since its answers alone tell that the limit ended.

--- a/crates/core/src/connection/gossip_message.rs
+++ b/crates/core/src/connection/gossip_message.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{DemandReport, RelayReport};
+use super::{DemandReport, HostHash, RelayReport, UpstreamLimit};
 use crate::process::EndedFence;
 use crate::request::SuspectHint;
 use crate::version::HostRecord;
@@ -29,6 +29,35 @@
     /// already, in milliseconds; 0 if its rate is unknown.
     #[serde(skip)]
     pub link_ms: u32,
+    /// Requests that the upstream takes, in thousandths a second; 0 without a limit.
+    #[serde(skip)]
+    pub limit_milli: u32,
+}
+
+impl UpstreamLoad {
+    /// Returns the requests per second that the upstream can run, within its limit; 0 if the time of a
+    /// run is not known.
+    pub fn capacity(&self) -> f64 {
+        if self.service_ms == 0 {
+            return 0.0;
+        }
+        let by_slots = f64::from(self.slots) * 1000.0 / f64::from(self.service_ms);
+        self.limit().map_or(by_slots, |limit| by_slots.min(limit.per_second()))
+    }
+
+    /// Returns the limit that the upstream named.
+    pub const fn limit(&self) -> Option<UpstreamLimit> {
+        UpstreamLimit::from_milli(self.limit_milli)
+    }
+}
+
+/// Limits of upstreams, the last part of a datagram.
+#[derive(Debug, Default, Serialize, Deserialize)]
+struct LimitTrailer {
+    /// Limit of the sender's upstream.
+    own: u32,
+    /// Limits of the upstreams whose loads a relay passes on; those without one are left out.
+    relayed: Vec<(HostHash, u32)>,
 }
 
 /// Echo of the timestamp in an earlier datagram of the receiver, with the state of the sender's
@@ -84,6 +113,12 @@
         let mut bytes = postcard::to_allocvec(self).unwrap_or_default();
         bytes.extend(postcard::to_allocvec(&self.load.link_ms).unwrap_or_default());
         bytes.extend(postcard::to_allocvec(&self.report).unwrap_or_default());
+        let limited = self.report.loads.iter().filter(|row| row.load.limit_milli > 0);
+        let limits = LimitTrailer {
+            own: self.load.limit_milli,
+            relayed: limited.map(|row| (row.host, row.load.limit_milli)).collect(),
+        };
+        bytes.extend(postcard::to_allocvec(&limits).unwrap_or_default());
         bytes
     }
 
@@ -92,7 +127,15 @@
         let (mut message, rest) = postcard::take_from_bytes::<Self>(bytes).ok()?;
         let Ok((link_ms, rest)) = postcard::take_from_bytes(rest) else { return Some(message) };
         message.load.link_ms = link_ms;
-        message.report = postcard::from_bytes(rest).unwrap_or_default();
+        let Ok((report, rest)) = postcard::take_from_bytes(rest) else { return Some(message) };
+        message.report = report;
+        let limits: LimitTrailer = postcard::from_bytes(rest).unwrap_or_default();
+        message.load.limit_milli = limits.own;
+        for (host, limit_milli) in limits.relayed {
+            for row in message.report.loads.iter_mut().filter(|row| row.host == host) {
+                row.load.limit_milli = limit_milli;
+            }
+        }
         Some(message)
     }
 }
--- a/crates/core/src/request/node_choice.rs
+++ b/crates/core/src/request/node_choice.rs
@@ -2,7 +2,8 @@
 //!
 //! Load that this answers: many callers in each data centre, upstreams that all can run any of the
 //! requests, and bytes between data centres that cost. A request stays in its data centre while an
-//! upstream there has room; beyond that the least loaded one gets it, wherever it is.
+//! upstream there has room; beyond that the least loaded one gets it, wherever it is. An upstream that
+//! limits the requests that it takes counts as one with as few slots as it then needs.
 
 use crate::connection::UpstreamLoad;
 use crate::version::RequestKind;
@@ -18,6 +19,9 @@
 /// other data centres must have a chance to be seen.
 const COMPARED_ANYWHERE: usize = 4;
 
+/// Slots as which an upstream with a low limit counts at least.
+const MIN_SLOTS: f64 = 0.01;
+
 /// Where a node is, as seen from the node that chooses.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum NodeDistance {
@@ -44,13 +48,35 @@
     /// Utilization of the upstream with one more request, and for a download the time on the link of
     /// another host, in times of a run.
     fn load_cost(&self, kind: RequestKind) -> f64 {
-        let active = (self.load.running + self.load.waiting).max(self.outstanding) + 1;
-        let utilization = f64::from(active) / f64::from(self.load.slots.max(1));
+        f64::from(self.active() + 1) / self.usable_slots() + self.link_cost(kind)
+    }
+
+    /// Part of the upstream that is free, with one more request. That one is left out if the limit
+    /// leaves less than a few slots: it would never have room for one more.
+    fn room(&self, kind: RequestKind) -> f64 {
+        let own = u32::from(self.load.limit().is_none());
+        1.0 - f64::from(self.active() + own) / self.usable_slots() - self.link_cost(kind)
+    }
+
+    /// Requests that run at the upstream or wait for it, as far as this node knows.
+    fn active(&self) -> u32 {
+        (self.load.running + self.load.waiting).max(self.outstanding)
+    }
+
+    /// Slots that the upstream can use: under a limit, those that run at once at that rate.
+    fn usable_slots(&self) -> f64 {
+        let slots = f64::from(self.load.slots.max(1));
+        let run_time = f64::from(self.load.service_ms) / 1000.0;
+        let limited = self.load.limit().filter(|_| run_time > 0.0);
+        limited.map_or(slots, |limit| (limit.per_second() * run_time).clamp(MIN_SLOTS, slots))
+    }
+
+    fn link_cost(&self, kind: RequestKind) -> f64 {
         let crosses_link = kind == RequestKind::Download && self.distance != NodeDistance::Own;
         if !crosses_link {
-            return utilization;
+            return 0.0;
         }
-        utilization + f64::from(self.load.link_ms) / f64::from(self.load.service_ms.max(1))
+        f64::from(self.load.link_ms) / f64::from(self.load.service_ms.max(1))
     }
 
     fn distance_cost(&self) -> f64 {
@@ -69,10 +95,11 @@
     mut random: impl FnMut() -> f64,
 ) -> Option<usize> {
     let stays = |option: &NodeOption| {
-        option.distance != NodeDistance::OtherDataCentre && option.load_cost(kind) <= LOCAL_ROOM
+        option.distance != NodeDistance::OtherDataCentre && option.room(kind) >= 1.0 - LOCAL_ROOM
     };
     let near: Vec<usize> = (0..options.len()).filter(|index| stays(&options[*index])).collect();
-    if near.is_empty() {
+    // Limited ones alone would get all requests for as long as they are known as idle.
+    if near.iter().all(|index| options[*index].load.limit().is_some()) {
         return cheapest_of_few(options, kind, random);
     }
     draw_by_room(options, kind, &near, random())
@@ -80,16 +107,28 @@
 
 /// Draws one of the nodes that have room, the more likely the more room it has and the faster its
 /// upstream is. All nodes of a data centre know about the same loads, up to a second old: if each chose
-/// the least loaded, all would choose the same upstream until the next loads arrive.
+/// the least loaded, all would choose the same upstream until the next loads arrive. A limited upstream
+/// with room counts as loaded as the others: with a slot or less it is mostly idle or full, and while it
+/// is known as idle it must not get more than its part.
+#[allow(clippy::cast_precision_loss)]
 fn draw_by_room(
     options: &[NodeOption],
     kind: RequestKind,
     near: &[usize],
     random: f64,
 ) -> Option<usize> {
+    let unlimited = near.iter().map(|index| &options[*index]);
+    let rooms: Vec<f64> = unlimited
+        .filter(|option| option.load.limit().is_none())
+        .map(|option| option.room(kind))
+        .collect();
+    let usual_room = rooms.iter().sum::<f64>() / rooms.len().max(1) as f64;
     let weight = |index: &usize| {
         let option = &options[*index];
-        let room = 1.0 - option.load_cost(kind);
+        let room = match option.load.limit() {
+            Some(_) => usual_room * option.usable_slots() / f64::from(option.load.slots.max(1)),
+            None => option.room(kind),
+        };
         room / f64::from(option.load.service_ms.max(1))
     };
     let total: f64 = near.iter().map(weight).sum();
--- a/crates/core/tests/choice.rs
+++ b/crates/core/tests/choice.rs
@@ -3,7 +3,7 @@
 // Rates and counts in these tests are far below the limits of their types.
 #![allow(clippy::cast_precision_loss, clippy::cast_possible_truncation, clippy::cast_sign_loss)]
 
-use firspindle_core::connection::UpstreamLoad;
+use firspindle_core::connection::{UpstreamLimit, UpstreamLoad};
 use firspindle_core::request::{NodeDistance, NodeOption, choose_node};
 use firspindle_core::version::RequestKind;
 use rand::rngs::StdRng;
@@ -35,6 +35,11 @@
     /// Arrivals of the requests that wait, in milliseconds.
     waiting: Vec<f64>,
     reported: UpstreamLoad,
+    /// Requests that it takes, in thousandths a second; 0 without a limit.
+    limit_milli: u32,
+    /// When the limit lets the next request start, in milliseconds.
+    next_turn: f64,
+    started: usize,
 }
 
 impl UpstreamModel {
@@ -45,6 +50,7 @@
             slots: SLOTS,
             service_ms: RUN_MS as u32,
             link_ms: 0,
+            limit_milli: self.limit_milli,
         }
     }
 }
@@ -61,16 +67,34 @@
 /// centre's callers, as a part of the slots there. Each host's outstanding requests are not counted,
 /// as if every caller came to another node.
 fn play(utilization: &[f64], per_centre: usize, report_ms: usize, seed: u64) -> PlayResult {
-    let mut rng = StdRng::seed_from_u64(seed);
     let mut upstreams: Vec<UpstreamModel> = Vec::new();
     upstreams.resize_with(utilization.len() * per_centre, UpstreamModel::default);
+    play_at(&mut upstreams, utilization, report_ms, seed)
+}
+
+/// Plays the same load at these upstreams, as many in each data centre.
+fn play_at(
+    upstreams: &mut [UpstreamModel],
+    utilization: &[f64],
+    report_ms: usize,
+    seed: u64,
+) -> PlayResult {
+    let per_centre = upstreams.len() / utilization.len();
+    let mut rng = StdRng::seed_from_u64(seed);
     let (mut requests, mut crossed, mut waits) = (0.0, 0.0, 0.0);
     for ms in 0..PLAY_MS {
         let now = ms as f64;
-        for upstream in &mut upstreams {
+        for upstream in &mut *upstreams {
             upstream.running.retain(|end| *end > now);
-            while upstream.running.len() < SLOTS as usize && !upstream.waiting.is_empty() {
+            while upstream.running.len() < SLOTS as usize
+                && !upstream.waiting.is_empty()
+                && now >= upstream.next_turn
+            {
                 waits += now - upstream.waiting.remove(0);
+                if let Some(limit) = UpstreamLimit::from_milli(upstream.limit_milli) {
+                    upstream.next_turn = now + limit.interval().as_secs_f64() * 1000.0;
+                }
+                upstream.started += 1;
                 upstream.running.push(now - RUN_MS * f64::ln(1.0 - rng.random::<f64>()));
             }
             if ms.is_multiple_of(report_ms) {
@@ -127,3 +151,21 @@
     let result = play(&[0.6; 6], 8, RELAYED_MS, 1);
     assert!(result.mean_wait_ms < RUN_MS, "requests waited {:.0} ms", result.mean_wait_ms);
 }
+
+/// Guards against requests that queue for an upstream with a limit beside others with room, and against
+/// one that gets no requests at all: its answers alone tell that the limit has ended.
+#[test]
+fn a_limited_upstream_gets_the_part_that_it_takes() {
+    for (utilization, limit_milli) in [(0.3, 4_600), (0.5, 4_600), (0.5, 500), (0.5, 20_000)] {
+        let mut upstreams: Vec<UpstreamModel> = Vec::new();
+        upstreams.resize_with(8, UpstreamModel::default);
+        upstreams[0].limit_milli = limit_milli;
+        let result = play_at(&mut upstreams, &[utilization; 2], RELAYED_MS, 1);
+        let wait = result.mean_wait_ms;
+        assert!(wait < RUN_MS, "limit {limit_milli} at {utilization}: waited {wait:.0} ms");
+        let taken = f64::from(limit_milli) / 1000.0 * PLAY_MS as f64 / 1000.0;
+        let sent = (upstreams[0].started + upstreams[0].waiting.len()) as f64 / taken;
+        let part = 0.2..1.0;
+        assert!(part.contains(&sent), "limit {limit_milli} at {utilization}: {sent:.2} of it sent");
+    }
+}
--- a/crates/core/tests/datagrams.rs
+++ b/crates/core/tests/datagrams.rs
@@ -1,9 +1,9 @@
 //! Tests of datagrams between nodes of different versions.
 
-use firspindle_core::connection::{GossipMessage, RelayReport, UpstreamLoad};
+use firspindle_core::connection::{GossipMessage, RelayReport, RelayedLoad, UpstreamLoad};
 use firspindle_core::version::HostRecord;
 
-fn message(link_ms: u32) -> GossipMessage {
+fn message(link_ms: u32, limit_milli: u32) -> GossipMessage {
     let address = "10.0.0.1:7".parse().expect("an address");
     GossipMessage {
         sender: HostRecord {
@@ -21,7 +21,14 @@
         ends: [1, 2, 3],
         reaches_store: true,
         settled_version: 4,
-        load: UpstreamLoad { running: 1, waiting: 2, slots: 3, service_ms: 4, link_ms },
+        load: UpstreamLoad {
+            running: 1,
+            waiting: 2,
+            slots: 3,
+            service_ms: 4,
+            link_ms,
+            limit_milli,
+        },
         demand: None,
         ended: Vec::new(),
         acknowledged: Vec::new(),
@@ -32,19 +39,28 @@
 
 #[test]
 fn a_datagram_is_read_as_it_was_written() {
-    let sent = message(300);
+    let mut sent = message(300, 7_900);
+    let row = |host, limit_milli| {
+        let load = UpstreamLoad { limit_milli, ..UpstreamLoad::default() };
+        RelayedLoad { host, age_ms: 5, load, link_ms: 6 }
+    };
+    sent.report.loads = vec![row(1, 0), row(2, 4_600), row(3, 0)];
     assert_eq!(GossipMessage::decode(&sent.encode()), Some(sent));
 }
 
 /// Guards against nodes that do not hear each other while a fleet is updated host by host.
 #[test]
 fn a_datagram_of_the_version_without_link_times_is_read() {
-    let earlier = |link_ms| GossipMessage { report: RelayReport::default(), ..message(link_ms) };
-    let mut bytes = postcard::to_allocvec(&message(300)).expect("the message can be encoded");
+    let earlier = |link_ms| GossipMessage { report: RelayReport::default(), ..message(link_ms, 0) };
+    let mut bytes = postcard::to_allocvec(&message(300, 0)).expect("the message can be encoded");
     assert_eq!(GossipMessage::decode(&bytes), Some(earlier(0)));
-    let newer = message(300).encode();
+    let newer = message(300, 0).encode();
     assert_eq!(postcard::from_bytes::<GossipMessage>(&newer).ok(), Some(earlier(0)));
     // The version with link times and without reports of relays.
     bytes.extend(postcard::to_allocvec(&300_u32).expect("a number can be encoded"));
     assert_eq!(GossipMessage::decode(&bytes), Some(earlier(300)));
+    // The version with reports of relays and without limits.
+    let report = message(300, 0).report;
+    bytes.extend(postcard::to_allocvec(&report).expect("a report can be encoded"));
+    assert_eq!(GossipMessage::decode(&bytes), Some(message(300, 0)));
 }
--- a/crates/mesh/src/connection/upstream_limiter.rs
+++ b/crates/mesh/src/connection/upstream_limiter.rs
@@ -174,6 +174,7 @@
             slots: state.slots,
             service_ms: count(usize::try_from(state.service_time.as_millis()).unwrap_or(0)),
             link_ms: 0,
+            limit_milli: state.limit.limit().map_or(0, UpstreamLimit::milli),
         }
     }
 
--- a/crates/mesh/src/request/shared_state.rs
+++ b/crates/mesh/src/request/shared_state.rs
@@ -32,6 +32,7 @@
     slots: AtomicU32,
     service_ms: AtomicU32,
     link_ms: AtomicU32,
+    limit_milli: AtomicU32,
 }
 
 impl SharedState {
@@ -43,6 +44,7 @@
             slots: self.slots.load(Ordering::Relaxed),
             service_ms: self.service_ms.load(Ordering::Relaxed),
             link_ms: self.link_ms.load(Ordering::Relaxed),
+            limit_milli: self.limit_milli.load(Ordering::Relaxed),
         }
     }
 
@@ -65,5 +67,6 @@
         self.slots.store(load.slots, Ordering::Relaxed);
         self.service_ms.store(load.service_ms, Ordering::Relaxed);
         self.link_ms.store(load.link_ms, Ordering::Relaxed);
+        self.limit_milli.store(load.limit_milli, Ordering::Relaxed);
     }
 }
