perf(mesh): a limited upstream keeps the keys that it can serve

Cause: placement counts slots and the time of a run.

Change: the capacity of an upstream is at most its limit, so busy cells move to others as they do from a slow one, and no further than evens out utilization. Test in core: ten upstreams, Zipf keys, a limit of 7.9 on one with over 20 requests a second: it keeps what it takes, under a tenth of the cells move, and none when the limit ends.

--- a/crates/core/tests/ranges/demand.rs
+++ b/crates/core/tests/ranges/demand.rs
@@ -1,6 +1,6 @@
 //! Rebalances simulated loads that the initial assignment of cells does not take into account.
 
-use firspindle_core::connection::DemandReport;
+use firspindle_core::connection::{DemandReport, UpstreamLoad};
 use firspindle_core::process::{HolderLoad, rebalance_load};
 use firspindle_core::version::{CELL_KEYS, CELLS};
 
@@ -91,3 +91,47 @@
     assert!(!moves.is_empty());
     assert!(moves.iter().all(|row| owners[row.cell] == 3 && row.to != 3));
 }
+
+/// Plays plans for an upstream whose load names a limit, until nothing moves; returns the cells that
+/// moved.
+fn play_limit(owners: &mut [usize], demand: &[f64], limit_milli: u32) -> usize {
+    let load = |holder| UpstreamLoad {
+        slots: 9,
+        service_ms: 225,
+        limit_milli: if holder == 3 { limit_milli } else { 0 },
+        ..UpstreamLoad::default()
+    };
+    let mut moved = 0;
+    for _ in 0..20 {
+        let loads: Vec<_> = (0..HOLDERS)
+            .map(|holder| HolderLoad {
+                capacity: load(holder).capacity(),
+                demand: demand_report(owners, demand, holder),
+                accepts_cells: true,
+            })
+            .collect();
+        let moves = rebalance_load(owners, &loads);
+        for row in &moves {
+            owners[row.cell] = row.to;
+        }
+        moved += moves.len();
+    }
+    moved
+}
+
+/// Guards against an upstream that keeps all its keys while it takes few requests, and against keys that
+/// come back when the limit ends, though no other upstream is overloaded.
+#[test]
+fn a_limited_upstream_keeps_the_keys_that_it_can_serve() {
+    let demand = zipf_demand();
+    let mut owners: Vec<_> = (0..CELLS).map(|cell| cell / 12 % HOLDERS).collect();
+    play_limit(&mut owners, &demand, 0);
+    let held = |owners: &[usize]| -> f64 {
+        demand.iter().zip(owners).filter(|(_, owner)| **owner == 3).map(|(rate, _)| rate).sum()
+    };
+    assert!(held(&owners) > 20.0);
+    let moved = play_limit(&mut owners, &demand, 7_900);
+    assert!(held(&owners) <= 7.9, "{} requests a second", held(&owners));
+    assert!(moved < CELLS / 10, "{moved} cells moved");
+    assert_eq!(play_limit(&mut owners, &demand, 0), 0, "cells moved when the limit ended");
+}
--- a/crates/mesh/src/process/control_state/plan_step.rs
+++ b/crates/mesh/src/process/control_state/plan_step.rs
@@ -2,7 +2,6 @@
 
 use std::time::{Duration, Instant};
 
-use firspindle_core::connection::UpstreamLoad;
 use firspindle_core::process::{RangeCandidate, ServiceCandidates, plan_ranges};
 use firspindle_core::version::{
     HostRecord, RangePlan, ServiceRanges, UpstreamRecord, UpstreamState,
@@ -198,20 +197,12 @@
             weight: upstream.slots.max(1),
             warm: true,
             settled_version,
-            capacity: capacity_of(load),
+            capacity: load.capacity(),
             demand,
         }
     }
 }
 
-/// Requests per second that an upstream can run; 0 if its service time is not known.
-fn capacity_of(load: UpstreamLoad) -> f64 {
-    if load.service_ms == 0 {
-        return 0.0;
-    }
-    f64::from(load.slots) * 1000.0 / f64::from(load.service_ms)
-}
-
 /// Marks a candidate's capacity as unknown, so that the next plan does not rebalance its demand.
 fn clear_capacity(candidate: &mut RangeCandidate) {
     candidate.capacity = 0.0;
