fix(node): limits and leaving that answers of upstreams say hold for hash-divided services too

An upstream of a hash-divided service got as many requests a second as its slots run, whatever its answers said: 784 in 4 s at a limit of 8; one that said in answers alone that it leaves went on to get work, 1,085 runs after the 2 s in which new work may start.

Change: the node reads Firspindle-Limit and Firspindle-Leaving in answers, through the same reader and the same queue as the mesh node; a leaving process is drained, and its later announcements do not end that.

Found on the way: the queue let requests start up to their deadline, so that under a limit most turns went to requests that failed at it (38 of 58 starts in 6.5 s ended in 504). A request now waits no longer than leaves time for a run; what the queue refuses later gets 503 with Retry-After, not 504.

Not covered: a node that starts again knows the limit from its upstream's first answer only; callers' nodes do not repeat it here.

--- a/crates/core/src/request/admission_queue.rs
+++ b/crates/core/src/request/admission_queue.rs
@@ -208,6 +208,17 @@
         (limited && !self.is_empty()).then(|| self.meter.next_start(now))
     }
 
+    /// Returns the earliest time at which the limit lets a waiting request start, behind those before
+    /// it; at least one interval away while all slots are taken. `None` if it does not wait or without a
+    /// limit.
+    pub fn turn_of(&self, ticket: u64, now: Instant) -> Option<Instant> {
+        let interval = self.meter.interval()?;
+        let ahead = self.waiting.iter().flatten().position(|row| row.ticket == ticket)?;
+        let next = self.meter.next_start(now);
+        let next = if self.running < self.slots { next } else { next.max(now + interval) };
+        Some(next + interval.saturating_mul(u32::try_from(ahead).unwrap_or(u32::MAX)))
+    }
+
     /// Returns the time after which a caller that is refused may return: the expected wait, and
     /// under a limit a turn of its own behind those that wait and those told to return before.
     pub fn retry_after(&mut self, now: Instant) -> Duration {
@@ -249,6 +260,11 @@
         self.len() == 0
     }
 
+    /// Mean time of a run.
+    pub const fn service_time(&self) -> Duration {
+        self.service_time
+    }
+
     /// Number of requests that run.
     pub const fn running(&self) -> usize {
         self.running
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -13,6 +13,7 @@
 mod memory_store;
 mod platform_codec;
 mod state_store;
+mod upstream_notice;
 
 pub use boot_clock::{BootClock, boot_time, unix_ms, unix_time};
 pub use crash_probe::upstream_died;
@@ -22,3 +23,4 @@
 pub use memory_store::MemoryStore;
 pub use platform_codec::{DecodeError, PlatformCodec};
 pub use state_store::{ReadBatch, StateStore, StateTopic, StoreError, TopicRecord, TopicSnapshot};
+pub use upstream_notice::{LimitNotice, UpstreamNotice};
--- a/crates/mesh/src/request/upstream_notice.rs
+++ b/crates/edge/src/upstream_notice.rs
@@ -1,23 +1,22 @@
 //! What an upstream says about itself in the headers of its answers.
 
 use firspindle_core::connection::UpstreamLimit;
-use firspindle_edge::HeaderNames;
 use http::{HeaderMap, HeaderName};
 
 /// What an upstream says about itself in an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) struct UpstreamNotice {
+pub struct UpstreamNotice {
     /// Limit on the requests that it takes.
-    pub(super) limit: LimitNotice,
+    pub limit: LimitNotice,
     /// Whether it leaves.
-    pub(super) leaving: bool,
+    pub leaving: bool,
     /// Header with an invalid value, which says nothing.
-    pub(super) invalid: Option<&'static str>,
+    pub invalid: Option<&'static str>,
 }
 
 /// What an answer says about a limit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum LimitNotice {
+pub enum LimitNotice {
     /// There is none.
     Unlimited,
     /// The upstream takes no more than this.
@@ -27,10 +26,10 @@
 }
 
 impl UpstreamNotice {
-    /// Reads the headers of an answer.
-    pub(super) fn read(headers: &HeaderMap, names: &HeaderNames) -> Self {
+    /// Reads the headers with these names of an answer.
+    pub fn read(headers: &HeaderMap, limit: &HeaderName, leaving: &HeaderName) -> Self {
         let mut invalid = None;
-        let limit = match only_value(headers, &names.limit) {
+        let limit = match only_value(headers, limit) {
             Ok(None) => LimitNotice::Unlimited,
             Ok(Some(text)) => {
                 UpstreamLimit::parse(text).map_or(LimitNotice::Unknown, LimitNotice::Limited)
@@ -40,7 +39,7 @@
         if limit == LimitNotice::Unknown {
             invalid = Some("limit");
         }
-        let leaving = match only_value(headers, &names.leaving) {
+        let leaving = match only_value(headers, leaving) {
             Ok(None) => false,
             Ok(Some("1")) => true,
             Ok(Some(_)) | Err(()) => {
--- a/crates/firspindle/src/connection/upstream_handle.rs
+++ b/crates/firspindle/src/connection/upstream_handle.rs
@@ -1,12 +1,15 @@
-//! This node's upstream: concurrency limit and queue for its requests, and when it last showed
-//! activity.
+//! This node's upstream: concurrency limit, rate limit and queue for its requests, and when it last
+//! showed activity.
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use firspindle_core::request::{Admission, AdmissionQueue, RequestFailure};
+use firspindle_core::connection::UpstreamLimit;
+use firspindle_core::request::{
+    Admission, AdmissionQueue, Completion, LimitTracker, RequestFailure,
+};
 use firspindle_core::version::PriorityClass;
 use tokio::sync::oneshot;
 
@@ -24,11 +27,15 @@
     last_active_ms: AtomicU64,
     /// Whether the process was seen to be gone.
     gone: AtomicBool,
+    /// Whether an answer of the process said that it leaves.
+    leaving: AtomicBool,
 }
 
 #[derive(Debug)]
 struct SlotQueue {
     queue: AdmissionQueue,
+    /// Limit that the process named.
+    limit: LimitTracker,
     /// Waiting requests, sorted by ticket.
     requests: Vec<WaitingRequest>,
 }
@@ -46,8 +53,11 @@
     /// Creates the handle of a process that runs `slots` requests at once; at most `queue_limit`
     /// others wait.
     pub fn new(address: SocketAddr, boot_id: Box<str>, slots: usize, queue_limit: usize) -> Self {
-        let queue =
-            SlotQueue { queue: AdmissionQueue::new(slots, queue_limit), requests: Vec::new() };
+        let queue = SlotQueue {
+            queue: AdmissionQueue::new(slots, queue_limit),
+            limit: LimitTracker::default(),
+            requests: Vec::new(),
+        };
         Self {
             address,
             boot_id,
@@ -56,6 +66,7 @@
             epoch: Instant::now(),
             last_active_ms: AtomicU64::new(0),
             gone: AtomicBool::new(false),
+            leaving: AtomicBool::new(false),
         }
     }
 
@@ -69,12 +80,32 @@
         self.gone.load(Ordering::Acquire)
     }
 
+    /// Records that an answer of the process says that it leaves; returns whether it is the first.
+    pub fn mark_leaving(&self) -> bool {
+        !self.leaving.swap(true, Ordering::AcqRel)
+    }
+
     /// Changes the number of slots and of requests that may wait.
     pub fn resize(&self, slots: usize, queue_limit: usize) {
         self.lock().queue.resize(slots, queue_limit);
     }
 
-    /// Waits for a slot.
+    /// Notes the limit that the process names, or that it names none, in its answer to a request that
+    /// was sent at `sent_at`; returns whether the limit in force changed.
+    pub fn note_limit(&self, limit: Option<UpstreamLimit>, sent_at: Instant) -> bool {
+        let now = Instant::now();
+        let mut queue = self.lock();
+        let changed = queue.limit.note(limit, sent_at, now);
+        if changed {
+            let limit = queue.limit.limit();
+            queue.queue.limit_rate(limit, now);
+            queue.refuse_lost(now);
+            queue.start_ready(now);
+        }
+        changed
+    }
+
+    /// Waits for a slot, and under a limit for a turn.
     ///
     /// # Errors
     ///
@@ -88,7 +119,9 @@
         let now = Instant::now();
         let (ticket, rx) = {
             let mut queue = self.lock();
-            match queue.queue.offer(class, deadline, now) {
+            // One that starts later mostly fails at its deadline, and its turn is lost.
+            let latest_start = deadline.checked_sub(queue.queue.service_time()).unwrap_or(now);
+            match queue.queue.offer(class, latest_start, now) {
                 Admission::Start => return Ok(UpstreamPermit::new(self)),
                 Admission::Shed { retry_after } => {
                     return Err(RequestFailure::Overloaded { retry_after });
@@ -100,6 +133,7 @@
                     }
                     let (tx, rx) = oneshot::channel();
                     queue.requests.push(WaitingRequest { ticket, tx });
+                    queue.refuse_lost(now);
                     (ticket, rx)
                 }
             }
@@ -132,14 +166,20 @@
 
     fn release(&self, took: Option<Duration>) {
         self.in_flight.fetch_sub(1, Ordering::Relaxed);
+        let now = Instant::now();
         let mut queue = self.lock();
-        let completion = queue.queue.finish(took, Instant::now());
-        for ticket in completion.expired {
-            queue.resolve(ticket, Err(RequestFailure::Expired));
-        }
-        if let Some(ticket) = completion.start {
-            queue.resolve(ticket, Ok(()));
-        }
+        let completion = queue.queue.finish(took, now);
+        queue.apply(completion);
+        queue.start_ready(now);
+    }
+
+    /// Starts the requests whose turn under the limit has come; returns when to look again for one of
+    /// them.
+    fn poll_turn(&self, ticket: u64) -> Option<Instant> {
+        let now = Instant::now();
+        let mut queue = self.lock();
+        queue.start_ready(now);
+        queue.queue.turn_of(ticket, now)
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, SlotQueue> {
@@ -148,6 +188,35 @@
 }
 
 impl SlotQueue {
+    fn apply(&mut self, completion: Completion) {
+        for ticket in completion.expired {
+            let retry_after = self.queue.retry_after(Instant::now());
+            self.resolve(ticket, Err(RequestFailure::Overloaded { retry_after }));
+        }
+        if let Some(ticket) = completion.start {
+            self.resolve(ticket, Ok(()));
+        }
+    }
+
+    /// Starts the waiting requests that have a slot and a turn.
+    fn start_ready(&mut self, now: Instant) {
+        loop {
+            let completion = self.queue.start_next(now);
+            if completion == Completion::default() {
+                return;
+            }
+            self.apply(completion);
+        }
+    }
+
+    /// Refuses the waiting requests for which the limit leaves no turn in time.
+    fn refuse_lost(&mut self, now: Instant) {
+        for ticket in self.queue.shed_lost(now) {
+            let retry_after = self.queue.retry_after(now);
+            self.resolve(ticket, Err(RequestFailure::Overloaded { retry_after }));
+        }
+    }
+
     fn resolve(&mut self, ticket: u64, result: Result<(), RequestFailure>) {
         if let Ok(index) = self.requests.binary_search_by_key(&ticket, |row| row.ticket) {
             // If the receiver is gone, its `WaitGuard` frees the slot.
@@ -166,17 +235,21 @@
 
 impl<'a> WaitGuard<'a> {
     async fn wait(&mut self, deadline: Instant) -> Result<UpstreamPermit<'a>, RequestFailure> {
-        let left = deadline.saturating_duration_since(Instant::now());
-        match tokio::time::timeout(left, &mut self.rx).await {
-            Ok(Ok(Ok(()))) => {
-                self.resolved = true;
-                Ok(UpstreamPermit::new(self.upstream))
-            }
-            Ok(Ok(Err(failure))) => {
-                self.resolved = true;
-                Err(failure)
+        loop {
+            let turn = self.upstream.poll_turn(self.ticket);
+            let until = turn.unwrap_or(deadline).min(deadline);
+            match tokio::time::timeout_at(until.into(), &mut self.rx).await {
+                Ok(Ok(Ok(()))) => {
+                    self.resolved = true;
+                    return Ok(UpstreamPermit::new(self.upstream));
+                }
+                Ok(Ok(Err(failure))) => {
+                    self.resolved = true;
+                    return Err(failure);
+                }
+                Err(_) if until < deadline => {}
+                Ok(Err(_)) | Err(_) => return Err(RequestFailure::Expired),
             }
-            Ok(Err(_)) | Err(_) => Err(RequestFailure::Expired),
         }
     }
 }
--- a/crates/firspindle/src/process/control_event.rs
+++ b/crates/firspindle/src/process/control_event.rs
@@ -20,6 +20,8 @@
     Peer(Box<Envelope>),
     /// The upstream announced itself, or that it leaves.
     Announce(AnnounceBody),
+    /// An answer of the upstream's process with this boot id says that it leaves.
+    UpstreamLeaving(Box<str>),
     /// The upstream refuses connections.
     UpstreamGone,
     /// The upstream has requests in flight but neither responds nor announces itself.
--- a/crates/firspindle/src/process/control_thread.rs
+++ b/crates/firspindle/src/process/control_thread.rs
@@ -108,6 +108,8 @@
     upstream: Option<Arc<UpstreamHandle>>,
     /// Announcement of the present upstream, until it is lost or leaves.
     announcement: Option<AnnounceBody>,
+    /// Boot id of the upstream process whose answers said that it leaves.
+    left: Option<Box<str>>,
     announced_at: Instant,
     gates: Vec<GateRow>,
     routes: Arc<RouteTable>,
@@ -145,6 +147,7 @@
             handover_hold: None,
             upstream: None,
             announcement: None,
+            left: None,
             announced_at: now,
             gates: Vec::new(),
             routes: Arc::default(),
@@ -222,6 +225,7 @@
             ControlEvent::RecordsExpired => self.current_machine().end_at_log_gap(),
             ControlEvent::Peer(envelope) => self.current_machine().handle_message(*envelope, now),
             ControlEvent::Announce(body) => self.handle_announcement(body, now),
+            ControlEvent::UpstreamLeaving(boot_id) => self.handle_leaving(boot_id, now),
             ControlEvent::UpstreamGone => {
                 self.handover_hold = None;
                 if let Some(upstream) = &self.upstream {
--- a/crates/firspindle/src/process/control_thread/upstream_step.rs
+++ b/crates/firspindle/src/process/control_thread/upstream_step.rs
@@ -15,7 +15,7 @@
 impl ControlThread {
     pub(super) fn handle_announcement(&mut self, body: AnnounceBody, now: Instant) {
         self.announced_at = now;
-        if body.leaving {
+        if body.leaving || self.left.as_ref() == Some(&body.boot_id) {
             if self.announcement.take().is_some() {
                 log::info!(address:% = body.address; "upstream is leaving");
                 self.drain(DrainReason::UpstreamLeaves, now);
@@ -46,6 +46,16 @@
         self.announcement = Some(body);
     }
 
+    /// Drains the upstream whose answer said that it leaves; its later announcements do not end that.
+    pub(super) fn handle_leaving(&mut self, boot_id: Box<str>, now: Instant) {
+        let announced = self.announcement.take_if(|known| known.boot_id == boot_id);
+        if announced.is_some() {
+            log::info!(process = &*boot_id; "upstream says in an answer that it leaves");
+            self.left = Some(boot_id);
+            self.drain(DrainReason::UpstreamLeaves, now);
+        }
+    }
+
     /// Starts to drain because the upstream is lost: requests in flight fail, and successors take
     /// over the partitions.
     pub(super) fn handle_lost_upstream(&mut self, reason: &str, now: Instant) {
--- a/crates/firspindle/src/request/owner_step.rs
+++ b/crates/firspindle/src/request/owner_step.rs
@@ -8,11 +8,11 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use firspindle_core::connection::{RunState, SuspectRow};
+use firspindle_core::connection::{RunState, SuspectRow, UpstreamLimit};
 use firspindle_core::process::FenceToken;
 use firspindle_core::request::{DedupDecision, RequestFailure, RequestVerdict};
-use firspindle_edge::upstream_died;
-use http::{HeaderName, Uri};
+use firspindle_edge::{LimitNotice, UpstreamNotice, upstream_died};
+use http::{HeaderMap, HeaderName, Uri};
 use uuid::Uuid;
 
 use super::{CallerRequest, CallerResponse, TrafficContext};
@@ -170,6 +170,7 @@
     match result {
         Ok(Ok(response)) => {
             upstream.record_activity();
+            note_answer(context, upstream, &response.headers, now);
             let upstream_verdict = response.headers.get(super::caller_response::VERDICT);
             if upstream_verdict.is_some_and(|value| value == RequestVerdict::NotRun.as_str()) {
                 return Err(RequestFailure::UpstreamRefused);
@@ -193,6 +194,36 @@
     }
 }
 
+/// Takes note of what the upstream says about itself in the answer to a request that was sent at
+/// `sent_at`.
+fn note_answer(
+    context: &TrafficContext,
+    upstream: &UpstreamHandle,
+    headers: &HeaderMap,
+    sent_at: Instant,
+) {
+    const LIMIT: HeaderName = HeaderName::from_static("firspindle-limit");
+    const LEAVING: HeaderName = HeaderName::from_static("firspindle-leaving");
+    let notice = UpstreamNotice::read(headers, &LIMIT, &LEAVING);
+    if let Some(header) = notice.invalid
+        && let Some(left_out) = context.log_limiter.admit(unix_ms())
+    {
+        log::warn!(header, left_out; "invalid notice of the upstream ignored");
+    }
+    if notice.leaving && upstream.mark_leaving() {
+        let _ = context.control_tx.send(ControlEvent::UpstreamLeaving(upstream.boot_id.clone()));
+    }
+    let limit = match notice.limit {
+        LimitNotice::Unknown => return,
+        LimitNotice::Unlimited => None,
+        LimitNotice::Limited(limit) => Some(limit),
+    };
+    if upstream.note_limit(limit, sent_at) {
+        let per_second = limit.map(UpstreamLimit::per_second);
+        log::info!(process = &*upstream.boot_id, per_second:?; "limit of the upstream changed");
+    }
+}
+
 fn upstream_request(
     upstream: &UpstreamHandle,
     view: &TrafficView,
--- a/crates/firspindle/tests/failures/drains.rs
+++ b/crates/firspindle/tests/failures/drains.rs
@@ -15,20 +15,20 @@
 const DRAIN_LIMIT: Duration = Duration::from_secs(15);
 
 /// Asserts that every order ran: a drain neither interrupts nor refuses any.
-fn assert_all_ran(rows: &[RequestOutcome]) {
+pub fn assert_all_ran(rows: &[RequestOutcome]) {
     let lost: Vec<_> = rows.iter().filter(|row| !row.ran()).collect();
     assert!(lost.is_empty(), "{} of {} orders lost, first: {:?}", lost.len(), rows.len(), lost[0]);
 }
 
 /// Returns the boot time in microseconds, the time of the journals.
-fn boot_time_us() -> u64 {
+pub fn boot_time_us() -> u64 {
     let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
     u64::try_from(time.tv_sec).expect("positive") * 1_000_000
         + u64::try_from(time.tv_nsec).expect("positive") / 1000
 }
 
 /// Asserts that the leaving upstream started no request later than [`NEW_WORK_BOUND`].
-fn assert_no_new_work(fleet: &Fleet, host: usize, drain_requested_us: u64) {
+pub fn assert_no_new_work(fleet: &Fleet, host: usize, drain_requested_us: u64) {
     let bound = drain_requested_us + u64::try_from(NEW_WORK_BOUND.as_micros()).expect("short");
     let late = fleet.journal(host).iter().filter(|row| row.start > bound).count();
     assert_eq!(late, 0, "work started at the leaving upstream after {NEW_WORK_BOUND:?}");
--- a/crates/firspindle/tests/failures/main.rs
+++ b/crates/firspindle/tests/failures/main.rs
@@ -5,6 +5,7 @@
 
 mod drains;
 mod fleet_checks;
+mod limits;
 mod log_faults;
 mod losses;
 mod requests;
--- a/crates/mesh/src/request.rs
+++ b/crates/mesh/src/request.rs
@@ -16,7 +16,6 @@
 mod routed_request;
 mod shared_state;
 mod traffic_context;
-mod upstream_notice;
 
 /// Bytes that the head of a request or response takes on the link, about.
 const HEAD_BYTES: usize = 600;
--- a/crates/mesh/src/request/notice_step.rs
+++ b/crates/mesh/src/request/notice_step.rs
@@ -5,11 +5,11 @@
 
 use firspindle_core::connection::UpstreamLimit;
 use firspindle_core::version::{UpstreamInstance, UpstreamState};
+use firspindle_edge::{LimitNotice, UpstreamNotice};
 use http::{HeaderMap, StatusCode};
 
 use super::notice_table::hash_instance;
 use super::owner_step::HANDOVER_RETRY_AFTER;
-use super::upstream_notice::{LimitNotice, UpstreamNotice};
 use super::{AttemptOutcome, NotRunReason, RoutedRequest, ToldNotice, TrafficContext};
 use crate::process::ControlEvent;
 use crate::version::UpstreamView;
@@ -22,7 +22,7 @@
     headers: &HeaderMap,
     sent_at: Instant,
 ) {
-    let notice = UpstreamNotice::read(headers, &context.headers);
+    let notice = UpstreamNotice::read(headers, &context.headers.limit, &context.headers.leaving);
     if let Some(header) = notice.invalid {
         context.log_rate_limited(|left_out| {
             log::warn!(header, left_out; "invalid notice of the upstream ignored");
--- a/crates/standin/src/upstream_server.rs
+++ b/crates/standin/src/upstream_server.rs
@@ -6,6 +6,8 @@
 //! - `GET /journal` lists the runs that took effect.
 //! - `GET /running` returns the number of requests in progress.
 //! - `POST /grant` extends the grant of a holder.
+//! - `POST /say` sets what all later answers say: `limit` the requests per second that it takes, and
+//!   `leaving=1` that it leaves, without announcing that.
 //! - `POST /misreport` makes the upstream announce that no requests are in progress.
 
 use std::cell::{Cell, RefCell};
@@ -78,6 +80,10 @@
     slots: tokio::sync::Semaphore,
     leaving: Cell<bool>,
     reports_idle: Cell<bool>,
+    /// Limit that all answers name, in requests per second.
+    limit: Cell<Option<u32>>,
+    /// Whether all answers say that it leaves.
+    says_leaving: Cell<bool>,
 }
 
 impl UpstreamState {
@@ -108,6 +114,8 @@
         slots: tokio::sync::Semaphore::new(slot_count),
         leaving: Cell::new(false),
         reports_idle: Cell::new(false),
+        limit: Cell::new(None),
+        says_leaving: Cell::new(false),
     });
     let tasks = tokio::task::LocalSet::new();
     let handler = {
@@ -180,6 +188,11 @@
         }
         (&Method::GET, "/running") => Some(new_response(200, state.running.get().to_string())),
         (&Method::GET, "/health") => Some(new_response(200, "ok")),
+        (&Method::POST, "/say") => {
+            state.limit.set(query_parameter(request.uri(), "limit"));
+            state.says_leaving.set(query_parameter::<u8>(request.uri(), "leaving") == Some(1));
+            Some(new_response(200, ""))
+        }
         (&Method::POST, "/misreport") => {
             state.reports_idle.set(true);
             Some(new_response(200, ""))
@@ -190,8 +203,20 @@
             state.grants.borrow_mut().extend_grant(holder, deadline);
             Some(new_response(200, ""))
         }
-        _ => run(&state, request).await,
+        _ => run(&state, request).await.map(|response| add_notices(&state, response)),
+    }
+}
+
+/// Adds to an answer what the upstream says about itself.
+fn add_notices(state: &UpstreamState, mut response: FullResponse) -> FullResponse {
+    let headers = response.headers_mut();
+    if let Some(limit) = state.limit.get() {
+        headers.insert("firspindle-limit", http::HeaderValue::from(limit));
+    }
+    if state.says_leaving.get() {
+        headers.insert("firspindle-leaving", http::HeaderValue::from_static("1"));
     }
+    response
 }
 
 async fn run(state: &UpstreamState, request: Request<Incoming>) -> Option<FullResponse> {
