fix(mesh): connections to upstreams are used no longer than their answers say

Callers' view: 502 for an order whose connection the upstream had dropped while it was idle, since the order may have run.

Change: a connection is used again within 80 % of the time that the last answer on it named, and no longer than before. Test: an upstream that keeps connections for 1 s and breaks off those used later; before, 502 for an order after a pause of 1.1 s; after, 200 after each of five pauses.

--- a/crates/mesh/src/connection/connection_pool.rs
+++ b/crates/mesh/src/connection/connection_pool.rs
@@ -10,7 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use http::{Request, Response};
+use http::{HeaderMap, Request, Response};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -38,6 +38,10 @@
 /// Time limit for a connection to become ready again after a response has ended.
 const REUSE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Percentage of the time for which the other side keeps an idle connection, as it said, in which the
+/// connection is used again.
+const KEEP_PERCENT: u32 = 80;
+
 /// A request sent over a pooled connection.
 pub type OutboundRequest = Request<OutboundBody>;
 
@@ -60,6 +64,14 @@
 struct IdleConnection {
     sender: RequestSender,
     since: Instant,
+    /// When the other side may drop it, as far as it said.
+    ends_at: Option<Instant>,
+}
+
+impl IdleConnection {
+    fn is_usable(&self) -> bool {
+        !self.sender.is_closed() && self.ends_at.is_none_or(|at| Instant::now() < at)
+    }
 }
 
 struct PoolRow {
@@ -78,16 +90,19 @@
     pool: ConnectionPool,
     address: SocketAddr,
     sender: RequestSender,
+    /// Time for which the other side keeps it while it is idle, if the response said so.
+    keep: Option<Duration>,
 }
 
 impl PooledConnection {
     /// Returns the connection to the pool, after its response was read to the end.
     pub fn finish(self) {
         tokio::task::spawn_local(async move {
-            let Self { pool, address, mut sender } = self;
+            let Self { pool, address, mut sender, keep } = self;
+            let ends_at = keep.map(|keep| Instant::now() + keep * KEEP_PERCENT / 100);
             let ready = tokio::time::timeout(REUSE_TIMEOUT, sender.ready()).await;
             if matches!(ready, Ok(Ok(()))) {
-                pool.put(address, sender);
+                pool.put(address, IdleConnection { sender, since: Instant::now(), ends_at });
             }
         });
     }
@@ -131,7 +146,8 @@
     ) -> Result<(OutboundResponse, PooledConnection), Option<Box<OutboundRequest>>> {
         match sender.try_send_request(request).await {
             Ok(response) => {
-                Ok((response, PooledConnection { pool: self.clone(), address, sender }))
+                let keep = keep_alive_time(response.headers());
+                Ok((response, PooledConnection { pool: self.clone(), address, sender, keep }))
             }
             Err(mut error) => Err(error.take_message().map(Box::new)),
         }
@@ -163,7 +179,7 @@
         let mut rows = self.rows.borrow_mut();
         let index = rows.binary_search_by_key(&address, |row| row.address).ok()?;
         let idle = &mut rows[index].idle;
-        idle.retain(|connection| !connection.sender.is_closed());
+        idle.retain(IdleConnection::is_usable);
         let newest = idle.last()?;
         if newest.since.elapsed() > idle_limit {
             return None;
@@ -172,7 +188,7 @@
     }
 
     /// Adds an idle connection, in place of the oldest one if the address has too many.
-    fn put(&self, address: SocketAddr, sender: RequestSender) {
+    fn put(&self, address: SocketAddr, connection: IdleConnection) {
         let mut rows = self.rows.borrow_mut();
         let index = match rows.binary_search_by_key(&address, |row| row.address) {
             Ok(index) => index,
@@ -185,19 +201,27 @@
         if idle.len() >= MAX_IDLE_PER_ADDRESS {
             idle.remove(0);
         }
-        idle.push(IdleConnection { sender, since: Instant::now() });
+        idle.push(connection);
     }
 
     /// Closes connections that were idle for longer than `idle_limit`.
     pub fn close_idle(&self, idle_limit: Duration) {
         for row in self.rows.borrow_mut().iter_mut() {
             row.idle.retain(|connection| {
-                !connection.sender.is_closed() && connection.since.elapsed() <= idle_limit
+                connection.is_usable() && connection.since.elapsed() <= idle_limit
             });
         }
     }
 }
 
+/// Returns the time for which the other side keeps an idle connection: `timeout` of its `Keep-Alive`
+/// header, in whole seconds.
+fn keep_alive_time(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get("keep-alive")?.to_str().ok()?;
+    let seconds = text.split(',').find_map(|part| part.trim().strip_prefix("timeout="));
+    seconds?.trim().parse::<u32>().ok().map(|seconds| Duration::from_secs(seconds.into()))
+}
+
 /// Limits the time for which a connection may be silent, and disables Nagle's algorithm.
 pub(super) fn set_socket_options(stream: &tokio::net::TcpStream) {
     let socket = SockRef::from(stream);
