fix(mesh): a refusal passes on when its upstream says to return

Callers' view: refused by an upstream that said when it has room again, callers were told 0.7 s whatever it said.

Change: it is passed on where it is valid.

--- a/crates/mesh/src/request/owner_step.rs
+++ b/crates/mesh/src/request/owner_step.rs
@@ -12,7 +12,9 @@
 use super::notice_step::{apply_told, note_answer, own_notice};
 use super::notice_table::NOTICE_HEADER;
 use super::request_progress::AbandonGuard;
-use super::response_step::{local_response, peer_response, strip_hop_by_hop_headers};
+use super::response_step::{
+    local_response, parse_retry_after, peer_response, strip_hop_by_hop_headers,
+};
 use super::routed_request::{METADATA_HEADER, OWNER_TIME_HEADER, RequestMetadata};
 use super::traffic_context::elapsed_ms;
 use super::{
@@ -334,10 +336,13 @@
             clear_suspect(context, request);
             AttemptOutcome::Answered(Box::new(stream_response(response)))
         }
-        ResponseCheck::Refused => AttemptOutcome::NotRun {
-            reason: NotRunReason::Refused,
-            retry_after: Some(HANDOVER_RETRY_AFTER),
-        },
+        ResponseCheck::Refused => {
+            let retry_after = parse_retry_after(response.headers());
+            AttemptOutcome::NotRun {
+                reason: NotRunReason::Refused,
+                retry_after: retry_after.or(Some(HANDOVER_RETRY_AFTER)),
+            }
+        }
         ResponseCheck::Invalid(reason) => AttemptOutcome::MayHaveRun { reason },
     }
 }
--- a/crates/mesh/src/request/response_step.rs
+++ b/crates/mesh/src/request/response_step.rs
@@ -82,7 +82,11 @@
 pub(super) fn parse_refusal(headers: &HeaderMap) -> AttemptOutcome {
     let text = |name: &HeaderName| headers.get(name).and_then(|value| value.to_str().ok());
     let reason = text(&REASON_HEADER).map_or(NotRunReason::Unreachable, NotRunReason::parse);
-    let seconds = text(&RETRY_AFTER).and_then(|text| text.parse::<f64>().ok());
-    let retry_after = seconds.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
-    AttemptOutcome::NotRun { reason, retry_after }
+    AttemptOutcome::NotRun { reason, retry_after: parse_retry_after(headers) }
+}
+
+/// Returns the time that a `Retry-After` header gives in seconds; `None` without a valid one.
+pub(super) fn parse_retry_after(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get(RETRY_AFTER).and_then(|value| value.to_str().ok())?;
+    text.parse().ok().and_then(|seconds| Duration::try_from_secs_f64(seconds).ok())
 }
