fix(mesh): the end of a low limit is noticed within seconds

Callers' view: refused for up to the time between two turns (20 s at a limit of 0.05) after the upstream had ended its limit, as only answers tell that and few requests start. Change: while a limit lets less than one request start in 2 s and others are refused, the node asks the upstream by a health check each 2 s without an answer; what that answer says counts as in any other. At higher limits nothing is asked, as health checks are priced and answers come often enough.

--- a/crates/mesh/src/connection/upstream_limiter.rs
+++ b/crates/mesh/src/connection/upstream_limiter.rs
@@ -17,6 +17,9 @@
 /// nodes are sent too, covers some seconds of a busy upstream.
 const SMOOTHING_DIVISOR: u32 = 48;
 
+/// Time without an answer after which an upstream with a low limit is asked whether it still limits.
+const CHECK_INTERVAL: Duration = Duration::from_secs(2);
+
 /// Refusal of a request that got no slot; it has not run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct AdmissionRefusal {
@@ -34,8 +37,10 @@
     instance: Option<UpstreamInstance>,
     /// Limit that the instance named.
     limit: LimitTracker,
-    /// Whether the instance has answered a request of this process.
-    answered: bool,
+    /// When the instance last answered this process, or was last asked whether it still limits.
+    answered_at: Option<Instant>,
+    /// When a request was last refused.
+    refused_at: Option<Instant>,
     /// Time of the next turn that a task waits for.
     wake_at: Option<Instant>,
 }
@@ -80,7 +85,8 @@
             service_time: Duration::ZERO,
             instance: None,
             limit: LimitTracker::default(),
-            answered: false,
+            answered_at: None,
+            refused_at: None,
             wake_at: None,
         };
         Self { state: Rc::new(RefCell::new(state)) }
@@ -104,7 +110,7 @@
             return;
         }
         state.instance = Some(instance.clone());
-        state.answered = false;
+        state.answered_at = None;
         let limited = state.limit.reset();
         drop(state);
         if limited {
@@ -124,8 +130,9 @@
         if state.instance.as_ref() != Some(instance) {
             return false;
         }
-        state.answered = true;
-        let changed = state.limit.note(limit, sent_at, Instant::now());
+        let now = Instant::now();
+        state.answered_at = Some(now);
+        let changed = state.limit.note(limit, sent_at, now);
         drop(state);
         if changed {
             self.apply_limit();
@@ -138,7 +145,7 @@
         self.set_instance(instance);
         let now = Instant::now();
         let mut state = self.state.borrow_mut();
-        let adopted = !state.answered && state.limit.note(Some(limit), now, now);
+        let adopted = state.answered_at.is_none() && state.limit.note(Some(limit), now, now);
         drop(state);
         if adopted {
             log::info!(
@@ -149,6 +156,20 @@
         }
     }
 
+    /// Whether the upstream is to be asked now whether it still limits: the limit lets so few requests
+    /// start that their answers tell late, and others are refused meanwhile.
+    pub fn take_check(&self, now: Instant) -> bool {
+        let mut state = self.state.borrow_mut();
+        let is_low = state.limit.limit().is_some_and(|limit| limit.interval() > CHECK_INTERVAL);
+        let Some(answered_at) = state.answered_at.filter(|_| is_low) else { return false };
+        let is_due = now >= answered_at + CHECK_INTERVAL;
+        let is_due = is_due && state.refused_at.is_some_and(|at| at > answered_at);
+        if is_due {
+            state.answered_at = Some(now);
+        }
+        is_due
+    }
+
     /// Returns the limit in force.
     pub fn limit(&self) -> Option<UpstreamLimit> {
         self.state.borrow().limit.limit()
@@ -197,7 +218,10 @@
         let admission = self.state.borrow_mut().queue.offer(class, deadline, now);
         match admission {
             Admission::Start => Ok(self.permit()),
-            Admission::Shed { retry_after } => Err(AdmissionRefusal { retry_after }),
+            Admission::Shed { retry_after } => {
+                self.state.borrow_mut().refused_at = Some(now);
+                Err(AdmissionRefusal { retry_after })
+            }
             Admission::Wait { ticket, displaced } => {
                 self.refuse(displaced);
                 self.wait(ticket).await
@@ -216,9 +240,11 @@
         if admitted {
             return Ok(self.permit());
         }
+        let now = Instant::now();
         let mut state = self.state.borrow_mut();
+        state.refused_at = Some(now);
         let retry_after = match state.limit.limit() {
-            Some(_) => state.queue.retry_after(Instant::now()),
+            Some(_) => state.queue.retry_after(now),
             None => state.service_time,
         };
         Err(AdmissionRefusal { retry_after })
--- a/crates/mesh/src/process/mesh_node.rs
+++ b/crates/mesh/src/process/mesh_node.rs
@@ -17,7 +17,7 @@
 use super::control_thread::{ControlParts, run_control};
 use super::{ControlEvent, MeshSettings};
 use crate::connection::{ServerKind, serve_connections};
-use crate::request::{METER_INTERVAL, SharedState, TrafficContext};
+use crate::request::{METER_INTERVAL, SharedState, TrafficContext, check_limit};
 
 /// Time after the node turned unready in which callers are still accepted: two readiness checks,
 /// a second apart.
@@ -181,6 +181,10 @@
                 context.limiter.resize(upstream.slots);
                 context.limiter.set_instance(&upstream.instance);
             }
+            if context.limiter.take_check(Instant::now()) {
+                let context = context.clone();
+                tokio::task::spawn_local(async move { check_limit(&context).await });
+            }
             context.shared.metrics.link_backlog.set(context.link.backlog().as_secs_f64());
             let link_ms = u32::try_from(context.link.expected_wait().as_millis());
             let link_ms = link_ms.unwrap_or(u32::MAX);
--- a/crates/mesh/src/request.rs
+++ b/crates/mesh/src/request.rs
@@ -27,6 +27,7 @@
 pub use traffic_context::{InFlightGuard, TrafficContext};
 
 pub(crate) use demand_meter::{DemandMeter, METER_INTERVAL};
+pub(crate) use notice_step::check_limit;
 pub(crate) use notice_table::ToldNotice;
 pub(crate) use request_progress::{RequestProgress, RequestStage};
 pub(crate) use routed_request::RoutedRequest;
--- a/crates/mesh/src/request/notice_step.rs
+++ b/crates/mesh/src/request/notice_step.rs
@@ -6,14 +6,18 @@
 use firspindle_core::connection::UpstreamLimit;
 use firspindle_core::version::{UpstreamInstance, UpstreamState};
 use firspindle_edge::{LimitNotice, UpstreamNotice};
-use http::{HeaderMap, StatusCode};
+use http::{HeaderMap, Request, StatusCode};
 
 use super::notice_table::hash_instance;
 use super::owner_step::HANDOVER_RETRY_AFTER;
 use super::{AttemptOutcome, NotRunReason, RoutedRequest, ToldNotice, TrafficContext};
+use crate::connection::OutboundBody;
 use crate::process::ControlEvent;
 use crate::version::UpstreamView;
 
+/// Time limit of a check whether the upstream still limits.
+const CHECK_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Takes note of the headers of an answer to a request that was sent at `sent_at`.
 pub(super) fn note_answer(
     context: &TrafficContext,
@@ -59,6 +63,26 @@
     }
 }
 
+/// Asks the upstream by a health check whether it still limits the requests that it takes.
+pub(crate) async fn check_limit(context: &TrafficContext) {
+    let view = context.shared.view.load_full();
+    let (Some(upstream), Some(manifest)) = (&view.upstream, &view.manifest) else { return };
+    let Some(service) = manifest.service(&upstream.service) else { return };
+    let request = Request::get(&*service.health_path).body(OutboundBody::default());
+    let Ok(request) = request else { return };
+    let sent_at = Instant::now();
+    let sending = context.upstream.send(context.settings.upstream, request, Duration::ZERO);
+    let sent = tokio::time::timeout(CHECK_TIMEOUT, sending).await;
+    let Ok(Ok((response, _, _))) = sent else {
+        log::info!(life = &*upstream.instance.id; "upstream did not say whether it still limits");
+        return;
+    };
+    let id = response.headers().get(&context.headers.upstream_id);
+    if id.is_some_and(|id| id.as_bytes() == upstream.instance.id.as_bytes()) {
+        note_answer(context, upstream, response.status(), response.headers(), sent_at);
+    }
+}
+
 /// Takes note of what the node that forwarded a request knows of the upstream; returns a refusal if
 /// the upstream is to get no more requests.
 pub(super) fn apply_told(
