--- a/crates/mesh/src/connection/connection_pool.rs
+++ b/crates/mesh/src/connection/connection_pool.rs
@@ -64,19 +64,24 @@
 struct IdleConnection {
     sender: RequestSender,
     since: Instant,
-    /// When the other side may drop it, as far as it said.
-    ends_at: Option<Instant>,
-}
-
-impl IdleConnection {
-    fn is_usable(&self) -> bool {
-        !self.sender.is_closed() && self.ends_at.is_none_or(|at| Instant::now() < at)
-    }
 }
 
 struct PoolRow {
     address: SocketAddr,
     idle: Vec<IdleConnection>,
+    /// Time for which the other side keeps idle connections, if its last response said so.
+    keep: Option<Duration>,
+}
+
+impl PoolRow {
+    /// Drops the idle connections that are closed, were idle for longer than `idle_limit`, or are soon
+    /// dropped by the other side.
+    fn drop_unusable(&mut self, idle_limit: Duration) {
+        let kept = self.keep.map_or(idle_limit, |keep| (keep * KEEP_PERCENT / 100).min(idle_limit));
+        self.idle.retain(|connection| {
+            !connection.sender.is_closed() && connection.since.elapsed() <= kept
+        });
+    }
 }
 
 /// Idle connections by address.
@@ -90,19 +95,17 @@
     pool: ConnectionPool,
     address: SocketAddr,
     sender: RequestSender,
-    /// Time for which the other side keeps it while it is idle, if the response said so.
-    keep: Option<Duration>,
 }
 
 impl PooledConnection {
     /// Returns the connection to the pool, after its response was read to the end.
     pub fn finish(self) {
         tokio::task::spawn_local(async move {
-            let Self { pool, address, mut sender, keep } = self;
-            let ends_at = keep.map(|keep| Instant::now() + keep * KEEP_PERCENT / 100);
+            let Self { pool, address, mut sender } = self;
+            let since = Instant::now();
             let ready = tokio::time::timeout(REUSE_TIMEOUT, sender.ready()).await;
             if matches!(ready, Ok(Ok(()))) {
-                pool.put(address, IdleConnection { sender, since: Instant::now(), ends_at });
+                pool.put(address, sender, since);
             }
         });
     }
@@ -147,7 +150,8 @@
         match sender.try_send_request(request).await {
             Ok(response) => {
                 let keep = keep_alive_time(response.headers());
-                Ok((response, PooledConnection { pool: self.clone(), address, sender, keep }))
+                Self::row_of(&mut self.rows.borrow_mut(), address).keep = keep;
+                Ok((response, PooledConnection { pool: self.clone(), address, sender }))
             }
             Err(mut error) => Err(error.take_message().map(Box::new)),
         }
@@ -178,38 +182,42 @@
     fn take(&self, address: SocketAddr, idle_limit: Duration) -> Option<RequestSender> {
         let mut rows = self.rows.borrow_mut();
         let index = rows.binary_search_by_key(&address, |row| row.address).ok()?;
-        let idle = &mut rows[index].idle;
-        idle.retain(IdleConnection::is_usable);
-        let newest = idle.last()?;
+        let row = &mut rows[index];
+        row.drop_unusable(Duration::MAX);
+        let newest = row.idle.last()?;
         if newest.since.elapsed() > idle_limit {
             return None;
         }
-        idle.pop().map(|connection| connection.sender)
+        row.idle.pop().map(|connection| connection.sender)
     }
 
-    /// Adds an idle connection, in place of the oldest one if the address has too many.
-    fn put(&self, address: SocketAddr, connection: IdleConnection) {
+    /// Adds a connection that has been idle since a time, in place of the oldest one if the address has
+    /// too many.
+    fn put(&self, address: SocketAddr, sender: RequestSender, since: Instant) {
         let mut rows = self.rows.borrow_mut();
+        let idle = &mut Self::row_of(&mut rows, address).idle;
+        if idle.len() >= MAX_IDLE_PER_ADDRESS {
+            idle.remove(0);
+        }
+        idle.push(IdleConnection { sender, since });
+    }
+
+    /// Returns the row of an address, a new one if there is none.
+    fn row_of(rows: &mut Vec<PoolRow>, address: SocketAddr) -> &mut PoolRow {
         let index = match rows.binary_search_by_key(&address, |row| row.address) {
             Ok(index) => index,
             Err(index) => {
-                rows.insert(index, PoolRow { address, idle: Vec::new() });
+                rows.insert(index, PoolRow { address, idle: Vec::new(), keep: None });
                 index
             }
         };
-        let idle = &mut rows[index].idle;
-        if idle.len() >= MAX_IDLE_PER_ADDRESS {
-            idle.remove(0);
-        }
-        idle.push(connection);
+        &mut rows[index]
     }
 
     /// Closes connections that were idle for longer than `idle_limit`.
     pub fn close_idle(&self, idle_limit: Duration) {
         for row in self.rows.borrow_mut().iter_mut() {
-            row.idle.retain(|connection| {
-                connection.is_usable() && connection.since.elapsed() <= idle_limit
-            });
+            row.drop_unusable(idle_limit);
         }
     }
 }
