perf(mesh): requests that a limited upstream has no turn for are refused where they begin

Callers' view: a request for a key of a limited upstream elsewhere went there and back, between data centres too, to be refused. Change: the node beside a limited upstream tells with each response when one more request of each class could start. Until then other nodes refuse those for which that is too late, with the turn after the ones that they have promised already; what they know ages in 0.5 s, so a turn is never left unused, and they count the refused requests for the upstream's node, whose measured demand moves keys.

Tests in core, without a network: whom a node refuses and until when, urgent requests pass, the demand is told once; what an upstream said is forgotten by its own answers alone.

--- a/crates/core/src/request/admission_queue.rs
+++ b/crates/core/src/request/admission_queue.rs
@@ -108,7 +108,7 @@
 
     /// Decides on an arriving request.
     pub fn offer(&mut self, class: PriorityClass, deadline: Instant, now: Instant) -> Admission {
-        let ahead = self.waiting[..=class as usize].iter().map(VecDeque::len).sum();
+        let ahead = self.ahead_of(class);
         if self.has_turn(now) && ahead == 0 {
             self.running += 1;
             self.meter.count_start(now);
@@ -236,6 +236,16 @@
         self.running < self.slots && self.meter.next_start(now) <= now
     }
 
+    /// Returns when one more request of a class would be expected to start.
+    pub fn expected_start_of(&self, class: PriorityClass, now: Instant) -> Instant {
+        self.expected_start(self.ahead_of(class), now)
+    }
+
+    /// Number of waiting requests that start before one more of a class.
+    fn ahead_of(&self, class: PriorityClass) -> usize {
+        self.waiting[..=class as usize].iter().map(VecDeque::len).sum()
+    }
+
     /// Returns when a request behind `ahead` others is expected to start.
     fn expected_start(&self, ahead: usize, now: Instant) -> Instant {
         let by_slots = now + self.wait_time(ahead);
--- a/crates/core/tests/limits.rs
+++ b/crates/core/tests/limits.rs
@@ -6,7 +6,9 @@
 use std::time::{Duration, Instant};
 
 use firspindle_core::connection::UpstreamLimit;
-use firspindle_core::request::{Admission, AdmissionQueue, LimitTracker};
+use firspindle_core::request::{
+    Admission, AdmissionQueue, LimitTracker, NoticeTable, StartForecast, ToldNotice,
+};
 use firspindle_core::version::PriorityClass;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -232,3 +234,68 @@
     let expected: Vec<u128> = (1..=10).map(|turn| turn * 200).collect();
     assert_eq!(turns.collect::<Vec<_>>(), expected);
 }
+
+fn told(milli: u32, start_ms: u64) -> ToldNotice {
+    let start = Duration::from_millis(start_ms);
+    ToldNotice {
+        instance: 7,
+        limit: UpstreamLimit::from_milli(milli),
+        leaving_for: None,
+        forecast: Some(StartForecast {
+            start_in: [Duration::ZERO, start, start],
+            run_time: Duration::from_millis(200),
+        }),
+        refused: Vec::new(),
+    }
+}
+
+/// Guards against requests that travel to the node of a limited upstream to be refused there, against
+/// urgent ones that are refused with them, and against demand that the upstream's node never hears of.
+#[test]
+fn a_node_refuses_what_it_knows_to_have_no_turn() {
+    let start = Instant::now();
+    let at = |ms: u64| start + Duration::from_millis(ms);
+    let mut table = NoticeTable::default();
+    // By 600 ms after its arrival a request is to be answered.
+    let refuse = |table: &mut NoticeTable, class, cell, ms: u64| {
+        let latest = |run_time| at(ms + 600).checked_sub(run_time).expect("a short run");
+        table.refuse("h", class, Some(cell), latest, at(ms))
+    };
+    let normal = PriorityClass::Normal;
+    assert_eq!(refuse(&mut table, normal, 3, 0), None, "nothing is known");
+    table.note("h", Some(told(5_000, 500)), false, at(0), at(0));
+    let after = |ms| Some(Duration::from_millis(ms));
+    assert_eq!(refuse(&mut table, normal, 3, 50), after(650), "the turn after the next");
+    assert_eq!(refuse(&mut table, normal, 3, 50), after(850), "and another one");
+    assert_eq!(refuse(&mut table, PriorityClass::High, 3, 50), None);
+    assert_eq!(refuse(&mut table, normal, 4, 99), after(1_001));
+    assert_eq!(refuse(&mut table, normal, 3, 100), None, "a later one may get the turn");
+    let told_now = table.tell("h", at(100)).expect("a limit is known");
+    assert_eq!(told_now.refused, vec![(3, 2), (4, 1)]);
+    assert!(table.tell("h", at(100)).is_some_and(|told| told.refused.is_empty()));
+    // However far away the turn, the upstream's node is asked again.
+    table.note("h", Some(told(100, 9_000)), false, at(100), at(200));
+    assert!(refuse(&mut table, normal, 3, 600).is_some());
+    assert_eq!(refuse(&mut table, normal, 3, 700), None);
+}
+
+/// Guards against a node that forgets what an upstream said because the node beside it does not know it
+/// yet, or that believes it for ever.
+#[test]
+fn what_an_upstream_said_is_known_until_it_answers_otherwise() {
+    let start = Instant::now();
+    let at = |ms: u64| start + Duration::from_millis(ms);
+    let mut table = NoticeTable::default();
+    let leaving = ToldNotice { leaving_for: Some(Duration::ZERO), ..told(5_000, 0) };
+    table.note("h", Some(leaving), true, at(0), at(100));
+    table.note("h", None, false, at(200), at(300));
+    table.note("h", None, true, at(50), at(300));
+    table.note("h", Some(told(4_000, 0)), true, at(300), at(400));
+    let known = table.tell("h", at(1_100)).expect("it is known");
+    assert_eq!(known.leaving_for, Some(Duration::from_secs(1)));
+    assert_eq!(known.limit, UpstreamLimit::from_milli(4_000));
+    table.note("h", Some(ToldNotice { instance: 8, ..told(0, 0) }), true, at(1_100), at(1_200));
+    assert!(table.tell("h", at(1_300)).is_some_and(|told| told.leaving_for.is_none()));
+    table.note("h", None, true, at(1_200), at(1_300));
+    assert_eq!(table.tell("h", at(1_300)), None);
+}
--- a/crates/mesh/src/connection/upstream_limiter.rs
+++ b/crates/mesh/src/connection/upstream_limiter.rs
@@ -6,7 +6,9 @@
 use std::time::{Duration, Instant};
 
 use firspindle_core::connection::{UpstreamLimit, UpstreamLoad};
-use firspindle_core::request::{Admission, AdmissionQueue, Completion, LimitTracker};
+use firspindle_core::request::{
+    Admission, AdmissionQueue, Completion, LimitTracker, StartForecast,
+};
 use firspindle_core::version::{PriorityClass, UpstreamInstance};
 use tokio::sync::oneshot;
 
@@ -185,6 +187,19 @@
         self.start_ready();
     }
 
+    /// Returns when one more request could start.
+    pub fn forecast(&self) -> StartForecast {
+        let now = Instant::now();
+        let state = self.state.borrow();
+        let classes = [PriorityClass::High, PriorityClass::Normal, PriorityClass::Background];
+        StartForecast {
+            start_in: classes.map(|class| {
+                state.queue.expected_start_of(class, now).saturating_duration_since(now)
+            }),
+            run_time: state.service_time,
+        }
+    }
+
     /// Returns the current load.
     pub fn load(&self) -> UpstreamLoad {
         let state = self.state.borrow();
--- a/crates/mesh/src/request.rs
+++ b/crates/mesh/src/request.rs
@@ -7,8 +7,9 @@
 mod crash_step;
 mod demand_meter;
 mod forward_step;
+mod notice_header;
 mod notice_step;
-mod notice_table;
+
 mod owner_step;
 mod request_progress;
 mod response_step;
@@ -28,6 +29,5 @@
 
 pub(crate) use demand_meter::{DemandMeter, METER_INTERVAL};
 pub(crate) use notice_step::check_limit;
-pub(crate) use notice_table::ToldNotice;
 pub(crate) use request_progress::{RequestProgress, RequestStage};
 pub(crate) use routed_request::RoutedRequest;
--- a/crates/mesh/src/request/attempt_step.rs
+++ b/crates/mesh/src/request/attempt_step.rs
@@ -9,6 +9,7 @@
 use super::caller_entry::AccessRecord;
 use super::crash_step::refuse_suspect;
 use super::forward_step::forward;
+use super::notice_step::refuse_known_limit;
 use super::owner_step::run_locally;
 use super::response_step::local_response;
 use super::route_step::RoutedCall;
@@ -144,7 +145,10 @@
         run_locally(context, request).await
     } else {
         request.progress.enter(RequestStage::Forwarded);
-        forward(context, peer, request, &mut record.network_time).await
+        match refuse_known_limit(context, &peer.host, request) {
+            Some(refusal) => refusal,
+            None => forward(context, peer, request, &mut record.network_time).await,
+        }
     };
     drop(guard);
     let sent = match &outcome {
--- a/crates/mesh/src/request/demand_meter.rs
+++ b/crates/mesh/src/request/demand_meter.rs
@@ -27,10 +27,10 @@
 }
 
 impl DemandMeter {
-    /// Counts a request for a cell.
-    pub(crate) fn count(&mut self, cell: CellIndex) {
+    /// Counts requests for a cell.
+    pub(crate) fn count(&mut self, cell: CellIndex, requests: u32) {
         if let Some(count) = self.counts.get_mut(cell) {
-            *count += 1;
+            *count = count.saturating_add(requests);
         }
     }
 
--- a/crates/mesh/src/request/forward_step.rs
+++ b/crates/mesh/src/request/forward_step.rs
@@ -5,10 +5,10 @@
 use firspindle_core::request::RequestVerdict;
 use http::{HeaderMap, Request};
 
-use super::notice_table::NOTICE_HEADER;
+use super::notice_header::{NOTICE_HEADER, encode_notice, take_notice};
 use super::response_step::parse_refusal;
 use super::routed_request::{METADATA_HEADER, OWNER_TIME_HEADER, REASON_HEADER, VERDICT_HEADER};
-use super::{AttemptOutcome, HEAD_BYTES, NotRunReason, RoutedRequest, ToldNotice, TrafficContext};
+use super::{AttemptOutcome, HEAD_BYTES, NotRunReason, RoutedRequest, TrafficContext};
 use crate::connection::{OutboundBody, ProxyBody, SendError, StreamedBody};
 use crate::process::{PeerPlace, PeerTraffic};
 use crate::version::PeerView;
@@ -40,8 +40,8 @@
     *outgoing.uri_mut() = request.uri.clone();
     *outgoing.headers_mut() = request.headers.clone();
     outgoing.headers_mut().insert(METADATA_HEADER, metadata);
-    let told = context.notices.borrow().told(&peer.host, started);
-    if let Some(value) = told.and_then(|told| told.encode()) {
+    let told = context.notices.borrow_mut().tell(&peer.host, started);
+    if let Some(value) = told.as_ref().and_then(encode_notice) {
         outgoing.headers_mut().insert(NOTICE_HEADER, value);
     }
     let sent_bytes =
@@ -68,7 +68,7 @@
     let (mut head, body) = response.into_parts();
     let received = metrics.peer_bytes(PeerTraffic::Response, place).clone();
     received.inc_by(head_bytes(&head.headers) as u64);
-    let told = ToldNotice::take(&mut head.headers);
+    let told = take_notice(&mut head.headers);
     let answered = verdict == RequestVerdict::Ran;
     context.notices.borrow_mut().note(&peer.host, told, answered, started, Instant::now());
     let body = StreamedBody::new(body, connection, request.deadline.into()).count_with(received);
--- a/crates/mesh/src/request/notice_step.rs
+++ b/crates/mesh/src/request/notice_step.rs
@@ -4,13 +4,13 @@
 use std::time::{Duration, Instant};
 
 use firspindle_core::connection::UpstreamLimit;
+use firspindle_core::request::{ToldNotice, hash_instance};
 use firspindle_core::version::{UpstreamInstance, UpstreamState};
 use firspindle_edge::{LimitNotice, UpstreamNotice};
 use http::{HeaderMap, Request, StatusCode};
 
-use super::notice_table::hash_instance;
-use super::owner_step::HANDOVER_RETRY_AFTER;
-use super::{AttemptOutcome, NotRunReason, RoutedRequest, ToldNotice, TrafficContext};
+use super::owner_step::{HANDOVER_RETRY_AFTER, latest_start};
+use super::{AttemptOutcome, NotRunReason, RoutedRequest, TrafficContext};
 use crate::connection::OutboundBody;
 use crate::process::ControlEvent;
 use crate::version::UpstreamView;
@@ -89,12 +89,15 @@
     context: &TrafficContext,
     request: &RoutedRequest,
 ) -> Option<AttemptOutcome> {
-    let told = request.told?;
+    let told = request.told.as_ref()?;
     let view = context.shared.view.load();
     let upstream = view.upstream.as_ref()?;
     if told.instance != hash_instance(&upstream.instance) {
         return None;
     }
+    for (cell, count) in &told.refused {
+        context.count_demand(*cell, *count);
+    }
     if let Some(limit) = told.limit {
         context.limiter.adopt_limit(&upstream.instance, limit);
     }
@@ -118,5 +121,22 @@
         instance: hash_instance(&upstream.instance),
         limit,
         leaving_for: leaving.then_some(Duration::ZERO),
+        forecast: limit.map(|_| context.limiter.forecast()),
+        refused: Vec::new(),
     })
 }
+
+/// Returns a refusal if the limit of another host's upstream is known to leave no turn for a request in
+/// time.
+pub(super) fn refuse_known_limit(
+    context: &TrafficContext,
+    host: &str,
+    request: &RoutedRequest,
+) -> Option<AttemptOutcome> {
+    let now = Instant::now();
+    let latest = |run_time| latest_start(request, run_time, now);
+    let mut notices = context.notices.borrow_mut();
+    let retry_after = notices.refuse(host, request.class, request.cell, latest, now)?;
+    let reason = NotRunReason::QueueFull;
+    Some(AttemptOutcome::NotRun { reason, retry_after: Some(retry_after) })
+}
--- a/crates/mesh/src/request/owner_step.rs
+++ b/crates/mesh/src/request/owner_step.rs
@@ -9,8 +9,8 @@
 use hyper::body::{Body, Incoming};
 
 use super::crash_step::{clear_suspect, refuse_suspect, report_crash};
+use super::notice_header::{NOTICE_HEADER, encode_notice, take_notice};
 use super::notice_step::{apply_told, note_answer, own_notice};
-use super::notice_table::NOTICE_HEADER;
 use super::request_progress::AbandonGuard;
 use super::response_step::{
     local_response, parse_retry_after, peer_response, strip_hop_by_hop_headers,
@@ -19,7 +19,7 @@
 use super::traffic_context::elapsed_ms;
 use super::{
     AttemptOutcome, HEAD_BYTES, NotRunReason, RequestProgress, RequestStage, RoutedRequest,
-    ToldNotice, TrafficContext,
+    TrafficContext,
 };
 use crate::connection::{
     OutboundBody, OutboundRequest, OutboundResponse, ProxyBody, ProxyResponse, STATE_PATH,
@@ -71,7 +71,7 @@
     guard.answered();
     context.link.charge(HEAD_BYTES);
     response.headers_mut().insert(OWNER_TIME_HEADER, elapsed_ms(arrived).into());
-    if let Some(notice) = own_notice(context).and_then(|notice| notice.encode()) {
+    if let Some(notice) = own_notice(context).as_ref().and_then(encode_notice) {
         response.headers_mut().insert(NOTICE_HEADER, notice);
     }
     response.body_mut().attach_guard(in_flight);
@@ -109,7 +109,7 @@
     };
     let mut headers = head.headers;
     headers.remove(METADATA_HEADER);
-    let told = ToldNotice::take(&mut headers);
+    let told = take_notice(&mut headers);
     strip_hop_by_hop_headers(&mut headers);
     let id = headers.get(&context.headers.request_id).and_then(|value| value.to_str().ok());
     let id: Box<str> = id.unwrap_or_default().into();
@@ -148,7 +148,7 @@
 ) -> AttemptOutcome {
     let arrived = Instant::now();
     if let Some(cell) = request.cell {
-        context.count_demand(cell);
+        context.count_demand(cell, 1);
     }
     request.progress.enter(RequestStage::WaitingForGrant);
     if let Err(outcome) = wait_for_grant(context, request).await {
@@ -215,7 +215,11 @@
 /// Latest time at which the request may start: until then the response is likely to meet the
 /// objective. Under sustained overload a longer queue does not serve more requests; it only makes
 /// all of them late. A request that is late already may still wait for a short time.
-fn latest_start(request: &RoutedRequest, service_time: Duration, now: Instant) -> Instant {
+pub(super) fn latest_start(
+    request: &RoutedRequest,
+    service_time: Duration,
+    now: Instant,
+) -> Instant {
     let in_time = request.objective_at.checked_sub(service_time).unwrap_or(now);
     in_time.max(now + service_time / LATE_WAIT_DIVISOR).min(request.deadline)
 }
--- a/crates/mesh/src/request/route_step.rs
+++ b/crates/mesh/src/request/route_step.rs
@@ -10,7 +10,7 @@
 use hyper::body::Incoming;
 
 use super::caller_entry::AccessRecord;
-use super::notice_table::NOTICE_HEADER;
+use super::notice_header::NOTICE_HEADER;
 use super::response_step::{local_response, strip_hop_by_hop_headers};
 use super::routed_request::{METADATA_HEADER, REASON_HEADER, VERDICT_HEADER};
 use super::{RequestProgress, RoutedRequest, TrafficContext};
--- a/crates/mesh/src/request/routed_request.rs
+++ b/crates/mesh/src/request/routed_request.rs
@@ -4,10 +4,11 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use firspindle_core::request::ToldNotice;
 use firspindle_core::version::{CellIndex, PriorityClass, RequestKind};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Uri};
 
-use super::{RequestProgress, ToldNotice};
+use super::RequestProgress;
 
 /// Header of a forwarded request with the routing result of the entry node.
 pub(crate) const METADATA_HEADER: HeaderName = HeaderName::from_static("firspindle-facts");
--- a/crates/mesh/src/request/traffic_context.rs
+++ b/crates/mesh/src/request/traffic_context.rs
@@ -6,13 +6,12 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use firspindle_core::request::RetryWindow;
+use firspindle_core::request::{NoticeTable, RetryWindow};
 use firspindle_core::version::RequestKind;
 use firspindle_edge::{BootClock, HeaderNames, unix_ms};
 use tokio::sync::Notify;
 use tokio::sync::mpsc::UnboundedSender;
 
-use super::notice_table::NoticeTable;
 use super::{DemandMeter, SharedState};
 use crate::connection::{ConnectionPool, LinkPacer, UpstreamLimiter};
 use crate::process::{ControlEvent, MeshSettings};
@@ -138,9 +137,9 @@
         self.download_time.set(if mean.is_zero() { time } else { smoothed });
     }
 
-    /// Counts a request for a cell in the demand measurement.
-    pub fn count_demand(&self, cell: usize) {
-        self.meter.borrow_mut().count(cell);
+    /// Counts requests for a cell in the demand measurement.
+    pub fn count_demand(&self, cell: usize, requests: u32) {
+        self.meter.borrow_mut().count(cell, requests);
     }
 
     /// Ends an interval of the demand measurement and publishes the result.
