fix(mesh): a late answer to an earlier request says nothing of its upstream

Callers' view: none yet; an upstream in need would get a burst. An answer that comes late, where the next one is expected, names no limit if it is older than the limit, and ended it: all that waited started at once. Change: an answer is taken note of only where it repeats the id of the request that was sent.

--- a/crates/mesh/src/request/owner_step.rs
+++ b/crates/mesh/src/request/owner_step.rs
@@ -324,7 +324,10 @@
     if is_new {
         context.shared.metrics.connects.with_label_values(&["upstream"]).inc();
     }
-    note_answer(context, upstream, response.status(), response.headers(), sent_at);
+    // An answer to another request may be an earlier one that came late.
+    if echoed_id(context, &response) == Some(&*request.id) {
+        note_answer(context, upstream, response.status(), response.headers(), sent_at);
+    }
     let stream_response = |response: OutboundResponse| {
         let (mut head, body) = response.into_parts();
         strip_hop_by_hop_headers(&mut head.headers);
@@ -383,6 +386,11 @@
     Invalid(&'static str),
 }
 
+/// Returns the id of the request that a response answers, as the upstream repeats it.
+fn echoed_id<'a>(context: &TrafficContext, response: &'a OutboundResponse) -> Option<&'a str> {
+    response.headers().get(&context.headers.request_id).and_then(|value| value.to_str().ok())
+}
+
 /// Checks whether the head of a response shows the upstream's own response to this request.
 fn check_response(
     context: &TrafficContext,
@@ -392,7 +400,7 @@
     let names = &context.headers;
     let headers: &HeaderMap = response.headers();
     let status = response.status();
-    let echoed = headers.get(&names.request_id).and_then(|value| value.to_str().ok());
+    let echoed = echoed_id(context, response);
     if echoed.is_some_and(|id| id != &*request.id) {
         return ResponseCheck::Invalid("the answer is another request's");
     }
