--- a/crates/mesh/src/request.rs
+++ b/crates/mesh/src/request.rs
@@ -15,6 +15,7 @@
 mod response_step;
 mod route_step;
 mod routed_request;
+mod send_step;
 mod shared_state;
 mod traffic_context;
 
