fix(mesh): a limit that was told is asked for too, its metric follows it, and its log line is bounded

A node that started again and was told a low limit asked the upstream only after its first answer (20 s at 0.05); firspindle_upstream_limit kept a limit whose instance had gone; an upstream that names another limit in each answer had one log line each.

--- a/crates/firspindle/src/request/owner_step.rs
+++ b/crates/firspindle/src/request/owner_step.rs
@@ -218,9 +218,12 @@
         LimitNotice::Unlimited => None,
         LimitNotice::Limited(limit) => Some(limit),
     };
-    if upstream.note_limit(limit, sent_at) {
+    if upstream.note_limit(limit, sent_at)
+        && let Some(left_out) = context.log_limiter.admit(unix_ms())
+    {
         let per_second = limit.map(UpstreamLimit::per_second);
-        log::info!(process = &*upstream.boot_id, per_second:?; "limit of the upstream changed");
+        let process = &*upstream.boot_id;
+        log::info!(process, per_second:?, left_out; "limit of the upstream changed");
     }
 }
 
--- a/crates/mesh/src/connection/upstream_limiter.rs
+++ b/crates/mesh/src/connection/upstream_limiter.rs
@@ -39,8 +39,10 @@
     instance: Option<UpstreamInstance>,
     /// Limit that the instance named.
     limit: LimitTracker,
-    /// When the instance last answered this process, or was last asked whether it still limits.
-    answered_at: Option<Instant>,
+    /// Whether the instance has answered this process.
+    answered: bool,
+    /// When the limit was last named, told or asked for.
+    told_at: Option<Instant>,
     /// When a request was last refused.
     refused_at: Option<Instant>,
     /// Time of the next turn that a task waits for.
@@ -87,7 +89,8 @@
             service_time: Duration::ZERO,
             instance: None,
             limit: LimitTracker::default(),
-            answered_at: None,
+            answered: false,
+            told_at: None,
             refused_at: None,
             wake_at: None,
         };
@@ -112,7 +115,8 @@
             return;
         }
         state.instance = Some(instance.clone());
-        state.answered_at = None;
+        state.answered = false;
+        state.told_at = None;
         let limited = state.limit.reset();
         drop(state);
         if limited {
@@ -133,7 +137,8 @@
             return false;
         }
         let now = Instant::now();
-        state.answered_at = Some(now);
+        state.answered = true;
+        state.told_at = Some(now);
         let changed = state.limit.note(limit, sent_at, now);
         drop(state);
         if changed {
@@ -147,7 +152,10 @@
         self.set_instance(instance);
         let now = Instant::now();
         let mut state = self.state.borrow_mut();
-        let adopted = state.answered_at.is_none() && state.limit.note(Some(limit), now, now);
+        let adopted = !state.answered && state.limit.note(Some(limit), now, now);
+        if adopted {
+            state.told_at = Some(now);
+        }
         drop(state);
         if adopted {
             log::info!(
@@ -163,11 +171,11 @@
     pub fn take_check(&self, now: Instant) -> bool {
         let mut state = self.state.borrow_mut();
         let is_low = state.limit.limit().is_some_and(|limit| limit.interval() > CHECK_INTERVAL);
-        let Some(answered_at) = state.answered_at.filter(|_| is_low) else { return false };
-        let is_due = now >= answered_at + CHECK_INTERVAL;
-        let is_due = is_due && state.refused_at.is_some_and(|at| at > answered_at);
+        let Some(told_at) = state.told_at.filter(|_| is_low) else { return false };
+        let is_due = now >= told_at + CHECK_INTERVAL;
+        let is_due = is_due && state.refused_at.is_some_and(|at| at > told_at);
         if is_due {
-            state.answered_at = Some(now);
+            state.told_at = Some(now);
         }
         is_due
     }
--- a/crates/mesh/src/process/mesh_node.rs
+++ b/crates/mesh/src/process/mesh_node.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use firspindle_core::connection::UpstreamLoad;
+use firspindle_core::connection::{UpstreamLimit, UpstreamLoad};
 use firspindle_edge::{BootClock, PlatformCodec, StateStore, unix_ms};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use snafu::{ResultExt, Snafu};
@@ -181,6 +181,8 @@
                 context.limiter.resize(upstream.slots);
                 context.limiter.set_instance(&upstream.instance);
             }
+            let limit = context.limiter.limit().map_or(0.0, UpstreamLimit::per_second);
+            context.shared.metrics.upstream_limit.set(limit);
             if context.limiter.take_check(Instant::now()) {
                 let context = context.clone();
                 tokio::task::spawn_local(async move { check_limit(&context).await });
--- a/crates/mesh/src/request/notice_step.rs
+++ b/crates/mesh/src/request/notice_step.rs
@@ -45,8 +45,10 @@
     };
     if context.limiter.note_limit(&upstream.instance, limit, sent_at) {
         let per_second = limit.map(UpstreamLimit::per_second);
-        context.shared.metrics.upstream_limit.set(per_second.unwrap_or(0.0));
-        log::info!(life = &*upstream.instance.id, per_second:?; "limit of the upstream changed");
+        let life = &*upstream.instance.id;
+        context.log_rate_limited(|left_out| {
+            log::info!(life, per_second:?, left_out; "limit of the upstream changed");
+        });
     }
 }
 
