fix(mesh): cells move away from a slow or limited upstream also while another has not answered yet

Callers' view: refused for as long as an upstream limits what it takes, although another had room for its keys: of 212 requests in 3 s, 12 s after the limit was named, 7 were served. Cause: nothing moves by demand while the speed of one upstream of the service is unknown, and one without requests, or with runs below a millisecond, stays unknown.

Change: an upstream that has not answered counts as fast as the others of its service.

--- a/crates/mesh/src/process/control_state/plan_step.rs
+++ b/crates/mesh/src/process/control_state/plan_step.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use firspindle_core::connection::UpstreamLoad;
 use firspindle_core::process::{RangeCandidate, ServiceCandidates, plan_ranges};
 use firspindle_core::version::{
     HostRecord, RangePlan, ServiceRanges, UpstreamRecord, UpstreamState,
@@ -153,6 +154,7 @@
         let limit = self.peer_timeout(now);
         let mut services = Vec::new();
         for service in manifest.services().iter().filter(|row| row.sharded) {
+            let usual_ms = self.usual_service_ms(&service.name);
             let mut candidates = Vec::new();
             let mut missing = false;
             for record in self.hosts.iter().filter(|row| row.service == service.name) {
@@ -161,7 +163,7 @@
                 }
                 match &record.upstream {
                     Some(upstream) if upstream.state == UpstreamState::Ready => {
-                        candidates.push(self.candidate(record, upstream, now));
+                        candidates.push(self.candidate(record, upstream, usual_ms, now));
                     }
                     Some(_) => {}
                     None => missing = true,
@@ -176,10 +178,26 @@
         Some(services)
     }
 
+    /// Mean time of a run at the upstreams of a service that have answered, in milliseconds; 0 if none
+    /// has.
+    fn usual_service_ms(&self, service: &str) -> u32 {
+        let hosts = self.hosts.iter().filter(|row| &*row.service == service);
+        let times = hosts.map(|row| match row.host == self.settings.host {
+            true => self.load.service_ms,
+            false => self.peers.get(&row.host).map_or(0, |peer| peer.load.service_ms),
+        });
+        let known: Vec<u32> = times.filter(|ms| *ms > 0).collect();
+        let count = u32::try_from(known.len()).unwrap_or(u32::MAX);
+        known.iter().sum::<u32>().checked_div(count).unwrap_or(0)
+    }
+
+    /// Returns an upstream as a candidate. One that has not answered yet counts as fast as is usual, so
+    /// that it can take cells of a slow or limited one.
     pub(super) fn candidate(
         &self,
         record: &HostRecord,
         upstream: &UpstreamRecord,
+        usual_ms: u32,
         now: Instant,
     ) -> RangeCandidate {
         let own = record.host == self.settings.host;
@@ -191,6 +209,8 @@
                 (peer.settled_version, peer.load, peer.demand.clone())
             })
         };
+        let service_ms = if load.service_ms == 0 { usual_ms } else { load.service_ms };
+        let load = UpstreamLoad { service_ms, ..load };
         RangeCandidate {
             host: record.host.clone(),
             instance: upstream.instance.clone(),
