fix(mesh): a request whose caller left before it was read is not sent on

Callers' view: none; upstreams worked for callers that had left. Cause: a node that comes late to a connection finds the request and the close together, and sent the request on before it looked for the close.

--- a/crates/mesh/src/connection/http_server.rs
+++ b/crates/mesh/src/connection/http_server.rs
@@ -65,6 +65,8 @@
     let service = service_fn(move |request| {
         let context = context.clone();
         async move {
+            // A request whose caller has left already is dropped here.
+            tokio::task::yield_now().await;
             let response = match kind {
                 ServerKind::Callers => handle_caller_request(&context, request).await,
                 ServerKind::Peers => handle_peer_request(&context, request).await,
