feat(node): refusals of the upstream and failed requests of hash-divided services are logged

The logs of the node hold no line about a request that is not served, so its cause cannot be told: a full queue, a refused connection and an upstream that has no grant all end as 503.

Change: the owner logs what its upstream said with a refusal, the entry node logs each request that is not served with verdict, status, reason and time; both through the limiter of log lines. No decision changes.

--- a/crates/firspindle/src/request/owner_step.rs
+++ b/crates/firspindle/src/request/owner_step.rs
@@ -17,8 +17,8 @@
 
 use super::{CallerRequest, CallerResponse, TrafficContext};
 use crate::connection::{
-    ConnectionPool, GateGuard, OutboundRequest, PartitionGate, SendError, UpstreamHandle,
-    UpstreamPermit, end_to_end_headers, header_value,
+    ConnectionPool, GateGuard, OutboundRequest, OutboundResponse, PartitionGate, SendError,
+    UpstreamHandle, UpstreamPermit, end_to_end_headers, header_value,
 };
 use crate::process::{ControlEvent, unix_ms};
 use crate::version::TrafficView;
@@ -30,6 +30,9 @@
 /// Time for which a request stays suspected after a crash, in milliseconds.
 const SUSPECT_TTL_MS: u64 = 10 * 60 * 1000;
 
+/// Most bytes of an upstream's reason that are logged.
+const MAX_LOGGED_BYTES: usize = 200;
+
 /// Runs a request at this node's upstream; refuses it if this node does not serve its partition.
 pub async fn run_locally(context: &TrafficContext, request: &CallerRequest) -> CallerResponse {
     let view = context.view.load_full();
@@ -173,6 +176,7 @@
             note_answer(context, upstream, &response.headers, now);
             let upstream_verdict = response.headers.get(super::caller_response::VERDICT);
             if upstream_verdict.is_some_and(|value| value == RequestVerdict::NotRun.as_str()) {
+                log_refusal(context, request, fence, &response);
                 return Err(RequestFailure::UpstreamRefused);
             }
             permit.answered(took);
@@ -194,6 +198,21 @@
     }
 }
 
+fn log_refusal(
+    context: &TrafficContext,
+    request: &CallerRequest,
+    fence: FenceToken,
+    response: &OutboundResponse,
+) {
+    let Some(left_out) = context.log_limiter.admit(unix_ms()) else { return };
+    let reason = &response.body[..response.body.len().min(MAX_LOGGED_BYTES)];
+    log::info!(
+        service = &*request.service.name, key = &*request.key, request = request.id_text(),
+        fence:%, status = response.status.as_u16(), reason:% = reason.escape_ascii(), left_out;
+        "upstream refused the request"
+    );
+}
+
 /// Takes note of what the upstream says about itself in the answer to a request that was sent at
 /// `sent_at`.
 fn note_answer(
--- a/crates/firspindle/src/request/traffic_service.rs
+++ b/crates/firspindle/src/request/traffic_service.rs
@@ -96,7 +96,31 @@
     request: &CallerRequest,
     forwarded: bool,
 ) -> CallerResponse {
-    if forwarded { run_locally(context, request).await } else { route(context, request).await }
+    if forwarded {
+        return run_locally(context, request).await;
+    }
+    let started = Instant::now();
+    let caller_response = route(context, request).await;
+    if caller_response.verdict != RequestVerdict::Ran {
+        log_failure(context, request, &caller_response, started);
+    }
+    caller_response
+}
+
+fn log_failure(
+    context: &TrafficContext,
+    request: &CallerRequest,
+    caller_response: &CallerResponse,
+    started: Instant,
+) {
+    let Some(left_out) = context.log_limiter.admit(unix_ms()) else { return };
+    log::info!(
+        service = &*request.service.name, key = &*request.key, request = request.id_text(),
+        verdict = caller_response.verdict.as_str(), status = caller_response.status.as_u16(),
+        reason:% = caller_response.body.trim_ascii().escape_ascii(),
+        took_ms = started.elapsed().as_millis(), left_out;
+        "request not served"
+    );
 }
 
 fn record_metrics(
