fix(node): a request that an upstream refused for want of a grant is tried again

Cause: an upstream that checks grants refuses a request whose grant ended before the work took effect, and says that it did not run. The owner took each refusal as final, though the deadline was 5 s away and its lease was back in 0.1 s. Any pause of a machine that outlasts the lease of 1.5 s refuses all that is in flight.

Ruled out: 24 repeats beside two others and 20 beside ten busy processes passed, so load alone does not do it.

Change: an upstream refuses for want of a grant with 421; the entry node goes on as after "not the owner", and takes a retry from its budget for each such send. An upstream that accepts no connections counts as no owner too.

An upstream that never has a grant gets 11 sends for one order at most (the reserve of the budget).

--- a/crates/core/src/request/request_failure.rs
+++ b/crates/core/src/request/request_failure.rs
@@ -61,7 +61,16 @@
     NotOwner,
     /// The upstream refused the request without running any of it.
     #[snafu(display("the upstream refused the request unrun"))]
-    UpstreamRefused,
+    UpstreamRefused {
+        /// Time after which the caller may retry.
+        retry_after: Duration,
+    },
+    /// The upstream refused the request without running any of it, as it knows no valid grant.
+    #[snafu(display("the upstream has no grant for this key"))]
+    UpstreamUngranted,
+    /// The upstream accepts no connections.
+    #[snafu(display("the upstream accepts no connections"))]
+    UpstreamUnreachable,
     /// The request is refused because it was in flight during two crashes of upstreams.
     #[snafu(display("upstreams crashed twice while they ran this request"))]
     CrashesUpstreams {
@@ -117,7 +126,9 @@
             | Self::NoManifest
             | Self::NoOwner
             | Self::NotOwner
-            | Self::UpstreamRefused => 503,
+            | Self::UpstreamRefused { .. }
+            | Self::UpstreamUngranted
+            | Self::UpstreamUnreachable => 503,
             Self::Expired | Self::DeadlinePassed => 504,
         }
     }
@@ -125,12 +136,14 @@
     /// Time after which the caller may retry, for refusals that are likely to pass.
     pub const fn retry_after(&self) -> Option<Duration> {
         match self {
-            Self::Overloaded { retry_after } | Self::CrashesUpstreams { retry_after } => {
-                Some(*retry_after)
-            }
-            Self::NoManifest | Self::NoOwner | Self::NotOwner | Self::UpstreamRefused => {
-                Some(Duration::from_secs(1))
-            }
+            Self::Overloaded { retry_after }
+            | Self::CrashesUpstreams { retry_after }
+            | Self::UpstreamRefused { retry_after } => Some(*retry_after),
+            Self::NoManifest
+            | Self::NoOwner
+            | Self::NotOwner
+            | Self::UpstreamUngranted
+            | Self::UpstreamUnreachable => Some(Duration::from_secs(1)),
             _ => None,
         }
     }
--- a/crates/firspindle/src/request/caller_response.rs
+++ b/crates/firspindle/src/request/caller_response.rs
@@ -109,6 +109,12 @@
         self.verdict == RequestVerdict::NotRun && self.headers.contains_key(NOT_OWNER)
     }
 
+    /// Whether the node sent the request to its upstream, which had no grant to run it.
+    pub fn is_ungranted(&self) -> bool {
+        self.is_not_owner()
+            && self.headers.get(NOT_OWNER).is_some_and(|value| value == UPSTREAM_UNGRANTED)
+    }
+
     /// Whether the node that responded is shutting down.
     pub fn is_stopping(&self) -> bool {
         self.headers.get(NOT_OWNER).is_some_and(|value| value == STOPPING)
@@ -117,8 +123,25 @@
     /// Refusal of a node that does not serve the partition.
     #[must_use]
     pub fn not_owner(view: &TrafficView) -> Self {
-        let mut caller_response = Self::failed(&RequestFailure::NotOwner);
         let state = if view.stopping { STOPPING } else { "serving" };
+        Self::passed_on(&RequestFailure::NotOwner, state)
+    }
+
+    /// Refusal of a node whose upstream had no grant to run the request.
+    #[must_use]
+    pub fn ungranted() -> Self {
+        Self::passed_on(&RequestFailure::UpstreamUngranted, UPSTREAM_UNGRANTED)
+    }
+
+    /// Refusal of a node whose upstream accepts no connections.
+    #[must_use]
+    pub fn unreachable() -> Self {
+        Self::passed_on(&RequestFailure::UpstreamUnreachable, "upstream-unreachable")
+    }
+
+    /// Refusal after which the entry node may try again.
+    fn passed_on(failure: &RequestFailure, state: &'static str) -> Self {
+        let mut caller_response = Self::failed(failure);
         caller_response.headers.insert(NOT_OWNER, HeaderValue::from_static(state));
         caller_response
     }
@@ -130,3 +153,6 @@
 
 /// Value of [`NOT_OWNER`] from a node that is shutting down.
 const STOPPING: &str = "stopping";
+
+/// Value of [`NOT_OWNER`] from a node whose upstream had no grant to run the request.
+const UPSTREAM_UNGRANTED: &str = "upstream-ungranted";
--- a/crates/firspindle/src/request/entry_step.rs
+++ b/crates/firspindle/src/request/entry_step.rs
@@ -39,6 +39,12 @@
             match attempt(context, &view, request, node).await {
                 AttemptResult::Final(response) => return response,
                 AttemptResult::Next => {}
+                AttemptResult::Ungranted(response) => {
+                    if !context.take_retry() {
+                        return response;
+                    }
+                    context.metrics.retries.inc();
+                }
                 AttemptResult::Broken(failure) => {
                     broken_attempts += 1;
                     if broken_attempts >= MAX_BROKEN_ATTEMPTS || !context.take_retry() {
@@ -67,6 +73,8 @@
     Final(CallerResponse),
     /// The request did not run; another node may serve it.
     Next,
+    /// The request reached an upstream, which had no grant to run it; it may be retried.
+    Ungranted(CallerResponse),
     /// The request may have run; an idempotent one may be retried.
     Broken(RequestFailure),
 }
@@ -161,6 +169,9 @@
 
 /// Decides whether a response goes to the caller or another attempt follows.
 fn classify_response(request: &CallerRequest, response: CallerResponse) -> AttemptResult {
+    if response.is_ungranted() {
+        return AttemptResult::Ungranted(response);
+    }
     if response.is_not_owner() {
         return AttemptResult::Next;
     }
--- a/crates/firspindle/src/request/owner_step.rs
+++ b/crates/firspindle/src/request/owner_step.rs
@@ -12,7 +12,7 @@
 use firspindle_core::process::FenceToken;
 use firspindle_core::request::{DedupDecision, RequestFailure, RequestVerdict};
 use firspindle_edge::{LimitNotice, UpstreamNotice, upstream_died};
-use http::{HeaderMap, HeaderName, Uri};
+use http::{HeaderMap, HeaderName, StatusCode, Uri};
 use uuid::Uuid;
 
 use super::{CallerRequest, CallerResponse, TrafficContext};
@@ -30,6 +30,9 @@
 /// Time for which a request stays suspected after a crash, in milliseconds.
 const SUSPECT_TTL_MS: u64 = 10 * 60 * 1000;
 
+/// `Retry-After` of an upstream's refusal that names none.
+const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Most bytes of an upstream's reason that are logged.
 const MAX_LOGGED_BYTES: usize = 200;
 
@@ -116,10 +119,12 @@
             if failure.verdict() == RequestVerdict::NotRun {
                 outcome_guard.state = Some(FinalState::NotRun);
             }
-            if failure == RequestFailure::NotOwner {
-                return CallerResponse::not_owner(view);
+            match failure {
+                RequestFailure::NotOwner => CallerResponse::not_owner(view),
+                RequestFailure::UpstreamUngranted => CallerResponse::ungranted(),
+                RequestFailure::UpstreamUnreachable => CallerResponse::unreachable(),
+                failure => CallerResponse::failed(&failure),
             }
-            CallerResponse::failed(&failure)
         }
     }
 }
@@ -177,14 +182,14 @@
             let upstream_verdict = response.headers.get(super::caller_response::VERDICT);
             if upstream_verdict.is_some_and(|value| value == RequestVerdict::NotRun.as_str()) {
                 log_refusal(context, request, fence, &response);
-                return Err(RequestFailure::UpstreamRefused);
+                return Err(refusal_of(&response));
             }
             permit.answered(took);
             Ok(CallerResponse::ran(response, fence))
         }
         Ok(Err(SendError::NotSent)) => {
             let _ = context.control_tx.send(ControlEvent::UpstreamGone);
-            Err(RequestFailure::UpstreamRefused)
+            Err(RequestFailure::UpstreamUnreachable)
         }
         Ok(Err(SendError::Broken)) => {
             report_crash(context, upstream, request).await;
@@ -198,6 +203,14 @@
     }
 }
 
+/// Classifies the refusal of an upstream that did not run the request.
+fn refusal_of(response: &OutboundResponse) -> RequestFailure {
+    if response.status == StatusCode::MISDIRECTED_REQUEST {
+        return RequestFailure::UpstreamUngranted;
+    }
+    RequestFailure::UpstreamRefused { retry_after: DEFAULT_RETRY_AFTER }
+}
+
 fn log_refusal(
     context: &TrafficContext,
     request: &CallerRequest,
--- a/crates/firspindle/tests/failures/losses.rs
+++ b/crates/firspindle/tests/failures/losses.rs
@@ -7,9 +7,10 @@
 use harness::{Fleet, FleetSpec, HttpClient, longest_gap, wait_until};
 use rustix::process::Signal;
 
+use crate::drains::assert_all_ran;
 use crate::fleet_checks::{
-    LOSS_BOUND, SETTLE_TIMEOUT, SHORT_TIMEOUT, run_for, start_fleet, start_fleet_with, start_load,
-    stop_and_check, wait_until_settled,
+    LONG_TIMEOUT, LOSS_BOUND, SETTLE_TIMEOUT, SHORT_TIMEOUT, run_for, start_fleet,
+    start_fleet_with, start_load, stop_and_check, wait_until_settled,
 };
 
 /// Time for which callers run before and after a fault.
@@ -23,6 +24,9 @@
 /// than the deadline of 5 s.
 const LONG_WORK_MS: u64 = 4_000;
 
+/// Pause that outlasts a lease.
+const LONG_PAUSE: Duration = Duration::from_millis(1600);
+
 fn wait_for_owner(fleet: &Fleet, key: &str) -> usize {
     wait_until("the key has an owner", SETTLE_TIMEOUT, || fleet.owner("registre", key))
 }
@@ -107,6 +111,19 @@
     fleet.kill_host(owner_host);
 }
 
+/// The pause is longer than a lease, so no order in flight may take effect after it.
+#[test]
+fn orders_that_a_pause_of_all_hosts_kept_from_running_are_not_refused() {
+    let fleet = start_fleet(FleetSpec::one_service("registre", 4, 3));
+    let generator = start_load(&fleet, "/registre/orders?work_ms=20", LONG_TIMEOUT);
+    run_for(STEADY_TIME);
+    fleet.pause();
+    run_for(LONG_PAUSE);
+    fleet.resume();
+    run_for(RECOVERY_TIME);
+    assert_all_ran(&stop_and_check(&fleet, generator));
+}
+
 #[test]
 fn a_paused_node_resumes_with_unread_requests_in_its_socket() {
     let fleet = start_fleet(FleetSpec::one_service("registre", 4, 3));
--- a/crates/firspindle/tests/failures/requests.rs
+++ b/crates/firspindle/tests/failures/requests.rs
@@ -4,10 +4,15 @@
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
-use harness::{Fleet, FleetSpec, HttpResponse, check_journals, new_request_id, wait_until};
+use harness::{
+    Fleet, FleetSpec, HttpClient, HttpResponse, check_journals, new_request_id, wait_until,
+};
 
 use crate::fleet_checks::{SETTLE_TIMEOUT, run_for, start_fleet};
 
+/// Retries that a node may send before its first request.
+const RETRY_RESERVE: usize = 10;
+
 fn place_order(fleet: &Fleet, host: usize, path: &str, id: &str) -> HttpResponse {
     let headers = [("firspindle-key", "garage-1"), ("idempotency-key", id)];
     fleet.call(host, "POST", path, &headers, "order").expect("a complete response")
@@ -189,3 +194,24 @@
         assert_eq!(count_runs(&fleet, &id), 1);
     }
 }
+
+/// Places an order whose upstream refuses all requests with `status`; returns the response and the
+/// number of requests that reached the upstream.
+fn place_refused_order(status: u16) -> (HttpResponse, usize) {
+    let fleet = start_fleet(FleetSpec::one_service("registre", 3, 3));
+    let owner_host = fleet.owner("registre", "garage-1").expect("the key has an owner");
+    let address = fleet.upstream_address(owner_host);
+    let path = format!("/say?refuse={status}");
+    HttpClient::call(address, "POST", &path, &[], "").expect("the upstream answers");
+    let response = place_order(&fleet, 0, "/registre/orders", &new_request_id());
+    let refused = HttpClient::call(address, "GET", "/refused", &[], "");
+    let refused = refused.expect("the upstream answers").body.parse().expect("a number");
+    (response, refused)
+}
+
+#[test]
+fn an_upstream_without_grant_is_not_asked_beyond_the_retry_budget() {
+    let (response, refused) = place_refused_order(421);
+    assert_eq!((response.status, response.verdict()), (503, "not-run"));
+    assert!((2..=1 + RETRY_RESERVE).contains(&refused), "{refused} requests for one order");
+}
--- a/crates/harness/src/fleet.rs
+++ b/crates/harness/src/fleet.rs
@@ -409,4 +409,20 @@
             process.kill();
         }
     }
+
+    /// Suspends all processes, as on a machine that stands still, until [`Fleet::resume`].
+    pub fn pause(&self) {
+        self.processes().for_each(FleetProcess::pause);
+    }
+
+    /// Resumes all processes.
+    pub fn resume(&self) {
+        self.processes().for_each(FleetProcess::resume);
+    }
+
+    fn processes(&self) -> impl Iterator<Item = &FleetProcess> {
+        let hosts = self.nodes.iter().chain(&self.upstreams).flatten();
+        let links = self.log_links.iter().chain(&self.peer_links);
+        hosts.chain(links).chain([&self.log])
+    }
 }
--- a/crates/standin/src/upstream_server.rs
+++ b/crates/standin/src/upstream_server.rs
@@ -7,7 +7,9 @@
 //! - `GET /running` returns the number of requests in progress.
 //! - `POST /grant` extends the grant of a holder.
 //! - `POST /say` sets what all later answers say: `limit` the requests per second that it takes, and
-//!   `leaving=1` that it leaves, without announcing that.
+//!   `leaving=1` that it leaves, without announcing that. `refuse` is the status with which all later
+//!   requests are refused.
+//! - `GET /refused` returns the number of requests refused so.
 //! - `POST /misreport` makes the upstream announce that no requests are in progress.
 
 use std::cell::{Cell, RefCell};
@@ -84,6 +86,10 @@
     limit: Cell<Option<u32>>,
     /// Whether all answers say that it leaves.
     says_leaving: Cell<bool>,
+    /// Status with which all requests are refused.
+    refuses_with: Cell<Option<u16>>,
+    /// Requests refused with that status.
+    refused: Cell<u32>,
 }
 
 impl UpstreamState {
@@ -116,6 +122,8 @@
         reports_idle: Cell::new(false),
         limit: Cell::new(None),
         says_leaving: Cell::new(false),
+        refuses_with: Cell::new(None),
+        refused: Cell::new(0),
     });
     let tasks = tokio::task::LocalSet::new();
     let handler = {
@@ -187,10 +195,12 @@
             Some(new_response(200, rows))
         }
         (&Method::GET, "/running") => Some(new_response(200, state.running.get().to_string())),
+        (&Method::GET, "/refused") => Some(new_response(200, state.refused.get().to_string())),
         (&Method::GET, "/health") => Some(new_response(200, "ok")),
         (&Method::POST, "/say") => {
             state.limit.set(query_parameter(request.uri(), "limit"));
             state.says_leaving.set(query_parameter::<u8>(request.uri(), "leaving") == Some(1));
+            state.refuses_with.set(query_parameter(request.uri(), "refuse"));
             Some(new_response(200, ""))
         }
         (&Method::POST, "/misreport") => {
@@ -224,12 +234,18 @@
     let grant_required = state.args.checks_grants;
     let (parts, body) = request.into_parts();
     let body = body.collect().await.ok()?.to_bytes();
+    if let Some(status) = state.refuses_with.get() {
+        state.refused.set(state.refused.get() + 1);
+        let mut refusal = refusal_response(status, "told to refuse");
+        refusal.headers_mut().insert("retry-after", http::HeaderValue::from_static("7"));
+        return Some(refusal);
+    }
     let may_start = grant.as_ref().is_some_and(|grant| state.grants.borrow_mut().try_start(grant));
     if grant_required && !may_start {
-        return Some(refusal_response("no grant"));
+        return Some(refusal_response(421, "no grant"));
     }
     if state.running.get() >= state.args.connections {
-        return Some(refusal_response("shedding load"));
+        return Some(refusal_response(503, "shedding load"));
     }
     let guard = RunningGuard::new(state);
     let slot = state.slots.acquire().await.ok()?;
@@ -246,7 +262,7 @@
     let may_commit =
         grant.as_ref().is_some_and(|grant| state.grants.borrow().may_take_effect(grant));
     if grant_required && !may_commit {
-        return Some(refusal_response("the grant ended before the work took effect"));
+        return Some(refusal_response(421, "the grant ended before the work took effect"));
     }
     let header = |name: &str| {
         let value = parts.headers.get(name).and_then(|value| value.to_str().ok());
@@ -288,8 +304,8 @@
 }
 
 /// Returns a refusal that states that the request did not run.
-fn refusal_response(reason: &'static str) -> FullResponse {
-    let mut refusal = new_response(503, reason);
+fn refusal_response(status: u16, reason: &'static str) -> FullResponse {
+    let mut refusal = new_response(status, reason);
     refusal.headers_mut().insert("firspindle-verdict", http::HeaderValue::from_static("not-run"));
     refusal
 }
