fix(node): a refusal of a hash-divided service's upstream passes on when to return

Change: the Retry-After of a 503 refusal goes to the caller; one parser for both stacks (firspindle-edge). Test: requests::a_refusal_for_want_of_room_passes_on_when_its_upstream_says_to_return, 1 before and 7 after.

--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -12,6 +12,7 @@
 mod log_queue;
 mod memory_store;
 mod platform_codec;
+mod retry_after;
 mod state_store;
 mod upstream_notice;
 
@@ -22,5 +23,6 @@
 pub use log_queue::{LogDrain, LogQueue};
 pub use memory_store::MemoryStore;
 pub use platform_codec::{DecodeError, PlatformCodec};
+pub use retry_after::parse_retry_after;
 pub use state_store::{ReadBatch, StateStore, StateTopic, StoreError, TopicRecord, TopicSnapshot};
 pub use upstream_notice::{LimitNotice, UpstreamNotice};
--- a/crates/firspindle/src/request/owner_step.rs
+++ b/crates/firspindle/src/request/owner_step.rs
@@ -11,7 +11,7 @@
 use firspindle_core::connection::{RunState, SuspectRow, UpstreamLimit};
 use firspindle_core::process::FenceToken;
 use firspindle_core::request::{DedupDecision, RequestFailure, RequestVerdict};
-use firspindle_edge::{LimitNotice, UpstreamNotice, upstream_died};
+use firspindle_edge::{LimitNotice, UpstreamNotice, parse_retry_after, upstream_died};
 use http::{HeaderMap, HeaderName, StatusCode, Uri};
 use uuid::Uuid;
 
@@ -208,7 +208,8 @@
     if response.status == StatusCode::MISDIRECTED_REQUEST {
         return RequestFailure::UpstreamUngranted;
     }
-    RequestFailure::UpstreamRefused { retry_after: DEFAULT_RETRY_AFTER }
+    let retry_after = parse_retry_after(&response.headers).unwrap_or(DEFAULT_RETRY_AFTER);
+    RequestFailure::UpstreamRefused { retry_after }
 }
 
 fn log_refusal(
--- a/crates/firspindle/tests/failures/requests.rs
+++ b/crates/firspindle/tests/failures/requests.rs
@@ -215,3 +215,10 @@
     assert_eq!((response.status, response.verdict()), (503, "not-run"));
     assert!((2..=1 + RETRY_RESERVE).contains(&refused), "{refused} requests for one order");
 }
+
+#[test]
+fn a_refusal_for_want_of_room_passes_on_when_its_upstream_says_to_return() {
+    let (response, refused) = place_refused_order(503);
+    assert_eq!((response.status, response.verdict()), (503, "not-run"));
+    assert_eq!((response.header("retry-after"), refused), ("7", 1));
+}
--- a/crates/mesh/src/request/response_step.rs
+++ b/crates/mesh/src/request/response_step.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use firspindle_core::request::RequestVerdict;
+use firspindle_edge::parse_retry_after;
 use http::header::RETRY_AFTER;
 use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode};
 
@@ -84,9 +85,3 @@
     let reason = text(&REASON_HEADER).map_or(NotRunReason::Unreachable, NotRunReason::parse);
     AttemptOutcome::NotRun { reason, retry_after: parse_retry_after(headers) }
 }
-
-/// Returns the time that a `Retry-After` header gives in seconds; `None` without a valid one.
-pub(super) fn parse_retry_after(headers: &HeaderMap) -> Option<Duration> {
-    let text = headers.get(RETRY_AFTER).and_then(|value| value.to_str().ok())?;
-    text.parse().ok().and_then(|seconds| Duration::try_from_secs_f64(seconds).ok())
-}
--- a/crates/mesh/src/request/send_step.rs
+++ b/crates/mesh/src/request/send_step.rs
@@ -3,13 +3,14 @@
 use std::time::{Duration, Instant};
 
 use firspindle_core::version::RequestKind;
+use firspindle_edge::parse_retry_after;
 use http::{HeaderMap, HeaderName, HeaderValue, Request, StatusCode};
 use hyper::body::Body;
 
 use super::crash_step::{clear_suspect, report_crash};
 use super::notice_step::note_answer;
 use super::owner_step::HANDOVER_RETRY_AFTER;
-use super::response_step::{parse_retry_after, strip_hop_by_hop_headers};
+use super::response_step::strip_hop_by_hop_headers;
 use super::{AttemptOutcome, NotRunReason, RoutedRequest, TrafficContext};
 use crate::connection::{
     OutboundBody, OutboundRequest, OutboundResponse, ProxyBody, SendError, StreamedBody,
