fix(mesh): the first answer that says that its upstream leaves is told to the node that passes it on

What callers saw: nothing; what an upstream sees: requests that began at a node after the drain time (2 s) from the moment at which that node had passed on an answer with the notice. The rule DRAIN binds that node, also if the node beside the upstream has started again and knows nothing.

Cause: the notice goes from the traffic thread to the control thread and comes back in the published state. The response to the request itself left before that, without the notice, so a node that passes on one answer learned nothing.

Change: the limiter, which keeps the limit of the instance, keeps the notice too, and responses are built from it.

Ruled out: the forwarding node's table (it repeats what it was told) and the restarted node (it refuses once it is told).

--- a/crates/mesh/src/connection/upstream_limiter.rs
+++ b/crates/mesh/src/connection/upstream_limiter.rs
@@ -39,6 +39,8 @@
     instance: Option<UpstreamInstance>,
     /// Limit that the instance named.
     limit: LimitTracker,
+    /// Whether an answer of the instance said that it leaves.
+    leaving: bool,
     /// Whether the instance has answered this process.
     answered: bool,
     /// When the limit was last named, told or asked for.
@@ -89,6 +91,7 @@
             service_time: Duration::ZERO,
             instance: None,
             limit: LimitTracker::default(),
+            leaving: false,
             answered: false,
             told_at: None,
             refused_at: None,
@@ -115,6 +118,7 @@
             return;
         }
         state.instance = Some(instance.clone());
+        state.leaving = false;
         state.answered = false;
         state.told_at = None;
         let limited = state.limit.reset();
@@ -147,6 +151,18 @@
         changed
     }
 
+    /// Notes that an answer of an instance says that it leaves.
+    pub fn note_leaving(&self, instance: &UpstreamInstance) {
+        let mut state = self.state.borrow_mut();
+        state.leaving |= state.instance.as_ref() == Some(instance);
+    }
+
+    /// Whether an answer of an instance said that it leaves.
+    pub fn is_leaving(&self, instance: &UpstreamInstance) -> bool {
+        let state = self.state.borrow();
+        state.leaving && state.instance.as_ref() == Some(instance)
+    }
+
     /// Applies a limit that another node knows of, until the instance has answered itself.
     pub fn adopt_limit(&self, instance: &UpstreamInstance, limit: UpstreamLimit) {
         self.set_instance(instance);
--- a/crates/mesh/src/request/notice_step.rs
+++ b/crates/mesh/src/request/notice_step.rs
@@ -35,6 +35,8 @@
     // Another upstream, or another instance, may have refused a request that was not meant for it.
     let misdirected = status == StatusCode::MISDIRECTED_REQUEST;
     if notice.leaving && !misdirected {
+        // The response to this request is to tell it, before the control thread publishes it.
+        context.limiter.note_leaving(&upstream.instance);
         report_leaving(context, &upstream.instance, Duration::ZERO);
     }
     let limit = match notice.limit {
@@ -118,7 +120,8 @@
     let view = context.shared.view.load();
     let upstream = view.upstream.as_ref()?;
     let limit = context.limiter.limit();
-    let leaving = upstream.state == UpstreamState::Draining;
+    let leaving =
+        upstream.state == UpstreamState::Draining || context.limiter.is_leaving(&upstream.instance);
     (limit.is_some() || leaving).then(|| ToldNotice {
         instance: hash_instance(&upstream.instance),
         limit,
