fix(mesh): an answer to a request that did not run ends no limit

What an upstream sees: up to 25 requests in 4 s at a limit of 3, from nodes that know it, if its refusals do not repeat the limit.

Cause: any answer with the request's id ended the limit if it named none, but for 421. Each refusal, and each invalid answer, ended it until the next run named it again.

Change: only a valid answer to a request that ran ends a limit. One that did not run still names one, or says that the upstream leaves.

--- a/crates/mesh/src/request/notice_step.rs
+++ b/crates/mesh/src/request/notice_step.rs
@@ -11,29 +11,46 @@
 
 use super::owner_step::{HANDOVER_RETRY_AFTER, latest_start};
 use super::{AttemptOutcome, NotRunReason, RoutedRequest, TrafficContext};
-use crate::connection::OutboundBody;
+use crate::connection::{OutboundBody, OutboundResponse};
 use crate::process::ControlEvent;
 use crate::version::UpstreamView;
 
 /// Time limit of a check whether the upstream still limits.
 const CHECK_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Takes note of the headers of an answer to a request that was sent at `sent_at`.
+/// What an answer says, and about which request.
+pub(super) struct AnswerHead<'a> {
+    status: StatusCode,
+    headers: &'a HeaderMap,
+    /// Whether it is a valid answer of an upstream that ran the request.
+    ran: bool,
+    /// When the request was sent.
+    sent_at: Instant,
+}
+
+impl<'a> AnswerHead<'a> {
+    /// The head of an answer to a request that was sent at `sent_at`.
+    pub(super) fn new(response: &'a OutboundResponse, ran: bool, sent_at: Instant) -> Self {
+        Self { status: response.status(), headers: response.headers(), ran, sent_at }
+    }
+}
+
+/// Takes note of what an answer says about its upstream. Only one to a request that ran ends a limit by
+/// naming none.
 pub(super) fn note_answer(
     context: &TrafficContext,
     upstream: &UpstreamView,
-    status: StatusCode,
-    headers: &HeaderMap,
-    sent_at: Instant,
+    answer: &AnswerHead<'_>,
 ) {
-    let notice = UpstreamNotice::read(headers, &context.headers.limit, &context.headers.leaving);
+    let names = &context.headers;
+    let notice = UpstreamNotice::read(answer.headers, &names.limit, &names.leaving);
     if let Some(header) = notice.invalid {
         context.log_rate_limited(|left_out| {
             log::warn!(header, left_out; "invalid notice of the upstream ignored");
         });
     }
     // Another upstream, or another instance, may have refused a request that was not meant for it.
-    let misdirected = status == StatusCode::MISDIRECTED_REQUEST;
+    let misdirected = answer.status == StatusCode::MISDIRECTED_REQUEST;
     if notice.leaving && !misdirected {
         // The response to this request is to tell it, before the control thread publishes it.
         context.limiter.note_leaving(&upstream.instance);
@@ -41,11 +58,11 @@
     }
     let limit = match notice.limit {
         LimitNotice::Unknown => return,
-        LimitNotice::Unlimited if misdirected => return,
+        LimitNotice::Unlimited if !answer.ran => return,
         LimitNotice::Unlimited => None,
         LimitNotice::Limited(limit) => Some(limit),
     };
-    if context.limiter.note_limit(&upstream.instance, limit, sent_at) {
+    if context.limiter.note_limit(&upstream.instance, limit, answer.sent_at) {
         let per_second = limit.map(UpstreamLimit::per_second);
         let life = &*upstream.instance.id;
         context.log_rate_limited(|left_out| {
@@ -83,7 +100,7 @@
     };
     let id = response.headers().get(&context.headers.upstream_id);
     if id.is_some_and(|id| id.as_bytes() == upstream.instance.id.as_bytes()) {
-        note_answer(context, upstream, response.status(), response.headers(), sent_at);
+        note_answer(context, upstream, &AnswerHead::new(&response, true, sent_at));
     }
 }
 
--- a/crates/mesh/src/request/send_step.rs
+++ b/crates/mesh/src/request/send_step.rs
@@ -8,7 +8,7 @@
 use hyper::body::Body;
 
 use super::crash_step::{clear_suspect, report_crash};
-use super::notice_step::note_answer;
+use super::notice_step::{AnswerHead, note_answer};
 use super::owner_step::HANDOVER_RETRY_AFTER;
 use super::response_step::strip_hop_by_hop_headers;
 use super::{AttemptOutcome, NotRunReason, RoutedRequest, TrafficContext};
@@ -64,9 +64,11 @@
     if is_new {
         context.shared.metrics.connects.with_label_values(&["upstream"]).inc();
     }
+    let check = check_response(context, request, &response);
     // An answer to another request may be an earlier one that came late.
     if echoed_id(context, &response) == Some(&*request.id) {
-        note_answer(context, upstream, response.status(), response.headers(), sent_at);
+        let ran = matches!(check, ResponseCheck::Valid);
+        note_answer(context, upstream, &AnswerHead::new(&response, ran, sent_at));
     }
     let stream_response = |response: OutboundResponse| {
         let (mut head, body) = response.into_parts();
@@ -74,7 +76,7 @@
         let body = StreamedBody::new(body, connection, request.deadline.into());
         http::Response::from_parts(head, ProxyBody::Streamed(body))
     };
-    match check_response(context, request, &response) {
+    match check {
         ResponseCheck::Valid => {
             permit.answered();
             if request.kind == RequestKind::Download {
