fix(mesh): a health check that names no limit ends none

What an upstream sees: 16 requests in 4 s at a limit of 0.1, if the answers to its health checks do not repeat the limit: each check, one in 2 s, ended the limit until the next answers named it again.

Cause: the check that notices the end of a low limit took its own answer as the end.

Change: a check that names none lets one request start at once, and its answer decides. An instance whose checks named none while an answer to a later request did is not asked again.

--- a/crates/core/src/request/admission_queue.rs
+++ b/crates/core/src/request/admission_queue.rs
@@ -106,6 +106,11 @@
         self.told_turn = None;
     }
 
+    /// Lets one request start now although the limit has no turn for it.
+    pub fn allow_one(&mut self, now: Instant) {
+        self.meter.allow_one(now);
+    }
+
     /// Decides on an arriving request.
     pub fn offer(&mut self, class: PriorityClass, deadline: Instant, now: Instant) -> Admission {
         let ahead = self.ahead_of(class);
--- a/crates/core/src/request/rate_meter.rs
+++ b/crates/core/src/request/rate_meter.rs
@@ -45,6 +45,13 @@
         due_at.checked_sub(interval).map_or(now, |at| at.max(now))
     }
 
+    /// Lets one request start now, whatever started before.
+    pub fn allow_one(&mut self, now: Instant) {
+        if let Some(interval) = self.interval {
+            self.due_at = self.due_at.map(|at| at.min(now + interval));
+        }
+    }
+
     /// Counts a request that starts now.
     pub fn count_start(&mut self, now: Instant) {
         self.last_start = Some(now);
--- a/crates/mesh/src/connection/upstream_limiter.rs
+++ b/crates/mesh/src/connection/upstream_limiter.rs
@@ -29,6 +29,16 @@
     pub retry_after: Duration,
 }
 
+/// Whether the answers to an upstream's health checks say that a limit has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CheckTrust {
+    Unknown,
+    /// One named no limit, and one more request may start since then to find out.
+    Asked(Instant),
+    /// They name none while answers to requests do.
+    Misleading,
+}
+
 struct LimiterState {
     queue: AdmissionQueue,
     /// Tickets in ascending order, each with the channel for whether its request may start.
@@ -43,6 +53,8 @@
     leaving: bool,
     /// Whether the instance has answered this process.
     answered: bool,
+    /// What its health checks say of a limit.
+    check_trust: CheckTrust,
     /// When the limit was last named, told or asked for.
     told_at: Option<Instant>,
     /// When a request was last refused.
@@ -93,6 +105,7 @@
             limit: LimitTracker::default(),
             leaving: false,
             answered: false,
+            check_trust: CheckTrust::Unknown,
             told_at: None,
             refused_at: None,
             wake_at: None,
@@ -120,6 +133,7 @@
         state.instance = Some(instance.clone());
         state.leaving = false;
         state.answered = false;
+        state.check_trust = CheckTrust::Unknown;
         state.told_at = None;
         let limited = state.limit.reset();
         drop(state);
@@ -143,6 +157,12 @@
         let now = Instant::now();
         state.answered = true;
         state.told_at = Some(now);
+        if let CheckTrust::Asked(asked_at) = state.check_trust
+            && sent_at >= asked_at
+        {
+            state.check_trust =
+                if limit.is_some() { CheckTrust::Misleading } else { CheckTrust::Unknown };
+        }
         let changed = state.limit.note(limit, sent_at, now);
         drop(state);
         if changed {
@@ -187,7 +207,8 @@
     pub fn take_check(&self, now: Instant) -> bool {
         let mut state = self.state.borrow_mut();
         let is_low = state.limit.limit().is_some_and(|limit| limit.interval() > CHECK_INTERVAL);
-        let Some(told_at) = state.told_at.filter(|_| is_low) else { return false };
+        let is_useful = is_low && state.check_trust != CheckTrust::Misleading;
+        let Some(told_at) = state.told_at.filter(|_| is_useful) else { return false };
         let is_due = now >= told_at + CHECK_INTERVAL;
         let is_due = is_due && state.refused_at.is_some_and(|at| at > told_at);
         if is_due {
@@ -196,6 +217,20 @@
         is_due
     }
 
+    /// Notes that a health check of an instance named no limit: one request may start at once, whose
+    /// answer tells whether that is so.
+    pub fn confirm_end(&self, instance: &UpstreamInstance) {
+        let mut state = self.state.borrow_mut();
+        if state.instance.as_ref() != Some(instance) || state.check_trust != CheckTrust::Unknown {
+            return;
+        }
+        let now = Instant::now();
+        state.check_trust = CheckTrust::Asked(now);
+        state.queue.allow_one(now);
+        drop(state);
+        self.start_ready();
+    }
+
     /// Returns the limit in force.
     pub fn limit(&self) -> Option<UpstreamLimit> {
         self.state.borrow().limit.limit()
--- a/crates/mesh/src/request/notice_step.rs
+++ b/crates/mesh/src/request/notice_step.rs
@@ -35,13 +35,13 @@
     }
 }
 
-/// Takes note of what an answer says about its upstream. Only one to a request that ran ends a limit by
-/// naming none.
+/// Takes note of what an answer says about its upstream, and returns what it says about a limit. Only
+/// one to a request that ran ends a limit by naming none.
 pub(super) fn note_answer(
     context: &TrafficContext,
     upstream: &UpstreamView,
     answer: &AnswerHead<'_>,
-) {
+) -> LimitNotice {
     let names = &context.headers;
     let notice = UpstreamNotice::read(answer.headers, &names.limit, &names.leaving);
     if let Some(header) = notice.invalid {
@@ -57,8 +57,8 @@
         report_leaving(context, &upstream.instance, Duration::ZERO);
     }
     let limit = match notice.limit {
-        LimitNotice::Unknown => return,
-        LimitNotice::Unlimited if !answer.ran => return,
+        LimitNotice::Unknown => return notice.limit,
+        LimitNotice::Unlimited if !answer.ran => return notice.limit,
         LimitNotice::Unlimited => None,
         LimitNotice::Limited(limit) => Some(limit),
     };
@@ -69,6 +69,7 @@
             log::info!(life, per_second:?, left_out; "limit of the upstream changed");
         });
     }
+    notice.limit
 }
 
 /// Reports that the upstream has been leaving for `time`, unless the control thread knows that it
@@ -99,8 +100,12 @@
         return;
     };
     let id = response.headers().get(&context.headers.upstream_id);
-    if id.is_some_and(|id| id.as_bytes() == upstream.instance.id.as_bytes()) {
-        note_answer(context, upstream, &AnswerHead::new(&response, true, sent_at));
+    if id.is_none_or(|id| id.as_bytes() != upstream.instance.id.as_bytes()) {
+        return;
+    }
+    let said = note_answer(context, upstream, &AnswerHead::new(&response, false, sent_at));
+    if said == LimitNotice::Unlimited && response.status().is_success() {
+        context.limiter.confirm_end(&upstream.instance);
     }
 }
 
