fix(node): a limited upstream's turns do not all go to requests that time out

What callers saw: nothing served for 4 s and more by a node of a hash-divided service that started again beside an upstream with a limit of 2 a second and runs of 200 ms: each turn went to a request that its deadline of 400 ms cut.

Cause: the queue lets those start last that have an expected run time left. A new queue expects 10 ms and learns from runs that end. Under a limit, the oldest waits until 10 ms are left, so no run ends and nothing is learnt.

Change: under a limit a run that is given up at its deadline doubles what is expected, from the time that it had; runs that end bring it down.

Without a limit nothing changes: one run that hangs would else stop others from waiting.

--- a/crates/core/src/request/admission_queue.rs
+++ b/crates/core/src/request/admission_queue.rs
@@ -154,6 +154,14 @@
         self.start_next(now)
     }
 
+    /// Notes that a run was given up at its deadline after `run_time`. Under a limit, requests that
+    /// started too late may be the only ones that run, so the expected time rises until some end.
+    pub fn note_cut(&mut self, run_time: Duration) {
+        if self.meter.interval().is_some() {
+            self.service_time = self.service_time.max(run_time * 2);
+        }
+    }
+
     /// Starts the next waiting request if a slot is free and the limit lets one start.
     pub fn start_next(&mut self, now: Instant) -> Completion {
         let mut completion = Completion::default();
--- a/crates/core/tests/limits.rs
+++ b/crates/core/tests/limits.rs
@@ -299,3 +299,46 @@
     table.note("h", None, true, at(1_200), at(1_300));
     assert_eq!(table.tell("h", at(1_300)), None);
 }
+
+/// The queue has seen no run yet, and expects shorter ones.
+#[test]
+fn the_turns_of_a_limited_upstream_do_not_all_go_to_requests_that_time_out() {
+    let start = Instant::now();
+    let at = |ms: u64| start + Duration::from_millis(ms);
+    let mut queue = AdmissionQueue::new(9, 54);
+    queue.limit_rate(Some(limit("2")), start);
+    let mut waiting: Vec<(u64, u64)> = Vec::new();
+    // Deadline and end of each run, and whether it ends in time.
+    let mut running: Vec<(u64, u64)> = Vec::new();
+    let mut served = 0;
+    for ms in 0..20_000_u64 {
+        let now = at(ms);
+        let ended = running.extract_if(.., |run| run.0.min(run.1) <= ms);
+        for (deadline, end) in ended.collect::<Vec<_>>() {
+            if end <= deadline {
+                served += 1;
+                queue.finish(Some(Duration::from_millis(200)), now);
+            } else {
+                queue.note_cut(Duration::from_millis(200 - (end - deadline)));
+                queue.finish(None, now);
+            }
+        }
+        if ms % 30 == 0 {
+            let deadline = ms + 400;
+            let latest_start = at(deadline).checked_sub(queue.service_time()).unwrap_or(now);
+            match queue.offer(PriorityClass::Normal, latest_start, now) {
+                Admission::Start => running.push((deadline, ms + 200)),
+                Admission::Wait { ticket, .. } => waiting.push((ticket, deadline)),
+                Admission::Shed { .. } => {}
+            }
+        }
+        for ticket in queue.shed_lost(now) {
+            waiting.retain(|row| row.0 != ticket);
+        }
+        while let Some(ticket) = queue.start_next(now).start {
+            let index = waiting.iter().position(|row| row.0 == ticket).expect("it waits");
+            running.push((waiting.remove(index).1, ms + 200));
+        }
+    }
+    assert!(served >= 30, "{served} of 40 turns");
+}
--- a/crates/firspindle/src/connection/upstream_handle.rs
+++ b/crates/firspindle/src/connection/upstream_handle.rs
@@ -164,6 +164,10 @@
         self.epoch.elapsed().saturating_sub(last_active)
     }
 
+    fn note_cut(&self, run_time: Duration) {
+        self.lock().queue.note_cut(run_time);
+    }
+
     fn release(&self, took: Option<Duration>) {
         self.in_flight.fetch_sub(1, Ordering::Relaxed);
         let now = Instant::now();
@@ -283,6 +287,11 @@
         Self { upstream, took: None }
     }
 
+    /// Records that the run was given up at its deadline after `run_time`.
+    pub fn cut(&self, run_time: Duration) {
+        self.upstream.note_cut(run_time);
+    }
+
     /// Records how long the upstream took for a complete response.
     pub fn answered(&mut self, took: Duration) {
         self.took = Some(took);
--- a/crates/firspindle/src/request/owner_step.rs
+++ b/crates/firspindle/src/request/owner_step.rs
@@ -199,7 +199,10 @@
             report_crash(context, upstream, request).await;
             Err(RequestFailure::ResponseTruncated)
         }
-        Err(_) => Err(RequestFailure::DeadlinePassed),
+        Err(_) => {
+            permit.cut(took);
+            Err(RequestFailure::DeadlinePassed)
+        }
     }
 }
 
