fix(node): requests without keys wait for the grant of their node

What an upstream saw: requests without keys that it refused for want of a grant, from a node that had just started and had no lease yet. They count as requests that reach it, and under a limit they took turns.

Cause: a request with a key needs the lease of its node; one without was sent without looking, with a grant that ended at 0, also to an upstream that had announced that it checks grants.

Change: without a lease such a node says that it is no owner, and the entry node goes on.

--- a/crates/firspindle/src/connection/upstream_handle.rs
+++ b/crates/firspindle/src/connection/upstream_handle.rs
@@ -13,6 +13,8 @@
 use firspindle_core::version::PriorityClass;
 use tokio::sync::oneshot;
 
+use crate::process::AnnounceBody;
+
 /// One process of this node's upstream.
 #[derive(Debug)]
 pub struct UpstreamHandle {
@@ -20,6 +22,8 @@
     pub address: SocketAddr,
     /// Random id of the process, in hexadecimal.
     pub boot_id: Box<str>,
+    /// Whether it refuses requests that its grant does not cover.
+    pub checks_grants: bool,
     queue: Mutex<SlotQueue>,
     in_flight: AtomicU64,
     epoch: Instant,
@@ -50,17 +54,18 @@
 const DISPLACED_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 impl UpstreamHandle {
-    /// Creates the handle of a process that runs `slots` requests at once; at most `queue_limit`
-    /// others wait.
-    pub fn new(address: SocketAddr, boot_id: Box<str>, slots: usize, queue_limit: usize) -> Self {
+    /// Creates the handle of a process that announced itself; at most `queue_limit` requests wait for
+    /// one of its slots.
+    pub fn new(body: &AnnounceBody, queue_limit: usize) -> Self {
         let queue = SlotQueue {
-            queue: AdmissionQueue::new(slots, queue_limit),
+            queue: AdmissionQueue::new(body.slots as usize, queue_limit),
             limit: LimitTracker::default(),
             requests: Vec::new(),
         };
         Self {
-            address,
-            boot_id,
+            address: body.address,
+            boot_id: body.boot_id.clone(),
+            checks_grants: body.checks_grants,
             queue: Mutex::new(queue),
             in_flight: AtomicU64::new(0),
             epoch: Instant::now(),
@@ -105,6 +110,11 @@
         changed
     }
 
+    /// Returns the limit in force.
+    pub fn limit(&self) -> Option<UpstreamLimit> {
+        self.lock().limit.limit()
+    }
+
     /// Waits for a slot, and under a limit for a turn.
     ///
     /// # Errors
--- a/crates/firspindle/src/process/control_thread/upstream_step.rs
+++ b/crates/firspindle/src/process/control_thread/upstream_step.rs
@@ -36,9 +36,7 @@
             checks_grants = body.checks_grants;
             "upstream announced itself"
         );
-        let slots = body.slots as usize;
-        let upstream =
-            UpstreamHandle::new(body.address, body.boot_id.clone(), slots, DEFAULT_QUEUE_LIMIT);
+        let upstream = UpstreamHandle::new(&body, DEFAULT_QUEUE_LIMIT);
         self.upstream = Some(Arc::new(upstream));
         let info = member_info(&self.parts.settings, self.process_id, Some(&body));
         let interval = checkpoint_interval(&self.parts.settings);
--- a/crates/firspindle/src/request/owner_step.rs
+++ b/crates/firspindle/src/request/owner_step.rs
@@ -58,6 +58,9 @@
     upstream: &Arc<UpstreamHandle>,
     request: &CallerRequest,
 ) -> CallerResponse {
+    if upstream.checks_grants && context.lease.deadline_micros().is_none() {
+        return CallerResponse::not_owner(view);
+    }
     if let Some(failure) = refuse_suspect(view, request) {
         return CallerResponse::failed(&failure);
     }
--- a/crates/harness/src/fleet.rs
+++ b/crates/harness/src/fleet.rs
@@ -397,6 +397,14 @@
         response.ok()?.body.trim().parse().ok()
     }
 
+    /// Returns when requests arrived at the upstream of a host, refused ones included, in microseconds
+    /// of boot time; `None` if it does not respond.
+    pub fn arrivals(&self, host: usize) -> Option<Vec<u64>> {
+        let response =
+            HttpClient::call(self.upstream_address(host), "GET", "/arrivals", &[], String::new());
+        serde_json::from_str(&response.ok()?.body).ok()
+    }
+
     /// Returns the combined journals of all hosts.
     pub fn journals(&self) -> Vec<JournalRow> {
         (0..self.upstreams.len()).flat_map(|host| self.journal(host)).collect()
--- a/crates/standin/src/upstream_server.rs
+++ b/crates/standin/src/upstream_server.rs
@@ -10,6 +10,7 @@
 //!   `leaving=1` that it leaves, without announcing that. `refuse` is the status with which all later
 //!   requests are refused.
 //! - `GET /refused` returns the number of requests refused so.
+//! - `GET /arrivals` lists when requests arrived, refused ones included, in microseconds of boot time.
 //! - `POST /misreport` makes the upstream announce that no requests are in progress.
 
 use std::cell::{Cell, RefCell};
@@ -90,6 +91,8 @@
     refuses_with: Cell<Option<u16>>,
     /// Requests refused with that status.
     refused: Cell<u32>,
+    /// Boot times at which requests arrived, in microseconds.
+    arrivals: RefCell<Vec<u64>>,
 }
 
 impl UpstreamState {
@@ -124,6 +127,7 @@
         says_leaving: Cell::new(false),
         refuses_with: Cell::new(None),
         refused: Cell::new(0),
+        arrivals: RefCell::default(),
     });
     let tasks = tokio::task::LocalSet::new();
     let handler = {
@@ -195,6 +199,11 @@
             Some(new_response(200, rows))
         }
         (&Method::GET, "/running") => Some(new_response(200, state.running.get().to_string())),
+        (&Method::GET, "/arrivals") => {
+            let rows =
+                serde_json::to_string(&*state.arrivals.borrow()).expect("numbers can be encoded");
+            Some(new_response(200, rows))
+        }
         (&Method::GET, "/refused") => Some(new_response(200, state.refused.get().to_string())),
         (&Method::GET, "/health") => Some(new_response(200, "ok")),
         (&Method::POST, "/say") => {
@@ -230,6 +239,7 @@
 }
 
 async fn run(state: &UpstreamState, request: Request<Incoming>) -> Option<FullResponse> {
+    state.arrivals.borrow_mut().push(boot_micros());
     let grant = GrantHeaders::read(request.headers());
     let grant_required = state.args.checks_grants;
     let (parts, body) = request.into_parts();
