fix(node): a hash-divided service's node knows the limit of its upstream before the first request

What an upstream saw: 10 to 12 requests in 4 s at a limit of 1, from a node that was killed and started twice within two seconds, or frozen twice for longer than its lease.

Cause: a process that starts, and an incarnation that follows one whose lease was lost, begin with an empty queue without a limit, and read it from the first answer only; until then all slots fill.

Change: an upstream announces its limit beside naming it in answers; the first announcement of a process sets it. A new incarnation keeps what the same upstream process named to the last one. An announcement that names none ends none. An invalid one is logged and ignored.

Other nodes need not tell it, as on the platform, since announcements are this project's own.

--- a/crates/firspindle/src/process/control_event.rs
+++ b/crates/firspindle/src/process/control_event.rs
@@ -55,4 +55,7 @@
     pub running: u32,
     /// Whether it wants to stop.
     pub leaving: bool,
+    /// Requests per second that it takes, as a decimal number; `None` without a limit.
+    #[serde(default)]
+    pub limit: Option<Box<str>>,
 }
--- a/crates/firspindle/src/process/control_thread.rs
+++ b/crates/firspindle/src/process/control_thread.rs
@@ -12,7 +12,7 @@
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender};
 use std::time::{Duration, Instant};
 
-use firspindle_core::connection::DedupState;
+use firspindle_core::connection::{DedupState, UpstreamLimit};
 use firspindle_core::process::{DrainReason, FenceToken, LeaseTiming, NodeAction, NodeMachine};
 use firspindle_core::request::{DedupTable, RouteTable};
 use firspindle_core::version::{FoldState, MemberInfo, UpstreamInfo};
@@ -110,6 +110,8 @@
     announcement: Option<AnnounceBody>,
     /// Boot id of the upstream process whose answers said that it leaves.
     left: Option<Box<str>>,
+    /// Boot id of the upstream process that the last incarnation served, and the limit that it named.
+    named_limit: Option<(Box<str>, UpstreamLimit)>,
     announced_at: Instant,
     gates: Vec<GateRow>,
     routes: Arc<RouteTable>,
@@ -148,6 +150,7 @@
             upstream: None,
             announcement: None,
             left: None,
+            named_limit: None,
             announced_at: now,
             gates: Vec::new(),
             routes: Arc::default(),
--- a/crates/firspindle/src/process/control_thread/upstream_step.rs
+++ b/crates/firspindle/src/process/control_thread/upstream_step.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use firspindle_core::PartitionId;
+use firspindle_core::connection::UpstreamLimit;
 use firspindle_core::process::{DrainReason, LifeCycle};
 
 use super::{
@@ -37,6 +38,9 @@
             "upstream announced itself"
         );
         let upstream = UpstreamHandle::new(&body, DEFAULT_QUEUE_LIMIT);
+        if let Some(limit) = self.known_limit(&body) {
+            upstream.note_limit(Some(limit), now);
+        }
         self.upstream = Some(Arc::new(upstream));
         let info = member_info(&self.parts.settings, self.process_id, Some(&body));
         let interval = checkpoint_interval(&self.parts.settings);
@@ -44,6 +48,16 @@
         self.announcement = Some(body);
     }
 
+    /// Returns the limit that an upstream process announces, or named to an earlier incarnation.
+    fn known_limit(&self, body: &AnnounceBody) -> Option<UpstreamLimit> {
+        let announced = body.limit.as_deref().map(UpstreamLimit::parse);
+        if let Some(Err(error)) = &announced {
+            log::warn!(error:%; "invalid limit in an announcement ignored");
+        }
+        let named = self.named_limit.as_ref().filter(|named| named.0 == body.boot_id);
+        announced.and_then(Result::ok).or(named.map(|named| named.1))
+    }
+
     /// Drains the upstream whose answer said that it leaves; its later announcements do not end that.
     pub(super) fn handle_leaving(&mut self, boot_id: Box<str>, now: Instant) {
         let announced = self.announcement.take_if(|known| known.boot_id == boot_id);
@@ -136,7 +150,9 @@
         let info = member_info(&self.parts.settings, self.process_id, None);
         self.standby =
             machine.next_incarnation(info, checkpoint_interval(&self.parts.settings), now);
-        self.upstream = None;
+        if let Some(upstream) = self.upstream.take() {
+            self.named_limit = upstream.limit().map(|limit| (upstream.boot_id.clone(), limit));
+        }
         self.handover_hold = None;
         self.idle.clear();
         for row in self.gates.drain(..) {
--- a/crates/firspindle/tests/failures/limits.rs
+++ b/crates/firspindle/tests/failures/limits.rs
@@ -104,6 +104,30 @@
     case.check(|_| {});
 }
 
+#[test]
+fn a_node_that_starts_again_keeps_the_limit_of_its_upstream() {
+    WITHOUT_KEYS.check(|fleet| {
+        for _ in 0..2 {
+            fleet.nodes[HOST].as_mut().expect("the node is running").kill();
+            fleet.start_node(HOST);
+            run_for(Duration::from_secs(1));
+        }
+    });
+}
+
+#[test]
+fn a_node_that_lost_its_lease_keeps_the_limit_of_its_upstream() {
+    WITHOUT_KEYS.check(|fleet| {
+        let node = fleet.nodes[HOST].as_ref().expect("the node is running");
+        for _ in 0..2 {
+            node.pause();
+            run_for(LOST_LEASE_PAUSE);
+            node.resume();
+            run_for(Duration::from_millis(500));
+        }
+    });
+}
+
 /// Its announcements do not say so.
 #[test]
 fn no_request_reaches_an_upstream_after_its_answers_said_that_it_leaves() {
--- a/crates/standin/src/upstream_server.rs
+++ b/crates/standin/src/upstream_server.rs
@@ -6,8 +6,8 @@
 //! - `GET /journal` lists the runs that took effect.
 //! - `GET /running` returns the number of requests in progress.
 //! - `POST /grant` extends the grant of a holder.
-//! - `POST /say` sets what all later answers say: `limit` the requests per second that it takes, and
-//!   `leaving=1` that it leaves, without announcing that. `refuse` is the status with which all later
+//! - `POST /say` sets what all later answers say: `limit` the requests per second that it takes, which it
+//!   announces too, and `leaving=1` that it leaves, without announcing that. `refuse` is the status with which all later
 //!   requests are refused.
 //! - `GET /refused` returns the number of requests refused so.
 //! - `GET /arrivals` lists when requests arrived, refused ones included, in microseconds of boot time.
@@ -181,6 +181,7 @@
         "boot_id": format!("{:032x}", state.boot_id),
         "running": running,
         "leaving": state.leaving.get(),
+        "limit": state.limit.get().map(|limit| limit.to_string()),
     });
     let request = Request::post(format!("{}/announce", args.announce))
         .header("content-type", "application/json")
