fix(mesh): an upstream that starts again under its id is not sent a burst

What an upstream sees: 11 and 12 requests in 4 s at a limit of 1 (9 are allowed by the test, 11 by the platform) as it crashes and starts again under its old id, from nodes that have passed on its answers before.

Cause: another instance counts as one that has named no limit, and its first answer can come seconds after as many requests as it has slots.

Change: an instance of the same id keeps the limit until it answers; its first answer without one ends it.

--- a/crates/mesh/src/connection/upstream_limiter.rs
+++ b/crates/mesh/src/connection/upstream_limiter.rs
@@ -124,16 +124,21 @@
         }
     }
 
-    /// Sets the instance of the upstream. Another one has named no limit yet.
+    /// Sets the instance of the upstream. One of another id has named no limit; one that started again
+    /// under its id keeps the limit until it answers.
     pub fn set_instance(&self, instance: &UpstreamInstance) {
         let mut state = self.state.borrow_mut();
         if state.instance.as_ref() == Some(instance) {
             return;
         }
+        let starts_again = state.instance.as_ref().is_some_and(|known| known.id == instance.id);
         state.instance = Some(instance.clone());
         state.leaving = false;
         state.answered = false;
         state.check_trust = CheckTrust::Unknown;
+        if starts_again {
+            return;
+        }
         state.told_at = None;
         let limited = state.limit.reset();
         drop(state);
