--- a/crates/core/tests/choice.rs
+++ b/crates/core/tests/choice.rs
@@ -152,8 +152,6 @@
     assert!(result.mean_wait_ms < RUN_MS, "requests waited {:.0} ms", result.mean_wait_ms);
 }
 
-/// Guards against requests that queue for an upstream with a limit beside others with room, and against
-/// one that gets no requests at all: its answers alone tell that the limit has ended.
 #[test]
 fn a_limited_upstream_gets_the_part_that_it_takes() {
     for (utilization, limit_milli) in [(0.3, 4_600), (0.5, 4_600), (0.5, 500), (0.5, 20_000)] {
--- a/crates/core/tests/limits.rs
+++ b/crates/core/tests/limits.rs
@@ -48,7 +48,6 @@
     }
 }
 
-/// Guards against an answer that was on its way when the upstream named a limit and that ends it.
 #[test]
 fn an_answer_to_an_earlier_request_ends_no_limit() {
     let start = Instant::now();
@@ -66,8 +65,6 @@
     assert_eq!(tracker.limit(), None);
 }
 
-/// Guards against more starts than the limit allows when it is named, changes and ends in the middle
-/// of a load that never lets up.
 #[test]
 fn no_interval_has_more_starts_than_its_limits_allow() {
     let start = Instant::now();
@@ -185,7 +182,6 @@
     result
 }
 
-/// Guards against a limited upstream whose turns go unused, or to the less urgent requests.
 #[test]
 fn urgent_requests_get_the_turns_of_a_limited_upstream() {
     for (text, per_second) in [("4.6", 4.6), ("7.9", 7.9), ("20", 20.0)] {
@@ -197,7 +193,6 @@
     }
 }
 
-/// Guards against requests that wait although the limit leaves no turn before their deadline.
 #[test]
 fn a_request_without_a_turn_is_refused_at_once() {
     let start = Instant::now();
@@ -219,8 +214,6 @@
     assert_eq!(queue.shed_lost(start), vec![2], "a lower limit leaves it no turn");
 }
 
-/// Guards against callers that are refused in the same moment and all told to return at the same
-/// time, when one of them can be served.
 #[test]
 fn refused_callers_are_told_to_return_at_different_turns() {
     let start = Instant::now();
@@ -249,8 +242,6 @@
     }
 }
 
-/// Guards against requests that travel to the node of a limited upstream to be refused there, against
-/// urgent ones that are refused with them, and against demand that the upstream's node never hears of.
 #[test]
 fn a_node_refuses_what_it_knows_to_have_no_turn() {
     let start = Instant::now();
@@ -279,8 +270,6 @@
     assert_eq!(refuse(&mut table, normal, 3, 700), None);
 }
 
-/// Guards against a node that forgets what an upstream said because the node beside it does not know it
-/// yet, or that believes it for ever.
 #[test]
 fn what_an_upstream_said_is_known_until_it_answers_otherwise() {
     let start = Instant::now();
--- a/crates/core/tests/ranges/demand.rs
+++ b/crates/core/tests/ranges/demand.rs
@@ -119,8 +119,6 @@
     moved
 }
 
-/// Guards against an upstream that keeps all its keys while it takes few requests, and against keys that
-/// come back when the limit ends, though no other upstream is overloaded.
 #[test]
 fn a_limited_upstream_keeps_the_keys_that_it_can_serve() {
     let demand = zipf_demand();
