fix(mesh): a node that has not read the hosts does not plan

Cause: sidecar-hn-c-3 started at 24.9 s while the store was away. At 26.17 s the store answered its read of the plans, at 26.21 s the manifest came, and the read of the hosts was not back. Knowing no other host, the node counted as the first relay and as the only one alive, and gave itself all 8,192 cells (`plan computed version=12 held=sidecar-hn-c-3:8192`). The next planner gave them back 1 s later, and all holders waited for that upstream's hold to end.

Change: a node plans only once it has read the hosts, as it does for the plan.

Test: plans::a_node_that_has_not_read_the_hosts_does_not_take_all_keys; before, the first tick after the read plans.

--- a/crates/mesh/src/process/control_state/plan_step.rs
+++ b/crates/mesh/src/process/control_state/plan_step.rs
@@ -100,7 +100,9 @@
         let delay = if self.plan.version == 0 { FIRST_PLAN_DELAY } else { PLANNER_DELAY };
         let early = now < self.started_at + delay || now < self.other_plan_at + OTHER_PLAN_DELAY;
         let behind = self.confirmation.end() < self.planned_end;
-        if self.plan_pending || self.stopping || !self.plan_known || early || behind {
+        // Without the records of the other hosts, this one would seem to be the only one alive.
+        let uninformed = !self.plan_known || !self.hosts_known;
+        if self.plan_pending || self.stopping || uninformed || early || behind {
             return None;
         }
         if !self.is_planner(now) {
--- a/crates/mesh/tests/ownership/main.rs
+++ b/crates/mesh/tests/ownership/main.rs
@@ -4,6 +4,7 @@
 
 mod codec;
 mod node_settings;
+mod plans;
 mod suspects;
 mod upstream;
 mod world;
