--- a/crates/mesh/src/connection.rs
+++ b/crates/mesh/src/connection.rs
@@ -3,6 +3,7 @@
 
 mod connection_pool;
 mod http_server;
+mod instance_notice;
 mod link_pacer;
 mod outbound_body;
 mod paced_transfer;
--- a/crates/mesh/src/connection/upstream_limiter.rs
+++ b/crates/mesh/src/connection/upstream_limiter.rs
@@ -6,12 +6,12 @@
 use std::time::{Duration, Instant};
 
 use firspindle_core::connection::{UpstreamLimit, UpstreamLoad};
-use firspindle_core::request::{
-    Admission, AdmissionQueue, Completion, LimitTracker, StartForecast,
-};
+use firspindle_core::request::{Admission, AdmissionQueue, Completion, StartForecast};
 use firspindle_core::version::{PriorityClass, UpstreamInstance};
 use tokio::sync::oneshot;
 
+use super::instance_notice::InstanceNotice;
+
 /// Requests that may wait, per slot of the upstream.
 const WAITING_PER_SLOT: usize = 6;
 
@@ -19,9 +19,6 @@
 /// nodes are sent too, covers some seconds of a busy upstream.
 const SMOOTHING_DIVISOR: u32 = 48;
 
-/// Time without an answer after which an upstream with a low limit is asked whether it still limits.
-const CHECK_INTERVAL: Duration = Duration::from_secs(2);
-
 /// Refusal of a request that got no slot; it has not run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct AdmissionRefusal {
@@ -29,34 +26,14 @@
     pub retry_after: Duration,
 }
 
-/// Whether the answers to an upstream's health checks say that a limit has ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum CheckTrust {
-    Unknown,
-    /// One named no limit, and one more request may start since then to find out.
-    Asked(Instant),
-    /// They name none while answers to requests do.
-    Misleading,
-}
-
 struct LimiterState {
     queue: AdmissionQueue,
     /// Tickets in ascending order, each with the channel for whether its request may start.
     waiting: Vec<(u64, oneshot::Sender<bool>)>,
     slots: u32,
     service_time: Duration,
-    /// Instance that the limit is about.
-    instance: Option<UpstreamInstance>,
-    /// Limit that the instance named.
-    limit: LimitTracker,
-    /// Whether an answer of the instance said that it leaves.
-    leaving: bool,
-    /// Whether the instance has answered this process.
-    answered: bool,
-    /// What its health checks say of a limit.
-    check_trust: CheckTrust,
-    /// When the limit was last named, told or asked for.
-    told_at: Option<Instant>,
+    /// What the upstream said of itself.
+    notice: InstanceNotice,
     /// When a request was last refused.
     refused_at: Option<Instant>,
     /// Time of the next turn that a task waits for.
@@ -101,12 +78,7 @@
             waiting: Vec::new(),
             slots: 1,
             service_time: Duration::ZERO,
-            instance: None,
-            limit: LimitTracker::default(),
-            leaving: false,
-            answered: false,
-            check_trust: CheckTrust::Unknown,
-            told_at: None,
+            notice: InstanceNotice::default(),
             refused_at: None,
             wake_at: None,
         };
@@ -127,22 +99,8 @@
     /// Sets the instance of the upstream. One of another id has named no limit; one that started again
     /// under its id keeps the limit until it answers.
     pub fn set_instance(&self, instance: &UpstreamInstance) {
-        let mut state = self.state.borrow_mut();
-        if state.instance.as_ref() == Some(instance) {
-            return;
-        }
-        let starts_again = state.instance.as_ref().is_some_and(|known| known.id == instance.id);
-        state.instance = Some(instance.clone());
-        state.leaving = false;
-        state.answered = false;
-        state.check_trust = CheckTrust::Unknown;
-        if starts_again {
-            return;
-        }
-        state.told_at = None;
-        let limited = state.limit.reset();
-        drop(state);
-        if limited {
+        let changed = self.state.borrow_mut().notice.set_instance(instance);
+        if changed {
             self.apply_limit();
         }
     }
@@ -155,21 +113,8 @@
         limit: Option<UpstreamLimit>,
         sent_at: Instant,
     ) -> bool {
-        let mut state = self.state.borrow_mut();
-        if state.instance.as_ref() != Some(instance) {
-            return false;
-        }
         let now = Instant::now();
-        state.answered = true;
-        state.told_at = Some(now);
-        if let CheckTrust::Asked(asked_at) = state.check_trust
-            && sent_at >= asked_at
-        {
-            state.check_trust =
-                if limit.is_some() { CheckTrust::Misleading } else { CheckTrust::Unknown };
-        }
-        let changed = state.limit.note(limit, sent_at, now);
-        drop(state);
+        let changed = self.state.borrow_mut().notice.note_limit(instance, limit, sent_at, now);
         if changed {
             self.apply_limit();
         }
@@ -178,26 +123,18 @@
 
     /// Notes that an answer of an instance says that it leaves.
     pub fn note_leaving(&self, instance: &UpstreamInstance) {
-        let mut state = self.state.borrow_mut();
-        state.leaving |= state.instance.as_ref() == Some(instance);
+        self.state.borrow_mut().notice.note_leaving(instance);
     }
 
     /// Whether an answer of an instance said that it leaves.
     pub fn is_leaving(&self, instance: &UpstreamInstance) -> bool {
-        let state = self.state.borrow();
-        state.leaving && state.instance.as_ref() == Some(instance)
+        self.state.borrow().notice.is_leaving(instance)
     }
 
     /// Applies a limit that another node knows of, until the instance has answered itself.
     pub fn adopt_limit(&self, instance: &UpstreamInstance, limit: UpstreamLimit) {
         self.set_instance(instance);
-        let now = Instant::now();
-        let mut state = self.state.borrow_mut();
-        let adopted = !state.answered && state.limit.note(Some(limit), now, now);
-        if adopted {
-            state.told_at = Some(now);
-        }
-        drop(state);
+        let adopted = self.state.borrow_mut().notice.adopt_limit(limit, Instant::now());
         if adopted {
             log::info!(
                 life = &*instance.id, per_second = limit.per_second();
@@ -211,26 +148,18 @@
     /// start that their answers tell late, and others are refused meanwhile.
     pub fn take_check(&self, now: Instant) -> bool {
         let mut state = self.state.borrow_mut();
-        let is_low = state.limit.limit().is_some_and(|limit| limit.interval() > CHECK_INTERVAL);
-        let is_useful = is_low && state.check_trust != CheckTrust::Misleading;
-        let Some(told_at) = state.told_at.filter(|_| is_useful) else { return false };
-        let is_due = now >= told_at + CHECK_INTERVAL;
-        let is_due = is_due && state.refused_at.is_some_and(|at| at > told_at);
-        if is_due {
-            state.told_at = Some(now);
-        }
-        is_due
+        let refused_at = state.refused_at;
+        state.notice.take_check(refused_at, now)
     }
 
     /// Notes that a health check of an instance named no limit: one request may start at once, whose
     /// answer tells whether that is so.
     pub fn confirm_end(&self, instance: &UpstreamInstance) {
+        let now = Instant::now();
         let mut state = self.state.borrow_mut();
-        if state.instance.as_ref() != Some(instance) || state.check_trust != CheckTrust::Unknown {
+        if !state.notice.ask_for_end(instance, now) {
             return;
         }
-        let now = Instant::now();
-        state.check_trust = CheckTrust::Asked(now);
         state.queue.allow_one(now);
         drop(state);
         self.start_ready();
@@ -238,13 +167,13 @@
 
     /// Returns the limit in force.
     pub fn limit(&self) -> Option<UpstreamLimit> {
-        self.state.borrow().limit.limit()
+        self.state.borrow().notice.limit()
     }
 
     /// Applies a limit that has changed to those that wait.
     fn apply_limit(&self) {
         let mut state = self.state.borrow_mut();
-        let limit = state.limit.limit();
+        let limit = state.notice.limit();
         state.queue.limit_rate(limit, Instant::now());
         drop(state);
         self.refuse_lost();
@@ -274,7 +203,7 @@
             slots: state.slots,
             service_ms: count(usize::try_from(state.service_time.as_millis()).unwrap_or(0)),
             link_ms: 0,
-            limit_milli: state.limit.limit().map_or(0, UpstreamLimit::milli),
+            limit_milli: state.notice.limit().map_or(0, UpstreamLimit::milli),
         }
     }
 
@@ -322,7 +251,7 @@
         let now = Instant::now();
         let mut state = self.state.borrow_mut();
         state.refused_at = Some(now);
-        let retry_after = match state.limit.limit() {
+        let retry_after = match state.notice.limit() {
             Some(_) => state.queue.retry_after(now),
             None => state.service_time,
         };
