fix(node): a request without a key that upstreams refuse is not sent beyond the retry budget

What an upstream sees: one request, sent on to it and its like 296 times within four seconds while all refuse it.

Cause: a refusal of a request that any upstream may run let the entry node go on with another at once, every 25 ms, whether the request had reached an upstream or only a full queue of a node.

Change: a failure says itself whether an upstream refused the request, and whether another node may serve it; the response carries both between nodes, and not to the caller. A send after a refusal by an upstream takes a retry from the budget, with and without keys. Three constructors and a match are gone with it; /refused of the stand-in too, as /arrivals says more.

--- a/crates/core/src/request/request_failure.rs
+++ b/crates/core/src/request/request_failure.rs
@@ -111,6 +111,17 @@
         }
     }
 
+    /// Whether an upstream refused the request, so that another send of it is a retry.
+    pub const fn is_upstream_refusal(&self) -> bool {
+        matches!(self, Self::UpstreamRefused { .. } | Self::UpstreamUngranted)
+    }
+
+    /// Whether the request did not run because the node that has it cannot serve its partition, so that
+    /// another may.
+    pub const fn is_misplaced(&self) -> bool {
+        matches!(self, Self::NotOwner | Self::UpstreamUngranted | Self::UpstreamUnreachable)
+    }
+
     /// Returns the HTTP status of the response.
     pub const fn status(&self) -> u16 {
         match self {
--- a/crates/firspindle/src/request/caller_response.rs
+++ b/crates/firspindle/src/request/caller_response.rs
@@ -74,6 +74,12 @@
             let seconds = after.as_millis().div_ceil(1000).max(1);
             headers.insert(RETRY_AFTER, header_value(seconds));
         }
+        if failure.is_misplaced() {
+            headers.insert(NOT_OWNER, HeaderValue::from_static("serving"));
+        }
+        if failure.is_upstream_refusal() {
+            headers.insert(REFUSED_BY_UPSTREAM, HeaderValue::from_static("1"));
+        }
         let status = StatusCode::from_u16(failure.status()).expect("statuses are valid");
         Self { status, headers, body: Bytes::from(format!("{failure}\n")), verdict }
     }
@@ -109,10 +115,17 @@
         self.verdict == RequestVerdict::NotRun && self.headers.contains_key(NOT_OWNER)
     }
 
-    /// Whether the node sent the request to its upstream, which had no grant to run it.
-    pub fn is_ungranted(&self) -> bool {
-        self.is_not_owner()
-            && self.headers.get(NOT_OWNER).is_some_and(|value| value == UPSTREAM_UNGRANTED)
+    /// Whether an upstream refused the request.
+    pub fn is_upstream_refusal(&self) -> bool {
+        self.headers.contains_key(REFUSED_BY_UPSTREAM)
+    }
+
+    /// Removes what only nodes tell one another.
+    #[must_use]
+    pub fn for_caller(mut self) -> Self {
+        self.headers.remove(NOT_OWNER);
+        self.headers.remove(REFUSED_BY_UPSTREAM);
+        self
     }
 
     /// Whether the node that responded is shutting down.
@@ -123,26 +136,10 @@
     /// Refusal of a node that does not serve the partition.
     #[must_use]
     pub fn not_owner(view: &TrafficView) -> Self {
-        let state = if view.stopping { STOPPING } else { "serving" };
-        Self::passed_on(&RequestFailure::NotOwner, state)
-    }
-
-    /// Refusal of a node whose upstream had no grant to run the request.
-    #[must_use]
-    pub fn ungranted() -> Self {
-        Self::passed_on(&RequestFailure::UpstreamUngranted, UPSTREAM_UNGRANTED)
-    }
-
-    /// Refusal of a node whose upstream accepts no connections.
-    #[must_use]
-    pub fn unreachable() -> Self {
-        Self::passed_on(&RequestFailure::UpstreamUnreachable, "upstream-unreachable")
-    }
-
-    /// Refusal after which the entry node may try again.
-    fn passed_on(failure: &RequestFailure, state: &'static str) -> Self {
-        let mut caller_response = Self::failed(failure);
-        caller_response.headers.insert(NOT_OWNER, HeaderValue::from_static(state));
+        let mut caller_response = Self::failed(&RequestFailure::NotOwner);
+        if view.stopping {
+            caller_response.headers.insert(NOT_OWNER, HeaderValue::from_static(STOPPING));
+        }
         caller_response
     }
 }
@@ -154,5 +151,5 @@
 /// Value of [`NOT_OWNER`] from a node that is shutting down.
 const STOPPING: &str = "stopping";
 
-/// Value of [`NOT_OWNER`] from a node whose upstream had no grant to run the request.
-const UPSTREAM_UNGRANTED: &str = "upstream-ungranted";
+/// Header on a refusal by an upstream. Sent only between nodes.
+const REFUSED_BY_UPSTREAM: HeaderName = HeaderName::from_static("firspindle-refused-by-upstream");
--- a/crates/firspindle/src/request/entry_step.rs
+++ b/crates/firspindle/src/request/entry_step.rs
@@ -39,7 +39,7 @@
             match attempt(context, &view, request, node).await {
                 AttemptResult::Final(response) => return response,
                 AttemptResult::Next => {}
-                AttemptResult::Ungranted(response) => {
+                AttemptResult::Refused(response) => {
                     if !context.take_retry() {
                         return response;
                     }
@@ -73,8 +73,8 @@
     Final(CallerResponse),
     /// The request did not run; another node may serve it.
     Next,
-    /// The request reached an upstream, which had no grant to run it; it may be retried.
-    Ungranted(CallerResponse),
+    /// An upstream refused the request without running it; it may be retried.
+    Refused(CallerResponse),
     /// The request may have run; an idempotent one may be retried.
     Broken(RequestFailure),
 }
@@ -169,17 +169,16 @@
 
 /// Decides whether a response goes to the caller or another attempt follows.
 fn classify_response(request: &CallerRequest, response: CallerResponse) -> AttemptResult {
-    if response.is_ungranted() {
-        return AttemptResult::Ungranted(response);
-    }
-    if response.is_not_owner() {
-        return AttemptResult::Next;
-    }
     // Any node may run a request without a partition, and another one may have room for it.
-    let may_run_elsewhere =
-        request.partition.is_none() && response.verdict == RequestVerdict::NotRun;
-    if may_run_elsewhere && response.status.is_server_error() && Instant::now() < request.deadline {
-        return AttemptResult::Next;
+    let may_run_elsewhere = request.partition.is_none()
+        && response.verdict == RequestVerdict::NotRun
+        && response.status.is_server_error()
+        && Instant::now() < request.deadline;
+    if response.is_not_owner() || may_run_elsewhere {
+        return match response.is_upstream_refusal() {
+            true => AttemptResult::Refused(response),
+            false => AttemptResult::Next,
+        };
     }
     if response.verdict == RequestVerdict::MayHaveRun
         && request.operation.idempotent
--- a/crates/firspindle/src/request/owner_step.rs
+++ b/crates/firspindle/src/request/owner_step.rs
@@ -122,12 +122,10 @@
             if failure.verdict() == RequestVerdict::NotRun {
                 outcome_guard.state = Some(FinalState::NotRun);
             }
-            match failure {
-                RequestFailure::NotOwner => CallerResponse::not_owner(view),
-                RequestFailure::UpstreamUngranted => CallerResponse::ungranted(),
-                RequestFailure::UpstreamUnreachable => CallerResponse::unreachable(),
-                failure => CallerResponse::failed(&failure),
+            if failure == RequestFailure::NotOwner {
+                return CallerResponse::not_owner(view);
             }
+            CallerResponse::failed(&failure)
         }
     }
 }
--- a/crates/firspindle/src/request/traffic_service.rs
+++ b/crates/firspindle/src/request/traffic_service.rs
@@ -100,7 +100,7 @@
         return run_locally(context, request).await;
     }
     let started = Instant::now();
-    let caller_response = route(context, request).await;
+    let caller_response = route(context, request).await.for_caller();
     if caller_response.verdict != RequestVerdict::Ran {
         log_failure(context, request, &caller_response, started);
     }
--- a/crates/firspindle/tests/failures/fleet_checks.rs
+++ b/crates/firspindle/tests/failures/fleet_checks.rs
@@ -22,6 +22,10 @@
 /// Time limit for waits that have no bound of their own.
 pub const SETTLE_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Lines of a manifest for a service without key ownership, any of whose upstreams may run an order.
+pub const WITHOUT_KEYS: &str =
+    "divided_by = \"none\"\n[[service.operation]]\nprefix = \"/orders\"\nidempotent = true";
+
 /// Returns a manifest with additional lines for the service.
 pub fn manifest(replaces: u64, service_lines: &str) -> String {
     format!(
--- a/crates/firspindle/tests/failures/limits.rs
+++ b/crates/firspindle/tests/failures/limits.rs
@@ -6,7 +6,8 @@
 
 use crate::drains::{assert_all_ran, assert_no_new_work, boot_time_us};
 use crate::fleet_checks::{
-    LONG_TIMEOUT, SHORT_TIMEOUT, run_for, start_fleet, start_fleet_with, start_load, stop_and_check,
+    LONG_TIMEOUT, SHORT_TIMEOUT, WITHOUT_KEYS, run_for, start_fleet, start_fleet_with, start_load,
+    stop_and_check,
 };
 
 /// Length of the intervals in which the requests at an upstream are counted, in microseconds.
@@ -88,14 +89,9 @@
     }
 }
 
-/// Upstreams that each node of their hosts serves as soon as it has joined.
-const WITHOUT_KEYS: LimitCase = LimitCase {
-    service_lines: "divided_by = \"none\"\n\
-                    [[service.operation]]\nprefix = \"/orders\"\nidempotent = true",
-    work_ms: 200,
-    limit: 1,
-    used_s: 3,
-};
+/// Upstreams that each node serves as soon as it has joined.
+const LOW_LIMIT: LimitCase =
+    LimitCase { service_lines: WITHOUT_KEYS, work_ms: 200, limit: 1, used_s: 3 };
 
 /// Without the limit the upstream gets as many as it has slots for, at any rate.
 #[test]
@@ -106,7 +102,7 @@
 
 #[test]
 fn a_node_that_starts_again_keeps_the_limit_of_its_upstream() {
-    WITHOUT_KEYS.check(|fleet| {
+    LOW_LIMIT.check(|fleet| {
         for _ in 0..2 {
             fleet.nodes[HOST].as_mut().expect("the node is running").kill();
             fleet.start_node(HOST);
@@ -117,7 +113,7 @@
 
 #[test]
 fn a_node_that_lost_its_lease_keeps_the_limit_of_its_upstream() {
-    WITHOUT_KEYS.check(|fleet| {
+    LOW_LIMIT.check(|fleet| {
         let node = fleet.nodes[HOST].as_ref().expect("the node is running");
         for _ in 0..2 {
             node.pause();
@@ -145,7 +141,7 @@
 #[test]
 fn requests_without_keys_wait_for_the_grant_of_a_node_that_starts_again() {
     let spec = FleetSpec::one_service("registre", 3, 3);
-    let mut fleet = start_fleet_with(spec, WITHOUT_KEYS.service_lines);
+    let mut fleet = start_fleet_with(spec, WITHOUT_KEYS);
     let generator = start_load(&fleet, "/registre/orders?work_ms=20", LONG_TIMEOUT);
     run_for(Duration::from_millis(700));
     fleet.nodes[HOST].as_mut().expect("the node is running").kill();
--- a/crates/firspindle/tests/failures/requests.rs
+++ b/crates/firspindle/tests/failures/requests.rs
@@ -8,7 +8,7 @@
     Fleet, FleetSpec, HttpClient, HttpResponse, check_journals, new_request_id, wait_until,
 };
 
-use crate::fleet_checks::{SETTLE_TIMEOUT, run_for, start_fleet};
+use crate::fleet_checks::{SETTLE_TIMEOUT, WITHOUT_KEYS, run_for, start_fleet, start_fleet_with};
 
 /// Retries that a node may send before its first request.
 const RETRY_RESERVE: usize = 10;
@@ -195,30 +195,40 @@
     }
 }
 
-/// Places an order whose upstream refuses all requests with `status`; returns the response and the
-/// number of requests that reached the upstream.
-fn place_refused_order(status: u16) -> (HttpResponse, usize) {
-    let fleet = start_fleet(FleetSpec::one_service("registre", 3, 3));
-    let owner_host = fleet.owner("registre", "garage-1").expect("the key has an owner");
-    let address = fleet.upstream_address(owner_host);
+/// Places an order in a fleet whose upstreams refuse all requests with `status`; returns the response
+/// and the number of requests that reached an upstream.
+fn place_refused_order(service_lines: &str, status: u16) -> (HttpResponse, usize) {
+    let fleet = start_fleet_with(FleetSpec::one_service("registre", 3, 3), service_lines);
     let path = format!("/say?refuse={status}");
-    HttpClient::call(address, "POST", &path, &[], "").expect("the upstream answers");
+    for host in 0..3 {
+        let said = HttpClient::call(fleet.upstream_address(host), "POST", &path, &[], "");
+        assert_eq!(said.expect("the upstream answers").status, 200);
+    }
     let response = place_order(&fleet, 0, "/registre/orders", &new_request_id());
-    let refused = HttpClient::call(address, "GET", "/refused", &[], "");
-    let refused = refused.expect("the upstream answers").body.parse().expect("a number");
-    (response, refused)
+    let arrivals = (0..3).map(|host| fleet.arrivals(host).expect("the upstream answers").len());
+    (response, arrivals.sum())
 }
 
 #[test]
 fn an_upstream_without_grant_is_not_asked_beyond_the_retry_budget() {
-    let (response, refused) = place_refused_order(421);
+    let (response, refused) = place_refused_order("", 421);
     assert_eq!((response.status, response.verdict()), (503, "not-run"));
     assert!((2..=1 + RETRY_RESERVE).contains(&refused), "{refused} requests for one order");
 }
 
 #[test]
 fn a_refusal_for_want_of_room_passes_on_when_its_upstream_says_to_return() {
-    let (response, refused) = place_refused_order(503);
+    let (response, refused) = place_refused_order("", 503);
     assert_eq!((response.status, response.verdict()), (503, "not-run"));
     assert_eq!((response.header("retry-after"), refused), ("7", 1));
 }
+
+#[test]
+fn a_refused_request_without_key_is_not_sent_beyond_the_retry_budget() {
+    for status in [421, 503] {
+        let (response, refused) = place_refused_order(WITHOUT_KEYS, status);
+        assert_eq!((response.status, response.verdict()), (503, "not-run"));
+        let range = 2..=1 + RETRY_RESERVE;
+        assert!(range.contains(&refused), "{status}: {refused} requests for one order");
+    }
+}
--- a/crates/standin/src/upstream_server.rs
+++ b/crates/standin/src/upstream_server.rs
@@ -9,7 +9,6 @@
 //! - `POST /say` sets what all later answers say: `limit` the requests per second that it takes, which it
 //!   announces too, and `leaving=1` that it leaves, without announcing that. `refuse` is the status with which all later
 //!   requests are refused.
-//! - `GET /refused` returns the number of requests refused so.
 //! - `GET /arrivals` lists when requests arrived, refused ones included, in microseconds of boot time.
 //! - `POST /misreport` makes the upstream announce that no requests are in progress.
 
@@ -89,8 +88,6 @@
     says_leaving: Cell<bool>,
     /// Status with which all requests are refused.
     refuses_with: Cell<Option<u16>>,
-    /// Requests refused with that status.
-    refused: Cell<u32>,
     /// Boot times at which requests arrived, in microseconds.
     arrivals: RefCell<Vec<u64>>,
 }
@@ -126,7 +123,6 @@
         limit: Cell::new(None),
         says_leaving: Cell::new(false),
         refuses_with: Cell::new(None),
-        refused: Cell::new(0),
         arrivals: RefCell::default(),
     });
     let tasks = tokio::task::LocalSet::new();
@@ -205,7 +201,6 @@
                 serde_json::to_string(&*state.arrivals.borrow()).expect("numbers can be encoded");
             Some(new_response(200, rows))
         }
-        (&Method::GET, "/refused") => Some(new_response(200, state.refused.get().to_string())),
         (&Method::GET, "/health") => Some(new_response(200, "ok")),
         (&Method::POST, "/say") => {
             state.limit.set(query_parameter(request.uri(), "limit"));
@@ -246,7 +241,6 @@
     let (parts, body) = request.into_parts();
     let body = body.collect().await.ok()?.to_bytes();
     if let Some(status) = state.refuses_with.get() {
-        state.refused.set(state.refused.get() + 1);
         let mut refusal = refusal_response(status, "told to refuse");
         refusal.headers_mut().insert("retry-after", http::HeaderValue::from_static("7"));
         return Some(refusal);
