--- a/crates/firspindle/src/request/owner_step.rs
+++ b/crates/firspindle/src/request/owner_step.rs
@@ -179,9 +179,10 @@
     match result {
         Ok(Ok(response)) => {
             upstream.record_activity();
-            note_answer(context, upstream, &response.headers, now);
             let upstream_verdict = response.headers.get(super::caller_response::VERDICT);
-            if upstream_verdict.is_some_and(|value| value == RequestVerdict::NotRun.as_str()) {
+            let ran = upstream_verdict.is_none_or(|value| value != RequestVerdict::NotRun.as_str());
+            note_answer(context, upstream, &response.headers, ran, now);
+            if !ran {
                 log_refusal(context, request, fence, &response);
                 return Err(refusal_of(&response));
             }
@@ -232,11 +233,12 @@
 }
 
 /// Takes note of what the upstream says about itself in the answer to a request that was sent at
-/// `sent_at`.
+/// `sent_at`. Only one to a request that ran ends a limit by naming none.
 fn note_answer(
     context: &TrafficContext,
     upstream: &UpstreamHandle,
     headers: &HeaderMap,
+    ran: bool,
     sent_at: Instant,
 ) {
     const LIMIT: HeaderName = HeaderName::from_static("firspindle-limit");
@@ -252,6 +254,7 @@
     }
     let limit = match notice.limit {
         LimitNotice::Unknown => return,
+        LimitNotice::Unlimited if !ran => return,
         LimitNotice::Unlimited => None,
         LimitNotice::Limited(limit) => Some(limit),
     };
--- a/crates/firspindle/tests/failures/limits.rs
+++ b/crates/firspindle/tests/failures/limits.rs
@@ -154,3 +154,17 @@
     let unrun = arrivals.len() - journal.len();
     assert!(unrun <= UPSTREAM_SLOTS, "{unrun} requests arrived in vain");
 }
+
+#[test]
+fn refusals_that_name_no_limit_end_none() {
+    let fleet = start_fleet(FleetSpec::one_service("registre", 3, 3));
+    say(&fleet, HOST, "limit=2&in_runs=1");
+    let said_us = boot_time_us();
+    let generator = start_load(&fleet, "/registre/orders?work_ms=20", SHORT_TIMEOUT);
+    let refused = start_load(&fleet, "/registre/orders?refuse=503", SHORT_TIMEOUT);
+    run_for(Duration::from_secs(6));
+    refused.stop();
+    stop_and_check(&fleet, generator);
+    let arrivals = fleet.arrivals(HOST).expect("the upstream answers");
+    assert_limit_kept(&binding(arrivals, said_us), 2);
+}
--- a/crates/standin/src/upstream_server.rs
+++ b/crates/standin/src/upstream_server.rs
@@ -1,14 +1,15 @@
 //! An upstream over HTTP.
 //!
 //! The query of a request controls its run: `work_ms` sets its duration, `size` the length of the
-//! response body in bytes, `crash=1` aborts the process and `cut=1` ends the response early.
+//! response body in bytes, `crash=1` aborts the process, `cut=1` ends the response early and `refuse` is the
+//! status with which it is refused.
 //!
 //! - `GET /journal` lists the runs that took effect.
 //! - `GET /running` returns the number of requests in progress.
 //! - `POST /grant` extends the grant of a holder.
 //! - `POST /say` sets what all later answers say: `limit` the requests per second that it takes, which it
 //!   announces too, and `leaving=1` that it leaves, without announcing that. `refuse` is the status with which all later
-//!   requests are refused.
+//!   requests are refused. With `in_runs=1`, refusals name no limit.
 //! - `GET /arrivals` lists when requests arrived, refused ones included, in microseconds of boot time.
 //! - `POST /misreport` makes the upstream announce that no requests are in progress.
 
@@ -84,6 +85,8 @@
     reports_idle: Cell<bool>,
     /// Limit that all answers name, in requests per second.
     limit: Cell<Option<u32>>,
+    /// Whether refusals name no limit.
+    limits_in_runs: Cell<bool>,
     /// Whether all answers say that it leaves.
     says_leaving: Cell<bool>,
     /// Status with which all requests are refused.
@@ -121,6 +124,7 @@
         leaving: Cell::new(false),
         reports_idle: Cell::new(false),
         limit: Cell::new(None),
+        limits_in_runs: Cell::new(false),
         says_leaving: Cell::new(false),
         refuses_with: Cell::new(None),
         arrivals: RefCell::default(),
@@ -204,6 +208,7 @@
         (&Method::GET, "/health") => Some(new_response(200, "ok")),
         (&Method::POST, "/say") => {
             state.limit.set(query_parameter(request.uri(), "limit"));
+            state.limits_in_runs.set(query_parameter::<u8>(request.uri(), "in_runs") == Some(1));
             state.says_leaving.set(query_parameter::<u8>(request.uri(), "leaving") == Some(1));
             state.refuses_with.set(query_parameter(request.uri(), "refuse"));
             Some(new_response(200, ""))
@@ -225,7 +230,10 @@
 /// Adds to an answer what the upstream says about itself.
 fn add_notices(state: &UpstreamState, mut response: FullResponse) -> FullResponse {
     let headers = response.headers_mut();
-    if let Some(limit) = state.limit.get() {
+    let refused = headers.contains_key("firspindle-verdict");
+    if let Some(limit) = state.limit.get()
+        && !(refused && state.limits_in_runs.get())
+    {
         headers.insert("firspindle-limit", http::HeaderValue::from(limit));
     }
     if state.says_leaving.get() {
@@ -240,7 +248,8 @@
     let grant_required = state.args.checks_grants;
     let (parts, body) = request.into_parts();
     let body = body.collect().await.ok()?.to_bytes();
-    if let Some(status) = state.refuses_with.get() {
+    let refuses_with = state.refuses_with.get().or(query_parameter(&parts.uri, "refuse"));
+    if let Some(status) = refuses_with {
         let mut refusal = refusal_response(status, "told to refuse");
         refusal.headers_mut().insert("retry-after", http::HeaderValue::from_static("7"));
         return Some(refusal);
