feat(mesh): logs name the position, origin and age of each manifest and plan that is applied

Nothing decides by the epoch yet. - 'manifest in force' and 'plan applied' name origin (store, peer or own append), position and age. - 'log of the store was replaced', with a metric, for an answer that shows a shorter log or another epoch. - 'reading changed' tells which node reads which topic, and how often.

--- a/crates/core/src/version.rs
+++ b/crates/core/src/version.rs
@@ -9,6 +9,7 @@
 mod fold_state;
 mod host_record;
 mod key_hash;
+mod log_position;
 mod log_record;
 mod manifest_spec;
 mod member_row;
@@ -26,6 +27,7 @@
 pub use fold_state::{FoldOutcome, FoldState, ManifestRow, ServiceRow, TermRow};
 pub use host_record::{HostRecord, UpstreamRecord, UpstreamState};
 pub use key_hash::{partition_id, partition_index, partition_of_key, partition_service};
+pub use log_position::{LogEpoch, LogPosition};
 pub use log_record::{CheckpointBody, LogRecord, RecordBody};
 pub use manifest_spec::{
     ManifestSpec, OperationSpec, PlacementPolicy, PriorityClass, ServicePartitioning, ServiceSpec,
--- a/crates/edge/src/memory_store.rs
+++ b/crates/edge/src/memory_store.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use firspindle_core::version::{LogEpoch, LogPosition};
 use tokio::sync::Notify;
 
 use super::{ReadBatch, StateStore, StateTopic, StoreError, TopicRecord, TopicSnapshot};
@@ -12,6 +13,7 @@
 #[derive(Debug, Default)]
 struct StoreState {
     topics: BTreeMap<StateTopic, Vec<TopicRecord>>,
+    epoch: LogEpoch,
     /// While set, calls fail as if the store did not respond.
     down: bool,
 }
@@ -29,6 +31,25 @@
         self.state.borrow_mut().down = down;
     }
 
+    /// Replaces the records with an older copy that has at most so many of each topic.
+    pub fn restore(&self, lengths: &[(StateTopic, usize)]) {
+        let mut state = self.state.borrow_mut();
+        for (topic, length) in lengths {
+            state.topics.entry(*topic).or_default().truncate(*length);
+        }
+        state.epoch += 1;
+        self.appended.notify_waiters();
+    }
+
+    fn check_position(&self, topic: StateTopic, from: u64) -> Result<(), StoreError> {
+        let state = self.state.borrow();
+        let end = state.topics.get(&topic).map_or(0, Vec::len) as u64;
+        if from > end {
+            return Err(StoreError::Expired { first: LogPosition::new(state.epoch, 0) });
+        }
+        Ok(())
+    }
+
     fn check_available(&self) -> Result<(), StoreError> {
         if self.state.borrow().down {
             return Err(StoreError::NoAnswer { reason: "the store is down".into() });
@@ -40,7 +61,8 @@
         let state = self.state.borrow();
         let rows = state.topics.get(&topic).map_or(&[][..], Vec::as_slice);
         let records = rows.iter().filter(|row| row.offset >= from).cloned().collect();
-        ReadBatch { records, end: rows.len() as u64 }
+        let end = LogPosition::new(state.epoch, rows.len() as u64);
+        ReadBatch { records, end }
     }
 }
 
@@ -51,17 +73,18 @@
         key: &str,
         value: Vec<u8>,
         expected_end: Option<u64>,
-    ) -> Result<u64, StoreError> {
+    ) -> Result<LogPosition, StoreError> {
         self.check_available()?;
         let mut state = self.state.borrow_mut();
+        let epoch = state.epoch;
         let rows = state.topics.entry(topic).or_default();
         let end = rows.len() as u64;
         if expected_end.is_some_and(|expected_end| expected_end != end) {
-            return Err(StoreError::Conflict { end });
+            return Err(StoreError::Conflict { end: LogPosition::new(epoch, end) });
         }
         rows.push(TopicRecord { key: key.into(), value: value.into(), offset: end });
         self.appended.notify_waiters();
-        Ok(end + 1)
+        Ok(LogPosition::new(epoch, end + 1))
     }
 
     async fn read(
@@ -71,12 +94,14 @@
         wait: Duration,
     ) -> Result<ReadBatch, StoreError> {
         self.check_available()?;
+        self.check_position(topic, from)?;
         let batch = self.records(topic, from);
         if !batch.records.is_empty() || wait.is_zero() {
             return Ok(batch);
         }
         let _ = tokio::time::timeout(wait, self.appended.notified()).await;
         self.check_available()?;
+        self.check_position(topic, from)?;
         Ok(self.records(topic, from))
     }
 
--- a/crates/edge/src/state_store.rs
+++ b/crates/edge/src/state_store.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use firspindle_core::version::LogPosition;
 use snafu::Snafu;
 
 /// Topic of the store that the node reads or writes.
@@ -33,8 +34,8 @@
 pub struct ReadBatch {
     /// Records in the order of their offsets.
     pub records: Vec<TopicRecord>,
-    /// Offset that the topic's next record will get.
-    pub end: u64,
+    /// Position that the topic's next record will get.
+    pub end: LogPosition,
 }
 
 /// Newest record of each key of a topic.
@@ -42,25 +43,25 @@
 pub struct TopicSnapshot {
     /// One record for each key that has not been deleted.
     pub values: Vec<TopicRecord>,
-    /// Offset to continue reading from; every change that `values` lacks is there or later.
-    pub end: u64,
+    /// Position to continue reading from; every change that `values` lacks is there or later.
+    pub end: LogPosition,
 }
 
 /// Why a call to the store failed.
 #[derive(Debug, Clone, PartialEq, Eq, Snafu)]
 #[snafu(visibility(pub))]
 pub enum StoreError {
-    /// The records at the offset have expired.
-    #[snafu(display("the records have expired; the oldest one left has offset {first}"))]
+    /// The topic has no records at the offset: they have expired, or the store was restored.
+    #[snafu(display("the records have expired; the oldest one left is at {first}"))]
     Expired {
-        /// Offset of the oldest record that has not expired.
-        first: u64,
+        /// Position of the oldest record that has not expired.
+        first: LogPosition,
     },
     /// The topic does not end where the append expected it to; nothing was appended.
     #[snafu(display("the topic ends at another offset than expected: {end}"))]
     Conflict {
-        /// Offset at which the topic ends.
-        end: u64,
+        /// Position at which the topic ends.
+        end: LogPosition,
     },
     /// The store refused the call; nothing was done.
     #[snafu(display("the store refused the call with status {status}"))]
@@ -77,9 +78,10 @@
     },
 }
 
-/// Store of ordered topics, each of which keeps at least the newest record of each key.
+/// Store of ordered topics, each of which keeps at least the newest record of each key. Positions that
+/// it returns are in the epoch in which it answered.
 pub trait StateStore: Clone + 'static {
-    /// Appends a record and returns the topic's new end. With `expected_end`, the record is only
+    /// Appends a record and returns the topic's new end, in the epoch that the store answers in. With `expected_end`, the record is only
     /// appended if the topic ends there (compare-and-set).
     fn append(
         &self,
@@ -87,7 +89,7 @@
         key: &str,
         value: Vec<u8>,
         expected_end: Option<u64>,
-    ) -> impl Future<Output = Result<u64, StoreError>>;
+    ) -> impl Future<Output = Result<LogPosition, StoreError>>;
 
     /// Reads the records from an offset on; if there are none, waits up to `wait` for the first.
     fn read(
--- a/crates/firspindle/src/process/story_command.rs
+++ b/crates/firspindle/src/process/story_command.rs
@@ -6,9 +6,11 @@
 
 /// Messages about the state by which a node decides. Before each decision, the newest line of each
 /// that the same host logged earlier is shown. No other message may begin with one of these.
-const STATE_MESSAGES: [&str; 8] = [
+const STATE_MESSAGES: [&str; 10] = [
     "manifest in force",
     "plan applied",
+    "log of the store was replaced",
+    "reading changed",
     "upstream registered",
     "upstream draining",
     "upstream leave requested",
--- a/crates/mesh/src/process/control_event.rs
+++ b/crates/mesh/src/process/control_event.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use firspindle_core::connection::UpstreamReport;
-use firspindle_core::version::{RangePlan, UpstreamInstance};
+use firspindle_core::version::{LogPosition, RangePlan, UpstreamInstance};
 use firspindle_edge::{ReadBatch, StateTopic, TopicSnapshot};
 use tokio::sync::oneshot;
 
@@ -39,7 +39,7 @@
     PeerState(PeerState),
     /// An append of this node's plan finished: the end of the plans, if the store answered with it,
     /// and the plan and the time at which the call began, if it was appended.
-    PlanAppended(Option<u64>, Option<(Box<RangePlan>, Instant)>),
+    PlanAppended(Option<LogPosition>, Option<(Box<RangePlan>, Instant)>),
     /// An upstream crashed while it ran a request; answered once every node whose datagrams still
     /// arrive has acknowledged the crash, or after a timeout.
     Crash {
--- a/crates/mesh/src/process/control_state.rs
+++ b/crates/mesh/src/process/control_state.rs
@@ -6,6 +6,7 @@
 mod gossip_step;
 mod plan_step;
 mod read_step;
+mod record_origin;
 mod record_step;
 mod relay_step;
 mod suspect_step;
@@ -20,7 +21,7 @@
 use firspindle_core::process::{GrantGuards, GrantTable, GrantTiming, PlanConfirmation};
 use firspindle_core::request::SuspectTracker;
 use firspindle_core::version::{
-    HostRecord, RangePlan, RouteManifest, UpstreamInstance, UpstreamState,
+    HostRecord, LogPosition, RangePlan, RouteManifest, UpstreamInstance, UpstreamState,
 };
 use firspindle_edge::PlatformCodec;
 
@@ -106,6 +107,10 @@
     planned_end: u64,
     /// When a plan of another node was last applied.
     other_plan_at: Instant,
+    /// End of each topic in the store's last answer.
+    answered_ends: [LogPosition; 3],
+    /// Answers of the store that showed another log than those before.
+    logs_replaced: u64,
     /// Newest known record of each host, sorted by host.
     hosts: Vec<HostRecord>,
     hosts_end: u64,
@@ -194,6 +199,8 @@
             planned_at: now,
             planned_end: 0,
             other_plan_at: now.checked_sub(OTHER_PLAN_DELAY).unwrap_or(now),
+            answered_ends: [LogPosition::default(); 3],
+            logs_replaced: 0,
             hosts: Vec::new(),
             hosts_end: 0,
             hosts_known: false,
--- a/crates/mesh/src/process/control_state/plan_step.rs
+++ b/crates/mesh/src/process/control_state/plan_step.rs
@@ -5,7 +5,7 @@
 use firspindle_core::connection::UpstreamLoad;
 use firspindle_core::process::{RangeCandidate, ServiceCandidates, plan_ranges};
 use firspindle_core::version::{
-    HostRecord, RangePlan, ServiceRanges, UpstreamRecord, UpstreamState,
+    HostRecord, LogPosition, RangePlan, ServiceRanges, UpstreamRecord, UpstreamState,
 };
 use firspindle_edge::PlatformCodec;
 
@@ -35,9 +35,9 @@
 impl<C: PlatformCodec> ControlState<C> {
     /// Notes that an append of this node's plan finished; `end` is the end of the plans, if the
     /// store answered with it.
-    pub fn plan_appended(&mut self, end: Option<u64>) {
+    pub fn plan_appended(&mut self, end: Option<LogPosition>) {
         self.plan_pending = false;
-        self.planned_end = end.unwrap_or(0);
+        self.planned_end = end.map_or(0, |end| end.offset);
     }
 
     /// Returns the time without a datagram after which another node counts as lost at present.
--- a/crates/mesh/src/process/control_state/record_step.rs
+++ b/crates/mesh/src/process/control_state/record_step.rs
@@ -4,9 +4,10 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use firspindle_core::version::{HostRecord, RangePlan};
+use firspindle_core::version::{HostRecord, LogPosition, RangePlan};
 use firspindle_edge::{PlatformCodec, ReadBatch, StateTopic, TopicRecord, TopicSnapshot};
 
+use super::record_origin::RecordOrigin;
 use super::{ControlAction, ControlState, PEER_TIMEOUT};
 use crate::version::{KnownState, RangeView, StateNews, StateSnapshot};
 
@@ -24,6 +25,7 @@
         now: Instant,
     ) {
         self.note_store_answer(true);
+        self.note_end(topic, state.end);
         if topic == StateTopic::Hosts {
             let records = state.values.iter().filter_map(|row| HostRecord::decode(&row.value));
             let own = records.into_iter().find(|record| record.host == self.settings.host);
@@ -32,7 +34,7 @@
         }
         let contiguous = false;
         let values = state.values;
-        self.apply_values(topic, &values, state.end, at, contiguous, now);
+        self.apply_values(topic, &values, state.end.offset, at, contiguous, now);
     }
 
     /// Applies consecutive records of a topic, read by a call that began at `at`.
@@ -44,7 +46,25 @@
         now: Instant,
     ) {
         self.note_store_answer(true);
-        self.apply_values(topic, &batch.records, batch.end, at, true, now);
+        self.note_end(topic, batch.end);
+        self.apply_values(topic, &batch.records, batch.end.offset, at, true, now);
+    }
+
+    /// Notes the end of a topic in an answer of the store.
+    fn note_end(&mut self, topic: StateTopic, end: LogPosition) {
+        let known = &mut self.answered_ends[topic as usize];
+        let went_back = end.offset < known.offset;
+        if went_back || end.epoch != known.epoch {
+            log::warn!(topic:?, from:% = known, to:% = end; "log of the store was replaced");
+            self.logs_replaced += 1;
+        }
+        *known = end;
+    }
+
+    /// Returns how often an answer of the store showed a log that was replaced: it ended before the end
+    /// in an earlier answer, or was of another epoch.
+    pub const fn logs_replaced(&self) -> u64 {
+        self.logs_replaced
     }
 
     /// Notes whether the store answered a call of this node.
@@ -71,7 +91,9 @@
             StateTopic::Manifests => {
                 let key = self.codec.manifest_key();
                 for row in values.iter().filter(|row| &*row.key == key) {
-                    self.apply_manifest(&row.value);
+                    let position = LogPosition::new(self.answered_ends[0].epoch, row.offset);
+                    let origin = RecordOrigin::Store { position, read_at: at };
+                    self.apply_manifest(&row.value, origin, now);
                 }
                 self.manifest_end = self.manifest_end.max(end);
             }
@@ -85,7 +107,12 @@
             StateTopic::Plans => {
                 for row in values {
                     match RangePlan::decode(&row.value) {
-                        Some(plan) => self.apply_plan(plan, now),
+                        Some(plan) => {
+                            let position =
+                                LogPosition::new(self.answered_ends[2].epoch, row.offset);
+                            let origin = RecordOrigin::Store { position, read_at: at };
+                            self.apply_plan(plan, origin, now);
+                        }
                         None => log::error!(offset = row.offset; "plan decoding failed"),
                     }
                 }
@@ -96,13 +123,18 @@
         self.refresh_snapshot();
     }
 
-    pub(super) fn apply_manifest(&mut self, value: &Bytes) {
+    pub(super) fn apply_manifest(&mut self, value: &Bytes, origin: RecordOrigin, now: Instant) {
         match self.codec.decode_manifest(value) {
             Ok(manifest) => {
                 let newer =
                     self.manifest.as_ref().is_none_or(|known| known.version < manifest.version);
                 if newer {
-                    log::info!(version = manifest.version; "manifest in force");
+                    log::info!(
+                        version = manifest.version, origin = origin.name(),
+                        position:% = origin.position(),
+                        age_ms:? = origin.age(now).map(|age| age.as_millis());
+                        "manifest in force"
+                    );
                     self.manifest = Some(Arc::new(manifest));
                     self.manifest_value = value.clone();
                 }
@@ -149,12 +181,17 @@
         }
     }
 
-    pub(super) fn apply_plan(&mut self, plan: RangePlan, now: Instant) {
+    pub(super) fn apply_plan(&mut self, plan: RangePlan, origin: RecordOrigin, now: Instant) {
         if plan.version <= self.plan.version {
             return;
         }
         let contiguous = self.plan_known && plan.version == self.plan.version + 1;
-        log::info!(version = plan.version, contiguous; "plan applied");
+        log::info!(
+            version = plan.version, contiguous, origin = origin.name(),
+            position:% = origin.position(),
+            age_ms:? = origin.age(now).map(|age| age.as_millis());
+            "plan applied"
+        );
         if !self.plan_pending && self.plan_known {
             self.other_plan_at = now;
         }
@@ -191,13 +228,16 @@
         if let Some(manifest) =
             news.manifest.as_ref().filter(|_| news.manifest_end > self.manifest_end)
         {
-            self.apply_manifest(&Bytes::from(manifest.clone()));
+            let end = LogPosition::new(0, news.manifest_end);
+            let origin = RecordOrigin::Peer { end };
+            self.apply_manifest(&Bytes::from(manifest.clone()), origin, now);
             self.manifest_end = news.manifest_end;
         }
         if news.plan_end > self.confirmation.end() {
             match news.changes.as_ref().map(|changes| changes.apply(&self.plan)) {
                 Some(Some(plan)) => {
-                    self.apply_plan(plan, now);
+                    let end = LogPosition::new(0, news.plan_end);
+                    self.apply_plan(plan, RecordOrigin::Peer { end }, now);
                     self.confirmation.advance(news.plan_end);
                 }
                 // A record that is no plan was appended.
@@ -216,7 +256,9 @@
         self.behind_since = None;
         self.needs_whole_state = false;
         if state.manifest_end > self.manifest_end && !state.manifest.is_empty() {
-            self.apply_manifest(&Bytes::from(state.manifest.clone()));
+            let end = LogPosition::new(0, state.manifest_end);
+            let origin = RecordOrigin::Peer { end };
+            self.apply_manifest(&Bytes::from(state.manifest.clone()), origin, now);
             self.manifest_end = state.manifest_end;
         }
         if state.hosts_end > self.hosts_end {
@@ -226,7 +268,8 @@
         let newer =
             state.plan_end > self.confirmation.end() || (!self.plan_known && state.plan_end > 0);
         if let Some(plan) = RangePlan::decode(&state.plan).filter(|_| newer) {
-            self.apply_plan(plan, now);
+            let end = LogPosition::new(0, state.plan_end);
+            self.apply_plan(plan, RecordOrigin::Peer { end }, now);
             self.plan_known = true;
             // When the peer read this end is learned from its datagrams, so this confirms nothing.
             self.confirmation.advance(state.plan_end);
@@ -241,10 +284,10 @@
 
     /// Applies a plan of this node that the store appended as the last before `end`, by a call that
     /// began at `at`.
-    pub fn plan_stored(&mut self, plan: RangePlan, end: u64, at: Instant, now: Instant) {
-        if self.confirmation.end() + 1 == end {
-            self.apply_plan(plan, now);
-            self.confirmation.note_applied(end, at);
+    pub fn plan_stored(&mut self, plan: RangePlan, end: LogPosition, at: Instant, now: Instant) {
+        if self.confirmation.end() + 1 == end.offset {
+            self.apply_plan(plan, RecordOrigin::Append { end, began_at: at }, now);
+            self.confirmation.note_applied(end.offset, at);
             self.refresh_snapshot();
         }
     }
--- a/crates/mesh/src/process/control_thread.rs
+++ b/crates/mesh/src/process/control_thread.rs
@@ -261,7 +261,15 @@
     fn update_schedules(&self) {
         let now = self.clock.now();
         for topic in TOPICS {
-            self.schedules.cell(topic).set(self.state.read_schedule(topic, now));
+            let schedule = self.state.read_schedule(topic, now);
+            let earlier = self.schedules.cell(topic).replace(schedule);
+            if (earlier.wait, earlier.interval) != (schedule.wait, schedule.interval) {
+                log::info!(
+                    topic:?, wait_ms:? = schedule.wait.as_millis(),
+                    interval_ms:? = schedule.interval.as_millis();
+                    "reading changed"
+                );
+            }
         }
     }
 
@@ -275,6 +283,7 @@
         self.update_schedules();
         self.state.set_load(self.shared.load(), self.shared.demand());
         self.finish_notices();
+        self.shared.metrics.logs_replaced.set(self.state.logs_replaced().cast_signed());
         self.publish();
         self.step();
         if self.ticks.is_multiple_of(TRAFFIC_LOG_TICKS) {
--- a/crates/mesh/src/process/control_thread/call_step.rs
+++ b/crates/mesh/src/process/control_thread/call_step.rs
@@ -60,9 +60,9 @@
             shared.metrics.count_store_call(StateTopic::Plans, "append");
             let appended = store.append(StateTopic::Plans, "plan", bytes, Some(at)).await;
             match &appended {
-                Ok(end) => log::info!(end; "plan appended"),
+                Ok(end) => log::info!(end:%; "plan appended"),
                 Err(StoreError::Conflict { end }) => {
-                    log::info!(end; "plan append lost the compare-and-set");
+                    log::info!(end:%; "plan append lost the compare-and-set");
                 }
                 Err(error) => log::info!(error:%; "plan append failed"),
             }
--- a/crates/mesh/src/process/mesh_metrics.rs
+++ b/crates/mesh/src/process/mesh_metrics.rs
@@ -2,8 +2,8 @@
 
 use firspindle_edge::StateTopic;
 use prometheus::{
-    Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, Opts, Registry,
-    TextEncoder,
+    Gauge, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
+    Registry, TextEncoder,
 };
 
 use super::PeerPlace;
@@ -41,6 +41,8 @@
     peer_bytes: [[IntCounter; 4]; 2],
     /// Calls to the store, by topic and kind: newest, read or append.
     pub store_calls: IntCounterVec,
+    /// Answers of the store that showed another log than those before: shorter, or of another epoch.
+    pub logs_replaced: IntGauge,
     /// Requests sent to the upstream.
     pub sends: IntCounter,
 }
@@ -78,6 +80,12 @@
         )
         .expect("valid");
         registry.register(Box::new(upstream_limit.clone())).expect("the name is new");
+        let logs_replaced = IntGauge::new(
+            "firspindle_logs_replaced",
+            "Answers of the store that showed a shorter log or another epoch than those before",
+        )
+        .expect("valid");
+        registry.register(Box::new(logs_replaced.clone())).expect("the name is new");
         let peer_bytes = family(
             "firspindle_peer_bytes_total",
             "Bytes exchanged with other nodes",
@@ -105,6 +113,7 @@
                 &["service"],
             ),
             timer_lag,
+            logs_replaced,
             link_backlog,
             upstream_limit,
             abandoned: family(
--- a/crates/mesh/tests/fleet/model.rs
+++ b/crates/mesh/tests/fleet/model.rs
@@ -9,7 +9,7 @@
 use firspindle_core::connection::DemandReport;
 use firspindle_core::process::{GrantGuards, RangeCandidate, ServiceCandidates, plan_ranges};
 use firspindle_core::version::{
-    HostRecord, RangePlan, UpstreamInstance, UpstreamRecord, UpstreamState,
+    HostRecord, LogPosition, RangePlan, UpstreamInstance, UpstreamRecord, UpstreamState,
 };
 use firspindle_edge::{ReadBatch, StateTopic, TopicRecord, TopicSnapshot};
 use firspindle_mesh::process::{ControlAction, ControlState, MeshSettings};
@@ -141,7 +141,12 @@
                 (StateTopic::Plans, vec![topic_record("plan", plan.clone())]),
             ];
             for (topic, values) in topics {
-                state.handle_snapshot(topic, TopicSnapshot { values, end: 1 }, epoch, epoch);
+                state.handle_snapshot(
+                    topic,
+                    TopicSnapshot { values, end: LogPosition::new(0, 1) },
+                    epoch,
+                    epoch,
+                );
             }
             let upstream = Upstream::new(instance(index), false);
             Node { state, codec, upstream, frozen: false, traffic: Traffic::default() }
@@ -230,7 +235,7 @@
         let schedule = state.read_schedule(StateTopic::Plans, now);
         let due = schedule.interval <= Duration::from_millis(READ_MS);
         if due && self.store_up {
-            let batch = ReadBatch { records: Vec::new(), end: 1 };
+            let batch = ReadBatch { records: Vec::new(), end: LogPosition::new(0, 1) };
             state.handle_records(StateTopic::Plans, &batch, now, now);
         } else if due {
             state.note_store_answer(false);
--- a/crates/mesh/tests/ownership/plans.rs
+++ b/crates/mesh/tests/ownership/plans.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use firspindle_core::connection::{DemandReport, UpstreamReport};
 use firspindle_core::process::{GrantGuards, RangeCandidate, ServiceCandidates, plan_ranges};
-use firspindle_core::version::{RangePlan, UpstreamInstance, UpstreamState};
+use firspindle_core::version::{LogPosition, RangePlan, UpstreamInstance, UpstreamState};
 use firspindle_edge::{StateTopic, TopicRecord, TopicSnapshot};
 use firspindle_mesh::process::{ControlAction, ControlState};
 
@@ -40,7 +40,10 @@
 }
 
 fn record_of(key: &str, value: Bytes) -> TopicSnapshot {
-    TopicSnapshot { values: vec![TopicRecord { key: key.into(), value, offset: 0 }], end: 1 }
+    TopicSnapshot {
+        values: vec![TopicRecord { key: key.into(), value, offset: 0 }],
+        end: LogPosition::new(0, 1),
+    }
 }
 
 /// It started while the store was away, and the plan was read before the hosts.
--- a/crates/mesh/tests/ownership/world/event.rs
+++ b/crates/mesh/tests/ownership/world/event.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use firspindle_core::connection::{GrantReply, UpstreamReport};
-use firspindle_core::version::UpstreamInstance;
+use firspindle_core::version::{LogPosition, UpstreamInstance};
 use firspindle_edge::{StateTopic, TopicRecord};
 
 /// A write to the store.
@@ -26,7 +26,7 @@
         topic: StateTopic,
         snapshot: bool,
         values: Vec<TopicRecord>,
-        end: u64,
+        end: LogPosition,
         at: Instant,
     },
     ReadFailed,
@@ -36,7 +36,7 @@
         /// Whether the answer reaches the node.
         answers: bool,
     },
-    PlanAppended(Option<u64>),
+    PlanAppended(Option<LogPosition>),
     SendHeartbeat,
     Report {
         report: Box<UpstreamReport>,
--- a/crates/mesh/tests/ownership/world/store.rs
+++ b/crates/mesh/tests/ownership/world/store.rs
@@ -1,5 +1,6 @@
 //! The store: reads, conditional writes and lost answers.
 
+use firspindle_core::version::LogPosition;
 use firspindle_edge::{StateTopic, TopicRecord};
 use rand::Rng;
 
@@ -14,7 +15,7 @@
         if self.store_reachable(host) {
             let snapshot = !std::mem::replace(&mut self.hosts[host].known[index], true);
             let rows = &self.topics[index];
-            let end = rows.len() as u64;
+            let end = LogPosition::new(0, rows.len() as u64);
             let state = self.hosts[host].state.as_ref().expect("the node is running");
             let from = state.read_schedule(topic, self.now()).from;
             let values = if snapshot {
@@ -58,6 +59,7 @@
         }
         if topic == StateTopic::Plans && answers {
             let end = if done { end + 1 } else { end };
+            let end = LogPosition::new(0, end);
             self.enqueue(host, incarnation, 4, Event::PlanAppended(Some(end)));
         }
     }
