--- a/crates/core/src/connection.rs
+++ b/crates/core/src/connection.rs
@@ -9,6 +9,7 @@
 mod link_schedule;
 mod peer_message;
 mod relay_report;
+mod state_mark;
 mod upstream_limit;
 mod upstream_report;
 
@@ -23,5 +24,6 @@
 pub use relay_report::{
     AttestationRow, HostHash, RelayReport, RelayedLoad, cover_hosts, hash_host,
 };
+pub use state_mark::StateMark;
 pub use upstream_limit::{LimitError, UpstreamLimit};
 pub use upstream_report::{FreedRow, GrantReply, GrantRow, HeldRow, UpstreamReport};
--- a/crates/core/src/connection/gossip_message.rs
+++ b/crates/core/src/connection/gossip_message.rs
@@ -6,10 +6,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{DemandReport, HostHash, RelayReport, UpstreamLimit};
+use super::{DemandReport, HostHash, RelayReport, StateMark, UpstreamLimit};
 use crate::process::EndedFence;
 use crate::request::SuspectHint;
-use crate::version::HostRecord;
+use crate::version::{HostRecord, LogPosition};
 
 /// Fences that have ended.
 pub type EndedFenceList = Vec<EndedFence>;
@@ -51,7 +51,7 @@
     }
 }
 
-/// Limits of upstreams, the last part of a datagram.
+/// Limits of upstreams, a part of a datagram.
 #[derive(Debug, Default, Serialize, Deserialize)]
 struct LimitTrailer {
     /// Limit of the sender's upstream.
@@ -66,7 +66,7 @@
 pub struct EchoRow {
     /// Timestamp of that datagram, on the receiver's clock, in milliseconds.
     pub stamp_ms: u64,
-    /// End of the plan log up to which the sender has applied plans.
+    /// Offset in the plan log up to which the sender has applied plans, in the epoch of its mark.
     pub plan_end: u64,
     /// Age of the store's confirmation of that end, in milliseconds, when this was sent; `None` if
     /// the end is not confirmed.
@@ -84,8 +84,8 @@
     pub stamp_ms: u64,
     /// Echo of the newest timestamp received from the receiver; `None` before its first datagram.
     pub echo: Option<EchoRow>,
-    /// Ends of the logs of plans, hosts and manifests, in this order, up to which the sender has
-    /// applied records.
+    /// Offsets in the logs of plans, hosts and manifests, in this order, up to which the sender has
+    /// applied records, in the epoch of its mark.
     pub ends: [u64; 3],
     /// Whether the store answered the sender's last call.
     pub reaches_store: bool,
@@ -104,6 +104,9 @@
     /// What relays pass on.
     #[serde(skip)]
     pub report: RelayReport,
+    /// Which records the sender has applied.
+    #[serde(skip)]
+    pub mark: StateMark,
 }
 
 impl GossipMessage {
@@ -119,23 +122,30 @@
             relayed: limited.map(|row| (row.host, row.load.limit_milli)).collect(),
         };
         bytes.extend(postcard::to_allocvec(&limits).unwrap_or_default());
+        bytes.extend(postcard::to_allocvec(&self.mark).unwrap_or_default());
         bytes
     }
 
     /// Decodes a datagram; `None` if the bytes are malformed.
     pub fn decode(bytes: &[u8]) -> Option<Self> {
         let (mut message, rest) = postcard::take_from_bytes::<Self>(bytes).ok()?;
+        message.mark.plan_position = LogPosition::new(0, message.ends[0]);
         let Ok((link_ms, rest)) = postcard::take_from_bytes(rest) else { return Some(message) };
         message.load.link_ms = link_ms;
         let Ok((report, rest)) = postcard::take_from_bytes(rest) else { return Some(message) };
         message.report = report;
-        let limits: LimitTrailer = postcard::from_bytes(rest).unwrap_or_default();
+        let Ok((limits, rest)) = postcard::take_from_bytes::<LimitTrailer>(rest) else {
+            return Some(message);
+        };
         message.load.limit_milli = limits.own;
         for (host, limit_milli) in limits.relayed {
             for row in message.report.loads.iter_mut().filter(|row| row.host == host) {
                 row.load.limit_milli = limit_milli;
             }
         }
+        if let Ok(mark) = postcard::from_bytes(rest) {
+            message.mark = mark;
+        }
         Some(message)
     }
 }
--- a/crates/core/src/process.rs
+++ b/crates/core/src/process.rs
@@ -12,6 +12,7 @@
 
 mod fence_token;
 mod grant_guards;
+mod grant_permit;
 mod grant_table;
 mod grant_timing;
 mod lease_table;
@@ -32,6 +33,7 @@
 
 pub use fence_token::FenceToken;
 pub use grant_guards::GrantGuards;
+pub use grant_permit::GrantPermit;
 pub use grant_table::{EndedFence, GrantTable};
 pub use grant_timing::GrantTiming;
 pub use lease_table::LeaseTable;
--- a/crates/core/src/process/grant_guards.rs
+++ b/crates/core/src/process/grant_guards.rs
@@ -22,6 +22,17 @@
     pub heartbeat_proof: bool,
     /// A revoked fence ends only when its last hold does, not as soon as a plan reassigns the cell.
     pub hold_end: bool,
+    /// A cell that the upstream does not hold is granted only under a plan that the store confirmed
+    /// recently; attestations of the other holders only extend what is held.
+    pub acquire_confirm: bool,
+    /// A node grants only under a plan of the store's epoch, and until then renews what it granted
+    /// itself.
+    pub epoch_plan: bool,
+    /// No plan of an epoch is written, and no grant extended by it, before every node of the earlier
+    /// epoch has lost the permission to grant cells that are not held.
+    pub epoch_wait: bool,
+    /// A plan's version names its epoch, and the first one replaces all fences.
+    pub epoch_fences: bool,
     /// Attestations that relays pass on count as old as they are, not as new as the datagram.
     pub attestation_age: bool,
 }
@@ -36,6 +47,10 @@
             new_member_wait: true,
             heartbeat_proof: true,
             hold_end: true,
+            acquire_confirm: true,
+            epoch_plan: true,
+            epoch_wait: true,
+            epoch_fences: true,
             attestation_age: true,
         }
     }
--- a/crates/core/src/process/grant_table.rs
+++ b/crates/core/src/process/grant_table.rs
@@ -23,11 +23,11 @@
 use cell_state::{CellState, HandoverRow, RevokedGrant};
 use instance_step::is_superseded;
 
-use super::{GrantGuards, GrantTiming};
+use super::{GrantGuards, GrantPermit, GrantTiming};
 use crate::connection::{GrantReply, GrantRow, UpstreamReport};
 use crate::version::{
     CELL_KEYS, CELLS, CellIndex, HolderRow, PlanVersion, ServiceRanges, UpstreamInstance,
-    keys_of_cells,
+    epoch_of_version, keys_of_cells,
 };
 
 /// Placeholder for the fence of an earlier holder that this node does not know because it missed
@@ -133,10 +133,15 @@
         contiguous: bool,
         now: Instant,
     ) {
+        // Every node of the earlier epoch has lost the permission to grant cells that are not held, so
+        // what this one has granted is held by nobody else.
+        let restored =
+            self.version > 0 && epoch_of_version(version) > epoch_of_version(self.version);
         let before = self.ranges.take();
         let old = before.as_ref().map(ServiceRanges::cells);
         let member = after.holder_on(&self.host).is_some();
-        self.member_since = self.member_since.filter(|_| member).or(member.then_some(now));
+        let since = self.member_since.filter(|_| member && !restored);
+        self.member_since = since.or(member.then_some(now));
         // Nodes under a plan that does not name this host renew grants without its attestation.
         let consulted = !self.guards.new_member_wait
             || contiguous
@@ -156,10 +161,10 @@
                 .map(|(before, row)| &before.holders[usize::from(row.holder)]);
             let stays =
                 |old: &HolderRow| old.host == holder.host && old.instance == holder.instance;
-            if contiguous && old_holder.is_some_and(stays) {
+            if (contiguous || restored && cell.is_held(now)) && old_holder.is_some_and(stays) {
                 // The same instance keeps the cell under a higher fence.
                 if cell.fence > 0 {
-                    cell.assign(new.fence);
+                    cell.renumber(new.fence);
                 }
                 continue;
             }
@@ -197,12 +202,11 @@
     }
 
     /// Applies the report of a heartbeat and returns what the upstream is to hold. Returns `None`
-    /// for a repeated or late heartbeat, and from `permitted_until` on, when the node may not grant
-    /// any more.
+    /// for a repeated or late heartbeat, and once `permit` has ended.
     pub fn apply_report(
         &mut self,
         report: &UpstreamReport,
-        permitted_until: Option<Instant>,
+        permit: GrantPermit,
         now: Instant,
     ) -> Option<GrantReply> {
         if self.ended_instances.contains(&report.instance) {
@@ -224,8 +228,8 @@
         self.last_sequence = report.sequence;
         self.apply_held(report);
         self.end_revoked_fences(now);
-        let permitted = permitted_until.is_some_and(|until| now < until);
-        permitted.then(|| self.grant(report.sequence, now))
+        let permitted = permit.acquires(now) || permit.renews(now);
+        permitted.then(|| self.grant(report.sequence, permit, now))
     }
 
     fn apply_held(&mut self, report: &UpstreamReport) {
@@ -304,8 +308,7 @@
 
     /// Whether requests for the cell may be sent to the upstream now.
     pub fn is_granted(&self, index: CellIndex, now: Instant) -> bool {
-        let cell = &self.cells[index];
-        cell.fence > 0 && cell.granted_until.is_some_and(|until| now < until)
+        self.cells[index].is_held(now)
     }
 
     /// Returns [`Self::is_granted`] for each cell.
@@ -330,16 +333,20 @@
         (ours.count(), waiting.count())
     }
 
-    fn grant(&mut self, sequence: u64, now: Instant) -> GrantReply {
+    fn grant(&mut self, sequence: u64, permit: GrantPermit, now: Instant) -> GrantReply {
         let until = self.timing.hold_end(now);
+        let acquires = permit.acquires(now);
         let mut rows: Vec<GrantRow> = Vec::new();
         for (index, cell) in self.cells.iter_mut().enumerate() {
             let free = cell.earlier_grants_ended(now) || !self.guards.earlier_wait;
-            if cell.fence == 0 || !free {
+            let reported = permit.trusts_reports && cell.held == cell.fence;
+            let renewed = permit.renews(now) && (cell.is_held(now) || reported);
+            if cell.fence == 0 || !free || !(acquires || renewed) {
                 continue;
             }
             cell.earlier_grants.clear();
             cell.granted_until = Some(until);
+            cell.granted_fence = cell.fence;
             cell.granted_sequence = sequence;
             let handover = if cell.held == cell.fence { None } else { cell.handover.as_ref() };
             let token = handover.map_or("", |row| &*row.token);
--- a/crates/core/src/process/grant_table/cell_state.rs
+++ b/crates/core/src/process/grant_table/cell_state.rs
@@ -46,6 +46,8 @@
     pub(super) revoked: Vec<RevokedGrant>,
     /// End of the last hold that this process granted.
     pub(super) granted_until: Option<Instant>,
+    /// Fence of that grant.
+    pub(super) granted_fence: PlanVersion,
     /// Sequence number of the heartbeat that the last grant answered.
     pub(super) granted_sequence: u64,
     /// Fence under which the last heartbeat reported the cell as held; 0 if it did not.
@@ -73,6 +75,20 @@
         self.revoked.retain(|row| row.fence != fence);
     }
 
+    /// Replaces the fence of a cell that the upstream keeps.
+    pub(super) fn renumber(&mut self, fence: PlanVersion) {
+        if self.granted_fence == self.fence {
+            self.granted_fence = fence;
+        }
+        self.assign(fence);
+    }
+
+    /// Whether the upstream may still hold the cell under the present fence.
+    pub(super) fn is_held(&self, now: Instant) -> bool {
+        let granted = self.fence > 0 && self.granted_fence == self.fence;
+        granted && self.granted_until.is_some_and(|until| now < until)
+    }
+
     pub(super) fn revoke(&mut self) {
         let handover = "".into();
         let fence = self.fence;
--- a/crates/core/src/process/range_planner.rs
+++ b/crates/core/src/process/range_planner.rs
@@ -9,6 +9,7 @@
 use crate::connection::DemandReport;
 use crate::version::{
     CELLS, CellRow, HolderRow, PlanVersion, RangePlan, ServiceRanges, UpstreamInstance,
+    epoch_of_version,
 };
 
 /// Neighbouring cells that are first assigned together. 12 cells are 96 keys: a run of 200 busy
@@ -60,20 +61,44 @@
     pub candidates: Vec<RangeCandidate>,
 }
 
-/// Returns the next plan, or `None` if nothing changes. `services` must be sorted by name.
-pub fn plan_ranges(current: &RangePlan, services: &[ServiceCandidates]) -> Option<RangePlan> {
-    let version = current.version + 1;
-    let mut changed = false;
+/// Returns the next plan, or `None` if nothing changes. `services` must be sorted by name. The first
+/// plan of an epoch replaces all fences, as plans that were lost may have given out higher ones.
+pub fn plan_ranges(
+    current: &RangePlan,
+    version: PlanVersion,
+    services: &[ServiceCandidates],
+) -> Option<RangePlan> {
+    let refences = current.version > 0 && epoch_of_version(version) > current.epoch();
+    let mut changed = refences;
     let mut next = RangePlan { version, services: Vec::new() };
     for row in services {
         let before = current.service(&row.service);
-        let after = plan_service(before, row, version);
+        let after = if refences {
+            plan_again(before, row, version)
+        } else {
+            plan_service(before, row, version)
+        };
         changed |= after.is_some();
         next.services.extend(after.or_else(|| before.cloned()));
     }
     changed.then_some(next)
 }
 
+/// Gives every cell a new fence, and a new holder only if it has lost its own.
+fn plan_again(
+    before: Option<&ServiceRanges>,
+    service: &ServiceCandidates,
+    version: PlanVersion,
+) -> Option<ServiceRanges> {
+    if service.candidates.is_empty() {
+        return before.map(|before| before.with_fence(version));
+    }
+    let mut assignment = CellAssignment::new(before, &service.candidates, version);
+    assignment.assign_unowned();
+    assignment.fences.fill(version);
+    Some(assignment.into_ranges(service, before))
+}
+
 fn plan_service(
     before: Option<&ServiceRanges>,
     service: &ServiceCandidates,
--- a/crates/core/src/version.rs
+++ b/crates/core/src/version.rs
@@ -39,7 +39,7 @@
 pub use plan_record::{AssignmentChange, PlanRecord, WitnessSetChange};
 pub use range_plan::{
     CELL_KEYS, CELLS, CellIndex, CellRow, HolderRow, PlanVersion, RangePlan, ServiceRanges,
-    UpstreamInstance, cell_of_key, keys_of_cells,
+    UpstreamInstance, cell_of_key, epoch_of_version, keys_of_cells, plan_version_at,
 };
 pub use route_manifest::{
     CallerLimits, MeshService, RequestKind, RouteManifest, RouteRow, SplitRow,
--- a/crates/core/src/version/plan_changes.rs
+++ b/crates/core/src/version/plan_changes.rs
@@ -59,6 +59,11 @@
         Self { base, version: newer.version, services, digest: digest_plan(newer) }
     }
 
+    /// Returns the version of the newer plan.
+    pub const fn version(&self) -> PlanVersion {
+        self.version
+    }
+
     /// Returns the newer plan; `None` if the changes are for another plan than this one.
     pub fn apply(&self, earlier: &RangePlan) -> Option<RangePlan> {
         if earlier.version != self.base {
--- a/crates/core/src/version/range_plan.rs
+++ b/crates/core/src/version/range_plan.rs
@@ -11,12 +11,29 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::{LogEpoch, LogPosition};
+
 /// Index of a cell, from 0 to [`CELLS`] - 1.
 pub type CellIndex = usize;
 
-/// Version of a plan; the first plan has version 1.
+/// Version of a plan: the epoch of the log that it was written for in the upper half, the number of
+/// records up to it in the lower one. So versions rise over restores of the store, and none is given
+/// twice. They stay exact in JSON (2^53) for two million restores.
 pub type PlanVersion = u64;
 
+/// Bits of a version that number the plans of one epoch.
+const VERSION_OFFSET_BITS: u32 = 32;
+
+/// Returns the version of a plan that is appended at a position.
+pub const fn plan_version_at(position: LogPosition) -> PlanVersion {
+    (position.epoch << VERSION_OFFSET_BITS) | (position.offset + 1)
+}
+
+/// Returns the epoch that a plan of this version was written for.
+pub const fn epoch_of_version(version: PlanVersion) -> LogEpoch {
+    version >> VERSION_OFFSET_BITS
+}
+
 /// Keys in one cell. A run of 60 busy keys spans eight cells.
 pub const CELL_KEYS: usize = 8;
 
@@ -112,6 +129,14 @@
         held
     }
 
+    /// Returns the same assignment under another fence.
+    #[must_use]
+    pub fn with_fence(&self, fence: PlanVersion) -> Self {
+        let cells = self.cells().into_iter().map(|cell| CellRow { fence, ..cell });
+        let cells: Vec<_> = cells.collect();
+        Self::new(self.service.clone(), self.holders.clone(), &cells)
+    }
+
     /// Returns the index of the holder on a host.
     pub fn holder_on(&self, host: &str) -> Option<usize> {
         self.holders.iter().position(|row| &*row.host == host)
@@ -121,7 +146,7 @@
 /// Assignment of all sharded services, stored as one record.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct RangePlan {
-    /// Version of this plan, one above that of the plan that it replaces.
+    /// Version of this plan, above that of the plan that it replaces.
     pub version: PlanVersion,
     /// Assignments of the sharded services, sorted by name.
     pub services: Vec<ServiceRanges>,
@@ -134,6 +159,11 @@
         Some(&self.services[index])
     }
 
+    /// Returns the epoch that the plan was written for.
+    pub const fn epoch(&self) -> LogEpoch {
+        epoch_of_version(self.version)
+    }
+
     /// Encodes the plan as a record.
     pub fn encode(&self) -> Vec<u8> {
         postcard::to_allocvec(self).unwrap_or_default()
--- a/crates/core/tests/datagrams.rs
+++ b/crates/core/tests/datagrams.rs
@@ -1,7 +1,9 @@
 //! Tests of datagrams between nodes of different versions.
 
-use firspindle_core::connection::{GossipMessage, RelayReport, RelayedLoad, UpstreamLoad};
-use firspindle_core::version::HostRecord;
+use firspindle_core::connection::{
+    GossipMessage, RelayReport, RelayedLoad, StateMark, UpstreamLoad,
+};
+use firspindle_core::version::{HostRecord, LogPosition};
 
 fn message(link_ms: u32, limit_milli: u32) -> GossipMessage {
     let address = "10.0.0.1:7".parse().expect("an address");
@@ -34,6 +36,7 @@
         acknowledged: Vec::new(),
         suspects: Vec::new(),
         report: RelayReport { wants_reply: true, sequence: 3, ..RelayReport::default() },
+        mark: StateMark { plan_position: LogPosition::new(0, 1), plan: 0, manifest: 0 },
     }
 }
 
@@ -44,6 +47,7 @@
         let load = UpstreamLoad { limit_milli, ..UpstreamLoad::default() };
         RelayedLoad { host, age_ms: 5, load, link_ms: 6 }
     };
+    sent.mark = StateMark { plan_position: LogPosition::new(2, 1), plan: 9, manifest: 8 };
     sent.report.loads = vec![row(1, 0), row(2, 4_600), row(3, 0)];
     assert_eq!(GossipMessage::decode(&sent.encode()), Some(sent));
 }
@@ -55,7 +59,8 @@
     let mut bytes = postcard::to_allocvec(&message(300, 0)).expect("the message can be encoded");
     assert_eq!(GossipMessage::decode(&bytes), Some(earlier(0)));
     let newer = message(300, 0).encode();
-    assert_eq!(postcard::from_bytes::<GossipMessage>(&newer).ok(), Some(earlier(0)));
+    let unmarked = GossipMessage { mark: StateMark::default(), ..earlier(0) };
+    assert_eq!(postcard::from_bytes::<GossipMessage>(&newer).ok(), Some(unmarked));
     // The version with link times and without reports of relays.
     bytes.extend(postcard::to_allocvec(&300_u32).expect("a number can be encoded"));
     assert_eq!(GossipMessage::decode(&bytes), Some(earlier(300)));
--- a/crates/core/tests/ranges/changes.rs
+++ b/crates/core/tests/ranges/changes.rs
@@ -17,7 +17,7 @@
         let mut plans = vec![RangePlan::default()];
         for rows in &steps {
             let last = plans.last().expect("there is a plan").clone();
-            plans.extend(plan_ranges(&last, &service(rows)));
+            plans.extend(plan_ranges(&last, last.version + 1, &service(rows)));
         }
         let newest = plans.last().expect("there is a plan");
         let known = &plans[first.min(plans.len() - 1)];
@@ -35,8 +35,9 @@
 #[test]
 fn changes_to_a_plan_of_another_history_are_refused() {
     let rows: Vec<_> = (0..4).map(|host| (host, 0)).collect();
-    let first = plan_ranges(&RangePlan::default(), &service(&rows)).expect("a first plan");
-    let other = plan_ranges(&RangePlan::default(), &service(&rows[1..])).expect("another plan");
-    let second = plan_ranges(&first, &service(&rows[..3])).expect("a second plan");
+    let first = plan_ranges(&RangePlan::default(), 1, &service(&rows)).expect("a first plan");
+    let other = plan_ranges(&RangePlan::default(), 1, &service(&rows[1..])).expect("another plan");
+    let second =
+        plan_ranges(&first, first.version + 1, &service(&rows[..3])).expect("a second plan");
     assert_eq!(PlanChanges::new(first.version, &second).apply(&other), None);
 }
--- a/crates/core/tests/ranges/plans.rs
+++ b/crates/core/tests/ranges/plans.rs
@@ -28,7 +28,7 @@
 #[test]
 fn ten_upstreams_get_equal_shares_in_few_ranges() {
     let rows: Vec<_> = (0..10).map(|host| (host, 0)).collect();
-    let plan = plan_ranges(&RangePlan::default(), &service(&rows)).expect("a first plan");
+    let plan = plan_ranges(&RangePlan::default(), 1, &service(&rows)).expect("a first plan");
     let held = plan.services[0].cells_held();
     assert!(held.iter().all(|cells| cells.abs_diff(CELLS / 10) <= 12), "{held:?}");
     assert!(plan.encode().len() < 8_000);
@@ -40,7 +40,7 @@
 fn hundreds_of_upstreams_get_equal_shares() {
     for count in [45_u16, 245, 840] {
         let rows: Vec<_> = (0..count).map(|host| (host, 0)).collect();
-        let plan = plan_ranges(&RangePlan::default(), &service(&rows)).expect("a first plan");
+        let plan = plan_ranges(&RangePlan::default(), 1, &service(&rows)).expect("a first plan");
         let held = plan.services[0].cells_held();
         let share = CELLS / usize::from(count);
         let most = share + (share / 8).max(1);
@@ -52,8 +52,9 @@
 #[test]
 fn a_lost_upstream_moves_only_its_own_cells() {
     let rows: Vec<_> = (0..10).map(|host| (host, 0)).collect();
-    let first = plan_ranges(&RangePlan::default(), &service(&rows)).expect("a first plan");
-    let second = plan_ranges(&first, &service(&rows[1..])).expect("a second plan");
+    let first = plan_ranges(&RangePlan::default(), 1, &service(&rows)).expect("a first plan");
+    let second =
+        plan_ranges(&first, first.version + 1, &service(&rows[1..])).expect("a second plan");
     let (before, after) = (&first.services[0], &second.services[0]);
     for (old, new) in before.cells().iter().zip(after.cells()) {
         let old_host = &before.holders[usize::from(old.holder)].host;
@@ -69,7 +70,7 @@
     ) {
         let mut plan = RangePlan::default();
         for rows in steps {
-            let Some(next) = plan_ranges(&plan, &service(&rows)) else { continue };
+            let Some(next) = plan_ranges(&plan, plan.version + 1, &service(&rows)) else { continue };
             prop_assert_eq!(next.version, plan.version + 1);
             let decoded = RangePlan::decode(&next.encode());
             prop_assert_eq!(decoded.as_ref(), Some(&next));
@@ -90,7 +91,7 @@
     #[test]
     fn damaged_plans_are_rejected_or_complete(at in 0_usize..400, byte in any::<u8>()) {
         let rows: Vec<_> = (0..4).map(|host| (host, 0)).collect();
-        let plan = plan_ranges(&RangePlan::default(), &service(&rows)).expect("a first plan");
+        let plan = plan_ranges(&RangePlan::default(), 1, &service(&rows)).expect("a first plan");
         let mut bytes = plan.encode();
         let index = at % bytes.len();
         bytes[index] = byte;
--- a/crates/firspindle/src/process/story_command.rs
+++ b/crates/firspindle/src/process/story_command.rs
@@ -9,7 +9,7 @@
 const STATE_MESSAGES: [&str; 10] = [
     "manifest in force",
     "plan applied",
-    "log of the store was replaced",
+    "store was restored from an older copy",
     "reading changed",
     "upstream registered",
     "upstream draining",
--- a/crates/mesh/src/connection/state_fetch.rs
+++ b/crates/mesh/src/connection/state_fetch.rs
@@ -21,7 +21,7 @@
 
 /// Returns the path under which a peer answers with what is newer than a known state.
 fn news_path(known: KnownState) -> String {
-    format!("{STATE_PATH}?plan={}&manifest-end={}", known.plan, known.manifest_end)
+    format!("{STATE_PATH}?plan={}&manifest={}", known.plan, known.manifest)
 }
 
 /// Parses the query of a request for a peer's state; `None` if it asks for the whole state.
@@ -30,7 +30,7 @@
         let mut parts = query?.split('&').filter_map(|part| part.split_once('='));
         parts.find(|part| part.0 == name)?.1.parse().ok()
     };
-    Some(KnownState { plan: value("plan")?, manifest_end: value("manifest-end")? })
+    Some(KnownState { plan: value("plan")?, manifest: value("manifest")? })
 }
 
 /// Fetches the state of the peer at an address, the whole of it unless an earlier one is known, and
--- a/crates/mesh/src/process/control_event.rs
+++ b/crates/mesh/src/process/control_event.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use firspindle_core::connection::UpstreamReport;
-use firspindle_core::version::{LogPosition, RangePlan, UpstreamInstance};
+use firspindle_core::version::{LogEpoch, LogPosition, RangePlan, UpstreamInstance};
 use firspindle_edge::{ReadBatch, StateTopic, TopicSnapshot};
 use tokio::sync::oneshot;
 
@@ -29,8 +29,10 @@
     UpstreamProbed(Option<Box<str>>),
     /// Newest record of each key of a topic, and when the call began.
     Snapshot(StateTopic, TopicSnapshot, Instant),
-    /// Consecutive records of a topic, and when the call began.
-    Records(StateTopic, ReadBatch, Instant),
+    /// Consecutive records of a topic from a position on, and when the call began.
+    Records(StateTopic, LogPosition, ReadBatch, Instant),
+    /// The store refused a call and named the epoch of its log.
+    EpochSeen(LogEpoch),
     /// A call to the store for this topic failed.
     StoreFailed(StateTopic),
     /// A datagram from another node.
--- a/crates/mesh/src/process/control_state.rs
+++ b/crates/mesh/src/process/control_state.rs
@@ -91,7 +91,7 @@
     manifest: Option<Arc<RouteManifest>>,
     /// The manifest as the operator wrote it, for peers that fetch it.
     manifest_value: Bytes,
-    manifest_end: u64,
+    manifest_end: LogPosition,
     plan: RangePlan,
     /// Whether the plans were read, from the store or a peer; there may be none yet.
     plan_known: bool,
@@ -103,17 +103,23 @@
     plan_pending: bool,
     /// When this node last computed a plan.
     planned_at: Instant,
-    /// End of the plans in the store's answer to this node's last append; 0 without an answer.
-    planned_end: u64,
+    /// End of the plans in the store's answer to this node's last append.
+    planned_end: LogPosition,
     /// When a plan of another node was last applied.
     other_plan_at: Instant,
-    /// End of each topic in the store's last answer.
-    answered_ends: [LogPosition; 3],
-    /// Answers of the store that showed another log than those before.
-    logs_replaced: u64,
+    /// When this node learned of the store's epoch; `None` if it knows of no restore.
+    epoch_entered_at: Option<Instant>,
+    /// Until when it may renew grants by what it knew of the earlier epoch.
+    earlier_permit_until: Option<Instant>,
+    /// When the first plan of an epoch, which replaces all fences, was applied.
+    refenced_at: Option<Instant>,
+    /// Restores of the store that it has noticed.
+    restores: u64,
+    /// When its own record is written again after a restore.
+    write_own_after: Instant,
     /// Newest known record of each host, sorted by host.
     hosts: Vec<HostRecord>,
-    hosts_end: u64,
+    hosts_end: LogPosition,
     /// Whether the hosts' records were read from the store.
     hosts_known: bool,
     /// This node's record.
@@ -190,19 +196,22 @@
             incarnation,
             manifest: None,
             manifest_value: Bytes::new(),
-            manifest_end: 0,
+            manifest_end: LogPosition::default(),
             plan: RangePlan::default(),
             plan_known: false,
             confirmation: PlanConfirmation::default(),
             plan_applied_at: None,
             plan_pending: false,
             planned_at: now,
-            planned_end: 0,
+            planned_end: LogPosition::default(),
             other_plan_at: now.checked_sub(OTHER_PLAN_DELAY).unwrap_or(now),
-            answered_ends: [LogPosition::default(); 3],
-            logs_replaced: 0,
+            epoch_entered_at: None,
+            earlier_permit_until: None,
+            refenced_at: None,
+            restores: 0,
+            write_own_after: now,
             hosts: Vec::new(),
-            hosts_end: 0,
+            hosts_end: LogPosition::default(),
             hosts_known: false,
             own,
             own_written: None,
@@ -263,7 +272,7 @@
         let waited = self.own_written.is_none() || now >= self.started_at + FIRST_HEARTBEAT_WAIT;
         let complete = self.own.upstream.is_some() || (self.hosts_known && waited);
         let written = self.own_written.as_ref().is_some_and(|row| row.says_the_same(&self.own));
-        if complete && !written {
+        if complete && !written && now >= self.write_own_after {
             actions.push(ControlAction::PutHost(self.own.clone()));
         }
         actions.extend(self.probe_step(now));
@@ -284,10 +293,12 @@
         }
     }
 
-    /// Notes that a write of this node's record finished; `done` if the store acknowledged it. The
-    /// outcome of a failed write is unknown, so the record is written again.
-    pub fn host_written(&mut self, record: HostRecord, done: bool) {
-        self.own_written = done.then_some(record);
+    /// Notes that a write of this node's record finished: the end of the log, if the store acknowledged
+    /// it. The outcome of a failed write is unknown, and one of an earlier epoch is lost, so the record
+    /// is written again.
+    pub fn host_written(&mut self, record: HostRecord, end: Option<LogPosition>, now: Instant) {
+        self.enter_epoch(end.map_or(0, |end| end.epoch), now);
+        self.own_written = end.filter(|end| end.epoch == self.epoch()).map(|_| record);
     }
 
     fn host(&self, host: &str) -> Option<&HostRecord> {
--- a/crates/mesh/src/process/control_state/gossip_step.rs
+++ b/crates/mesh/src/process/control_state/gossip_step.rs
@@ -6,6 +6,7 @@
     AttestationRow, EchoRow, EndedFenceList, GossipMessage, RelayReport,
 };
 use firspindle_core::process::EndedFence;
+use firspindle_core::version::LogPosition;
 use firspindle_edge::PlatformCodec;
 
 use super::{ControlAction, ControlState};
@@ -18,7 +19,7 @@
 /// than their age before that.
 fn date_attestations(
     rows: &[AttestationRow],
-    plan_end: u64,
+    plan_end: LogPosition,
     sent_at: Instant,
     aged: bool,
 ) -> Vec<CollectedAttestation> {
@@ -42,6 +43,7 @@
         if message.sender.host == self.settings.host {
             return None;
         }
+        self.enter_epoch(message.mark.plan_position.epoch, now);
         self.keep_host(message.sender.clone());
         self.asked.note_answer(&message.sender.host);
         let stamp = self.stamp_ms(now);
@@ -54,11 +56,10 @@
         }
         self.grants.remove_acknowledged(&message.acknowledged);
         if let Some(echo) = message.echo {
-            self.apply_echo(&message.sender.host, echo, &message.report, stamp, now);
+            self.apply_echo(&message, echo, stamp, now);
         }
         self.apply_report(&message.report, now);
-        let [plan_end, _, manifest_end] = message.ends;
-        if plan_end > self.confirmation.end() || manifest_end > self.manifest_end {
+        if message.mark.is_ahead_of(&self.mark()) {
             self.behind_since.get_or_insert(now);
         }
         let news = self.merge_suspects(&message.suspects, now);
@@ -71,9 +72,8 @@
     /// is.
     pub(super) fn apply_echo(
         &mut self,
-        host: &str,
+        message: &GossipMessage,
         echo: EchoRow,
-        report: &RelayReport,
         stamp_ms: u64,
         now: Instant,
     ) {
@@ -83,16 +83,18 @@
         let sent_at = now.checked_sub(Duration::from_millis(stamp_ms - echo.stamp_ms));
         let Some(sent_at) = sent_at else { return };
         let aged = self.grants.guards().attestation_age;
-        if let Some(peer) = self.peers.get_mut(host) {
+        let plan_end = LogPosition::new(message.mark.plan_position.epoch, echo.plan_end);
+        let report = &message.report;
+        if let Some(peer) = self.peers.get_mut(&message.sender.host) {
             if echo.attests {
-                peer.attested = Some((echo.plan_end, sent_at));
+                peer.attested = Some((plan_end, sent_at));
             }
-            peer.centre = date_attestations(&report.centre, echo.plan_end, sent_at, aged);
-            peer.fleet = date_attestations(&report.fleet, echo.plan_end, sent_at, aged);
+            peer.centre = date_attestations(&report.centre, plan_end, sent_at, aged);
+            peer.fleet = date_attestations(&report.fleet, plan_end, sent_at, aged);
         }
         let age = echo.age_ms.map(Duration::from_millis);
         if let Some(at) = age.and_then(|age| sent_at.checked_sub(age)) {
-            self.confirmation.confirm(echo.plan_end, at);
+            self.confirmation.confirm(plan_end, at);
         }
     }
 
@@ -143,7 +145,7 @@
         now: Instant,
     ) -> GossipMessage {
         let stamp_ms = self.stamp_ms(now);
-        let plan_end = self.confirmation.end();
+        let plan_end = self.confirmation.position().offset;
         let age = self.confirmation.age(now).filter(|_| self.plan_known);
         let peer = self.peers.get_mut(host);
         let acknowledged = peer.map_or(Vec::new(), |peer| std::mem::take(&mut peer.to_acknowledge));
@@ -159,7 +161,7 @@
             sender: self.own.clone(),
             stamp_ms,
             echo,
-            ends: [plan_end, self.hosts_end, self.manifest_end],
+            ends: [plan_end, self.hosts_end.offset, self.manifest_end.offset],
             reaches_store: self.reaches_store(),
             settled_version: self.grants.settled_version(now),
             load: self.open_load(now),
@@ -168,6 +170,7 @@
             acknowledged,
             suspects: self.suspects.hints(now),
             report: RelayReport::default(),
+            mark: self.mark(),
         }
     }
 }
--- a/crates/mesh/src/process/control_state/plan_step.rs
+++ b/crates/mesh/src/process/control_state/plan_step.rs
@@ -5,7 +5,8 @@
 use firspindle_core::connection::UpstreamLoad;
 use firspindle_core::process::{RangeCandidate, ServiceCandidates, plan_ranges};
 use firspindle_core::version::{
-    HostRecord, LogPosition, RangePlan, ServiceRanges, UpstreamRecord, UpstreamState,
+    HostRecord, LogPosition, PlanVersion, RangePlan, ServiceRanges, UpstreamRecord, UpstreamState,
+    plan_version_at,
 };
 use firspindle_edge::PlatformCodec;
 
@@ -35,9 +36,10 @@
 impl<C: PlatformCodec> ControlState<C> {
     /// Notes that an append of this node's plan finished; `end` is the end of the plans, if the
     /// store answered with it.
-    pub fn plan_appended(&mut self, end: Option<LogPosition>) {
+    pub fn plan_appended(&mut self, end: Option<LogPosition>, now: Instant) {
         self.plan_pending = false;
-        self.planned_end = end.map_or(0, |end| end.offset);
+        self.enter_epoch(end.map_or(0, |end| end.epoch), now);
+        self.planned_end = end.unwrap_or_default();
     }
 
     /// Returns the time without a datagram after which another node counts as lost at present.
@@ -99,7 +101,8 @@
     pub(super) fn plan_step(&mut self, now: Instant) -> Option<ControlAction> {
         let delay = if self.plan.version == 0 { FIRST_PLAN_DELAY } else { PLANNER_DELAY };
         let early = now < self.started_at + delay || now < self.other_plan_at + OTHER_PLAN_DELAY;
-        let behind = self.confirmation.end() < self.planned_end;
+        let position = self.confirmation.position();
+        let behind = position < self.planned_end;
         // Without the records of the other hosts, this one would seem to be the only one alive.
         let uninformed = !self.plan_known || !self.hosts_known;
         if self.plan_pending || self.stopping || uninformed || early || behind {
@@ -108,6 +111,10 @@
         if !self.is_planner(now) {
             return None;
         }
+        let first_of_epoch = self.plan.epoch() < position.epoch;
+        if first_of_epoch && !self.earlier_epoch_ended(now) {
+            return None;
+        }
         let mut services = self.candidates(now)?;
         if now < self.other_plan_at + REBALANCE_INTERVAL
             || now < self.planned_at + REBALANCE_INTERVAL
@@ -115,15 +122,30 @@
             // The measured demand does not show yet what the last plan moved.
             services.iter_mut().flat_map(|row| &mut row.candidates).for_each(clear_capacity);
         }
-        let mut plan = plan_ranges(&self.plan, &services);
+        let settled_at = self.refenced_at.map(|at| self.grants.timing().replaced_end(false, at));
+        if settled_at.is_some_and(|at| now < at) {
+            // A new holder would wait until then.
+            services.iter_mut().flat_map(|row| &mut row.candidates).for_each(keep_cells);
+        }
+        let version = self.next_version();
+        let mut plan = plan_ranges(&self.plan, version, &services);
         if plan.is_none() && now > self.planned_at + SETTLED_PLAN_INTERVAL {
             plan = self.settled_plan(&services);
         }
         let plan = plan?;
         self.plan_pending = true;
         self.planned_at = now;
-        log_plan(&plan, self.confirmation.end());
-        Some(ControlAction::AppendPlan(plan, self.confirmation.end()))
+        log_plan(&plan, position);
+        Some(ControlAction::AppendPlan(plan, position.offset))
+    }
+
+    /// Returns the version of a plan that replaces the one in force.
+    fn next_version(&self) -> PlanVersion {
+        let next = self.plan.version + 1;
+        match self.grants.guards().epoch_fences {
+            true => next.max(plan_version_at(self.confirmation.position())),
+            false => next,
+        }
     }
 
     /// Returns the plan in force with newer settled versions, if a holder reports for the first
@@ -145,7 +167,7 @@
                 }
             }
         }
-        plan.version += 1;
+        plan.version = self.next_version();
         changed.then_some(plan)
     }
 
@@ -225,18 +247,24 @@
     }
 }
 
+/// Marks a candidate as one that takes no cells that others hold.
+fn keep_cells(candidate: &mut RangeCandidate) {
+    candidate.warm = false;
+    clear_capacity(candidate);
+}
+
 /// Marks a candidate's capacity as unknown, so that the next plan does not rebalance its demand.
 fn clear_capacity(candidate: &mut RangeCandidate) {
     candidate.capacity = 0.0;
 }
 
 /// Logs how many cells each holder of a plan gets.
-fn log_plan(plan: &RangePlan, end: u64) {
+fn log_plan(plan: &RangePlan, end: LogPosition) {
     for ranges in &plan.services {
         let held = ranges.holders.iter().zip(ranges.cells_held());
         let held: Vec<_> = held.map(|(row, cells)| format!("{}:{cells}", row.host)).collect();
         log::info!(
-            version = plan.version, end, service = &*ranges.service, held = &*held.join(",");
+            version = plan.version, end:%, service = &*ranges.service, held = &*held.join(",");
             "plan computed"
         );
     }
--- a/crates/mesh/src/process/control_state/read_step.rs
+++ b/crates/mesh/src/process/control_state/read_step.rs
@@ -58,13 +58,13 @@
             StateTopic::Manifests => (self.manifest_end, MANIFEST_WAIT, Duration::ZERO),
             StateTopic::Hosts => (self.hosts_end, Duration::ZERO, self.hosts_interval(now)),
             StateTopic::Plans if told && confirmed => {
-                (self.confirmation.end(), Duration::ZERO, IDLE_INTERVAL)
+                (self.confirmation.position(), Duration::ZERO, IDLE_INTERVAL)
             }
             // The relays read as well; if they cannot, the others try in turn.
             StateTopic::Plans if told => {
-                (self.confirmation.end(), Duration::ZERO, self.shared_interval())
+                (self.confirmation.position(), Duration::ZERO, self.shared_interval())
             }
-            StateTopic::Plans => (self.confirmation.end(), Duration::ZERO, CONFIRM_INTERVAL),
+            StateTopic::Plans => (self.confirmation.position(), Duration::ZERO, CONFIRM_INTERVAL),
         };
         // While the store does not answer, a read is to fail soon: its failure restarts the other
         // reads that hang.
--- a/crates/mesh/src/process/control_state/record_step.rs
+++ b/crates/mesh/src/process/control_state/record_step.rs
@@ -4,7 +4,8 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use firspindle_core::version::{HostRecord, LogPosition, RangePlan};
+use firspindle_core::connection::{StateMark, hash_host};
+use firspindle_core::version::{HostRecord, LogEpoch, LogPosition, RangePlan};
 use firspindle_edge::{PlatformCodec, ReadBatch, StateTopic, TopicRecord, TopicSnapshot};
 
 use super::record_origin::RecordOrigin;
@@ -15,56 +16,100 @@
 /// nodes arrive within one round trip, and one fetch answers both.
 const FETCH_DELAY: Duration = Duration::from_millis(30);
 
+/// Time for each host over which the hosts' records are written again after a restore of the store.
+const WRITE_SPREAD: Duration = Duration::from_millis(4);
+
+/// Returns a part of one that differs between hosts.
+fn hash_share(host: &str) -> f64 {
+    f64::from(hash_host(host)) / f64::from(u32::MAX)
+}
+
 impl<C: PlatformCodec> ControlState<C> {
     /// Applies the newest record of each key of a topic, read by a call that began at `at`.
     pub fn handle_snapshot(
         &mut self,
         topic: StateTopic,
-        state: TopicSnapshot,
+        state: &TopicSnapshot,
         at: Instant,
         now: Instant,
     ) {
         self.note_store_answer(true);
-        self.note_end(topic, state.end);
+        self.enter_epoch(state.end.epoch, now);
+        if state.end.epoch < self.epoch() {
+            return;
+        }
         if topic == StateTopic::Hosts {
             let records = state.values.iter().filter_map(|row| HostRecord::decode(&row.value));
             let own = records.into_iter().find(|record| record.host == self.settings.host);
             self.first_start = own.is_none() && !self.hosts_known;
             self.own_written = self.own_written.take().or(own);
         }
-        let contiguous = false;
-        let values = state.values;
-        self.apply_values(topic, &values, state.end.offset, at, contiguous, now);
+        self.apply_values(topic, &state.values, state.end, at, now);
     }
 
-    /// Applies consecutive records of a topic, read by a call that began at `at`.
+    /// Applies consecutive records of a topic from a position on, read by a call that began at `at`.
+    /// Records of another epoch than the position's do not follow those that were applied.
     pub fn handle_records(
         &mut self,
         topic: StateTopic,
+        from: LogPosition,
         batch: &ReadBatch,
         at: Instant,
         now: Instant,
     ) {
         self.note_store_answer(true);
-        self.note_end(topic, batch.end);
-        self.apply_values(topic, &batch.records, batch.end.offset, at, true, now);
+        self.enter_epoch(batch.end.epoch, now);
+        if from.epoch != self.epoch() || batch.end.epoch != from.epoch {
+            return;
+        }
+        // The store may bound a read by size, so the read ends after its last record.
+        let last = batch.records.last();
+        let end = last.map_or(batch.end, |row| LogPosition::new(from.epoch, row.offset + 1));
+        self.apply_values(topic, &batch.records, end, at, now);
     }
 
-    /// Notes the end of a topic in an answer of the store.
-    fn note_end(&mut self, topic: StateTopic, end: LogPosition) {
-        let known = &mut self.answered_ends[topic as usize];
-        let went_back = end.offset < known.offset;
-        if went_back || end.epoch != known.epoch {
-            log::warn!(topic:?, from:% = known, to:% = end; "log of the store was replaced");
-            self.logs_replaced += 1;
+    /// Notes that the store's log is of this epoch, unless a later one is known already. Nothing of its
+    /// log was applied yet, and what this node may do under the earlier one ends by itself.
+    pub fn enter_epoch(&mut self, epoch: LogEpoch, now: Instant) {
+        let earlier = self.epoch();
+        if epoch <= earlier {
+            return;
         }
-        *known = end;
+        if self.plan_known || self.manifest.is_some() {
+            log::warn!(
+                from = earlier, to = epoch, plan = self.plan.version,
+                manifest = self.mark().manifest;
+                "store was restored from an older copy"
+            );
+            self.restores += 1;
+        }
+        self.earlier_permit_until = self.grant_permit(now).renew_until;
+        self.epoch_entered_at = Some(now);
+        self.confirmation.enter_epoch(epoch);
+        self.manifest_end = LogPosition::new(epoch, 0);
+        self.hosts_end = LogPosition::new(epoch, 0);
+        self.own_written = None;
+        let spread = WRITE_SPREAD * u32::try_from(self.hosts.len()).unwrap_or(u32::MAX);
+        self.write_own_after = now + spread.mul_f64(hash_share(&self.settings.host));
+    }
+
+    /// Returns the epoch of the store's log.
+    pub(super) const fn epoch(&self) -> LogEpoch {
+        self.confirmation.position().epoch
     }
 
-    /// Returns how often an answer of the store showed a log that was replaced: it ended before the end
-    /// in an earlier answer, or was of another epoch.
-    pub const fn logs_replaced(&self) -> u64 {
-        self.logs_replaced
+    /// Returns how many restores of the store this node has noticed.
+    pub const fn restores(&self) -> u64 {
+        self.restores
+    }
+
+    /// Returns which records this node has applied.
+    pub fn mark(&self) -> StateMark {
+        StateMark {
+            plan_position: self.confirmation.position(),
+            plan: self.plan.version,
+            manifest: self.manifest.as_ref().map_or(0, |manifest| manifest.version),
+        }
     }
 
     /// Notes whether the store answered a call of this node.
@@ -76,24 +121,23 @@
         self.reaches_store = answers;
     }
 
-    pub(super) fn apply_values(
+    fn apply_values(
         &mut self,
         topic: StateTopic,
         values: &[TopicRecord],
-        end: u64,
+        end: LogPosition,
         at: Instant,
-        contiguous: bool,
         now: Instant,
     ) {
-        // The store may bound a read by size, so the read ends after its last record.
-        let end = if contiguous { values.last().map_or(end, |row| row.offset + 1) } else { end };
+        let origin = |row: &TopicRecord| RecordOrigin::Store {
+            position: LogPosition::new(end.epoch, row.offset),
+            read_at: at,
+        };
         match topic {
             StateTopic::Manifests => {
                 let key = self.codec.manifest_key();
                 for row in values.iter().filter(|row| &*row.key == key) {
-                    let position = LogPosition::new(self.answered_ends[0].epoch, row.offset);
-                    let origin = RecordOrigin::Store { position, read_at: at };
-                    self.apply_manifest(&row.value, origin, now);
+                    self.apply_manifest(&row.value, origin(row), now);
                 }
                 self.manifest_end = self.manifest_end.max(end);
             }
@@ -107,12 +151,7 @@
             StateTopic::Plans => {
                 for row in values {
                     match RangePlan::decode(&row.value) {
-                        Some(plan) => {
-                            let position =
-                                LogPosition::new(self.answered_ends[2].epoch, row.offset);
-                            let origin = RecordOrigin::Store { position, read_at: at };
-                            self.apply_plan(plan, origin, now);
-                        }
+                        Some(plan) => self.apply_plan(plan, origin(row), now),
                         None => log::error!(offset = row.offset; "plan decoding failed"),
                     }
                 }
@@ -185,7 +224,9 @@
         if plan.version <= self.plan.version {
             return;
         }
-        let contiguous = self.plan_known && plan.version == self.plan.version + 1;
+        let is_next = plan.version == self.plan.version + 1;
+        let is_first = self.plan.version == 0 && self.settings.bootstrap;
+        let contiguous = self.plan_known && (is_next || is_first);
         log::info!(
             version = plan.version, contiguous, origin = origin.name(),
             position:% = origin.position(),
@@ -195,6 +236,9 @@
         if !self.plan_pending && self.plan_known {
             self.other_plan_at = now;
         }
+        if self.plan.version > 0 && plan.epoch() > self.plan.epoch() {
+            self.refenced_at = Some(now);
+        }
         if let Some(ranges) = plan.service(&self.settings.service) {
             self.grants.apply_ranges(plan.version, ranges.clone(), contiguous, now);
         }
@@ -205,9 +249,9 @@
 
     pub(super) fn refresh_snapshot(&mut self) {
         self.snapshot = Arc::new(StateSnapshot {
+            mark: self.mark(),
             manifest_end: self.manifest_end,
             manifest: self.manifest_value.to_vec(),
-            plan_end: if self.plan_known { self.confirmation.end() } else { 0 },
             plan: if self.plan.version > 0 { self.plan.encode() } else { Vec::new() },
             hosts_end: self.hosts_end,
             hosts: self.hosts.iter().map(HostRecord::encode).collect(),
@@ -218,34 +262,31 @@
     /// node needs the whole state.
     pub fn known_state(&self) -> Option<KnownState> {
         let complete = self.plan_known && self.manifest.is_some() && !self.needs_whole_state;
-        complete.then_some(KnownState { plan: self.plan.version, manifest_end: self.manifest_end })
+        let mark = self.mark();
+        complete.then_some(KnownState { plan: mark.plan, manifest: mark.manifest })
     }
 
     /// Applies what a peer sent that is newer than the state that this node knew. Changes that do not
     /// fit this node's plan are left out, and the whole state is fetched next.
     pub fn handle_peer_news(&mut self, news: &StateNews, now: Instant) {
         self.behind_since = None;
-        if let Some(manifest) =
-            news.manifest.as_ref().filter(|_| news.manifest_end > self.manifest_end)
-        {
-            let end = LogPosition::new(0, news.manifest_end);
-            let origin = RecordOrigin::Peer { end };
+        self.enter_epoch(news.mark.plan_position.epoch, now);
+        if let Some(manifest) = &news.manifest {
+            let origin = RecordOrigin::Peer { end: news.manifest_end };
             self.apply_manifest(&Bytes::from(manifest.clone()), origin, now);
-            self.manifest_end = news.manifest_end;
         }
-        if news.plan_end > self.confirmation.end() {
-            match news.changes.as_ref().map(|changes| changes.apply(&self.plan)) {
-                Some(Some(plan)) => {
-                    let end = LogPosition::new(0, news.plan_end);
-                    self.apply_plan(plan, RecordOrigin::Peer { end }, now);
-                    self.confirmation.advance(news.plan_end);
-                }
-                // A record that is no plan was appended.
-                None => self.confirmation.advance(news.plan_end),
-                Some(None) => {
-                    log::info!(version = self.plan.version; "changes of a peer do not fit the plan");
-                    self.needs_whole_state = true;
-                }
+        self.manifest_end = self.manifest_end.max(news.manifest_end);
+        let changes = news.changes.as_ref().filter(|row| row.version() > self.plan.version);
+        match changes.map(|changes| changes.apply(&self.plan)) {
+            Some(Some(plan)) => {
+                let origin = RecordOrigin::Peer { end: news.mark.plan_position };
+                self.apply_plan(plan, origin, now);
+                self.confirmation.advance(news.mark.plan_position);
+            }
+            None => self.confirmation.advance(news.mark.plan_position),
+            Some(None) => {
+                log::info!(version = self.plan.version; "changes of a peer do not fit the plan");
+                self.needs_whole_state = true;
             }
         }
         self.refresh_snapshot();
@@ -255,39 +296,33 @@
     pub fn handle_peer_state(&mut self, state: &StateSnapshot, now: Instant) {
         self.behind_since = None;
         self.needs_whole_state = false;
-        if state.manifest_end > self.manifest_end && !state.manifest.is_empty() {
-            let end = LogPosition::new(0, state.manifest_end);
-            let origin = RecordOrigin::Peer { end };
+        self.enter_epoch(state.mark.plan_position.epoch, now);
+        if state.mark.manifest > self.mark().manifest {
+            let origin = RecordOrigin::Peer { end: state.manifest_end };
             self.apply_manifest(&Bytes::from(state.manifest.clone()), origin, now);
-            self.manifest_end = state.manifest_end;
         }
-        if state.hosts_end > self.hosts_end {
-            state.hosts.iter().for_each(|record| self.apply_host(record));
-            self.hosts_end = state.hosts_end;
+        if state.mark.manifest > 0 {
+            self.manifest_end = self.manifest_end.max(state.manifest_end);
         }
-        let newer =
-            state.plan_end > self.confirmation.end() || (!self.plan_known && state.plan_end > 0);
-        if let Some(plan) = RangePlan::decode(&state.plan).filter(|_| newer) {
-            let end = LogPosition::new(0, state.plan_end);
-            self.apply_plan(plan, RecordOrigin::Peer { end }, now);
+        state.hosts.iter().for_each(|record| self.apply_host(record));
+        self.hosts_end = self.hosts_end.max(state.hosts_end);
+        if let Some(plan) = RangePlan::decode(&state.plan) {
+            let origin = RecordOrigin::Peer { end: state.mark.plan_position };
+            self.apply_plan(plan, origin, now);
             self.plan_known = true;
             // When the peer read this end is learned from its datagrams, so this confirms nothing.
-            self.confirmation.advance(state.plan_end);
+            self.confirmation.advance(state.mark.plan_position);
         }
         self.refresh_snapshot();
     }
 
-    /// Returns the ends of the logs of plans and manifests up to which this node has applied records.
-    pub fn news_ends(&self) -> [u64; 2] {
-        [self.confirmation.end(), self.manifest_end]
-    }
-
     /// Applies a plan of this node that the store appended as the last before `end`, by a call that
     /// began at `at`.
     pub fn plan_stored(&mut self, plan: RangePlan, end: LogPosition, at: Instant, now: Instant) {
-        if self.confirmation.end() + 1 == end.offset {
+        let position = self.confirmation.position();
+        if end == LogPosition::new(position.epoch, position.offset + 1) {
             self.apply_plan(plan, RecordOrigin::Append { end, began_at: at }, now);
-            self.confirmation.note_applied(end.offset, at);
+            self.confirmation.note_applied(end, at);
             self.refresh_snapshot();
         }
     }
@@ -297,10 +332,9 @@
         if now < since + FETCH_DELAY {
             return None;
         }
-        let (plan_end, manifest_end) = (self.confirmation.end(), self.manifest_end);
+        let mark = self.mark();
         let ahead = |row: &&crate::process::peer_table::PeerRow| {
-            now < row.received_at + PEER_TIMEOUT
-                && (row.ends[0] > plan_end || row.ends[2] > manifest_end)
+            now < row.received_at + PEER_TIMEOUT && row.mark.is_ahead_of(&mark)
         };
         // Incarnations differ between nodes, so their fetches spread over the peers that are ahead.
         let count = self.peers.rows().iter().filter(ahead).count().max(1) as u64;
--- a/crates/mesh/src/process/control_state/relay_step.rs
+++ b/crates/mesh/src/process/control_state/relay_step.rs
@@ -6,7 +6,7 @@
     AttestationRow, HostHash, RelayReport, RelayedLoad, UpstreamLoad, cover_hosts, hash_host,
 };
 use firspindle_core::process::{CentreRelays, RelayCandidate, choose_relays, order_leaders};
-use firspindle_core::version::{HostRecord, ServiceRanges, UpstreamState};
+use firspindle_core::version::{HostRecord, LogPosition, ServiceRanges, UpstreamState};
 use firspindle_edge::PlatformCodec;
 
 use super::{ControlAction, ControlState, PEER_TIMEOUT, PLANNER_COUNT};
@@ -43,7 +43,7 @@
 #[derive(Debug, Clone)]
 pub(super) struct RelayCache {
     collected_at: Instant,
-    plan_end: u64,
+    plan_end: LogPosition,
     /// Attestations of the holders in this data centre.
     centre: Vec<CollectedAttestation>,
     /// Attestations of all holders.
@@ -290,7 +290,7 @@
     /// Returns when the oldest attestation of a service's holders in this data centre was given;
     /// `None` while one of them has not attested the plan in force, and the holders.
     fn centre_attested(&self, ranges: &ServiceRanges, now: Instant) -> Option<(u64, Instant)> {
-        let end = self.confirmation.end();
+        let end = self.confirmation.position();
         let mut oldest = now;
         let mut covered = Vec::new();
         for holder in &ranges.holders {
@@ -344,7 +344,7 @@
         covered: u64,
         rows: impl Fn(&crate::process::peer_table::PeerRow) -> &Vec<CollectedAttestation>,
     ) -> Option<Instant> {
-        let end = self.confirmation.end();
+        let end = self.confirmation.position();
         let all = self.peers.rows().iter().flat_map(rows);
         let matching = all.filter(|row| {
             row.service == ranges.service && row.plan_end == end && row.covered == covered
@@ -355,7 +355,7 @@
     /// Takes what was collected a moment ago for the plan in force, which stays true with its age, or
     /// collects it anew.
     fn collected(&mut self, now: Instant) -> RelayCache {
-        let end = self.confirmation.end();
+        let end = self.confirmation.position();
         let kept = self.collected.take();
         let kept =
             kept.filter(|row| row.plan_end == end && now < row.collected_at + COLLECTED_TIME);
@@ -363,7 +363,7 @@
     }
 
     fn collect(&self, now: Instant) -> RelayCache {
-        let plan_end = self.confirmation.end();
+        let plan_end = self.confirmation.position();
         let loads = self.free_loads(now);
         let mut cache = RelayCache {
             collected_at: now,
--- a/crates/mesh/src/process/control_state/upstream_step.rs
+++ b/crates/mesh/src/process/control_state/upstream_step.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use firspindle_core::connection::UpstreamReport;
+use firspindle_core::process::GrantPermit;
 use firspindle_core::version::{UpstreamInstance, UpstreamRecord, UpstreamState};
 use firspindle_edge::PlatformCodec;
 
@@ -20,8 +21,8 @@
     /// response to the heartbeat.
     pub fn handle_report(&mut self, report: &UpstreamReport, now: Instant) -> Bytes {
         let leaving = self.leaving.contains(&report.instance);
-        let grant_until = self.grant_deadline(now);
-        let reply = self.grants.apply_report(report, grant_until, now);
+        let permit = self.grant_permit(now);
+        let reply = self.grants.apply_report(report, permit, now);
         if self.grants.instance() == Some(&report.instance) {
             self.update_upstream(report, leaving, now);
         }
@@ -45,23 +46,44 @@
         self.codec.encode_reply(sent_reply.as_ref())
     }
 
-    /// Returns the time until which this node may grant under the plan that it has applied: for a
-    /// short time after the store confirmed the plan, and beyond that for a longer time while every
-    /// other holder of the plan attests that nothing was granted under a later one.
-    pub(super) fn grant_deadline(&self, now: Instant) -> Option<Instant> {
-        let confirmed = self.confirmation.confirmed_at().filter(|_| self.plan_known)?;
+    /// Returns until when this node may grant under the plan that it has applied: for a short time after
+    /// the store confirmed the plan, and what is held already for a longer time while every other holder
+    /// of the plan attests that nothing was granted under a later one.
+    pub(super) fn grant_permit(&self, now: Instant) -> GrantPermit {
         let timing = self.grants.timing();
-        let short = confirmed + timing.confirm;
-        if !self.grants.guards().confirm {
-            return Some(now + timing.confirm);
+        let confirmed = self.confirmation.confirmed_at().filter(|_| self.plan_known);
+        let short = confirmed.map(|at| at + timing.confirm);
+        let guards = self.grants.guards();
+        if !guards.confirm {
+            let until = Some(now + timing.confirm);
+            return GrantPermit { acquire_until: until, renew_until: until, trusts_reports: true };
         }
-        if now < short {
-            return Some(short);
+        if guards.epoch_plan && self.plan.epoch() < self.epoch() {
+            let extended = short.filter(|_| self.earlier_epoch_ended(now));
+            let renew_until = self.earlier_permit_until.max(extended);
+            return GrantPermit { acquire_until: None, renew_until, trusts_reports: false };
+        }
+        let renew_until = short.max(self.attested_until(now));
+        let acquire_until = if guards.acquire_confirm { short } else { renew_until };
+        GrantPermit { acquire_until, renew_until, trusts_reports: true }
+    }
+
+    /// Returns until when the attestations of the other holders extend the permission to grant.
+    fn attested_until(&self, now: Instant) -> Option<Instant> {
+        let timing = self.grants.timing();
+        let confirmed = self.confirmation.confirmed_at().filter(|_| self.plan_known)?;
+        if now < confirmed + timing.confirm {
+            return None;
         }
         let ranges = self.plan.service(&self.settings.service)?;
-        let Some(attested) = self.fleet_attested(ranges, now) else { return Some(short) };
-        let until = (confirmed + timing.attested).min(attested + timing.confirm);
-        Some(until.max(short))
+        let attested = self.fleet_attested(ranges, now)?;
+        Some((confirmed + timing.attested).min(attested + timing.confirm))
+    }
+
+    /// Whether every node of the earlier epoch has lost the permission to grant cells that are not held.
+    pub(super) fn earlier_epoch_ended(&self, now: Instant) -> bool {
+        let ends_at = self.epoch_entered_at.map(|at| at + self.grants.timing().confirm);
+        !self.grants.guards().epoch_wait || ends_at.is_none_or(|at| now >= at)
     }
 
     pub(super) fn update_upstream(&mut self, report: &UpstreamReport, leaving: bool, now: Instant) {
--- a/crates/mesh/src/process/control_thread.rs
+++ b/crates/mesh/src/process/control_thread.rs
@@ -8,8 +8,10 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use firspindle_core::connection::StateMark;
 use firspindle_core::process::GrantGuards;
 use firspindle_core::request::SuspectHint;
+use firspindle_core::version::{HostRecord, LogPosition};
 use firspindle_edge::{BootClock, PlatformCodec, StateStore, StateTopic};
 use http::HeaderName;
 use tokio::net::UdpSocket;
@@ -71,6 +73,9 @@
 /// All topics.
 const TOPICS: [StateTopic; 3] = [StateTopic::Manifests, StateTopic::Hosts, StateTopic::Plans];
 
+/// A finished write of this node's host record, and the end of the log if the store acknowledged it.
+type HostWrite = (HostRecord, Option<LogPosition>);
+
 struct ControlThread<C, S> {
     state: ControlState<C>,
     store: S,
@@ -81,11 +86,11 @@
     shared: Arc<SharedState>,
     /// Whether a write of this node's host record is in flight; one at a time.
     write_pending: Rc<Cell<bool>>,
-    /// Record of the last finished write and whether the store acknowledged it.
-    write_result: Rc<Cell<Option<(firspindle_core::version::HostRecord, bool)>>>,
+    /// The last finished write.
+    write_result: Rc<Cell<Option<HostWrite>>>,
     notices: Vec<CrashNotice>,
-    /// Ends of plans and manifests that the others were told of last.
-    told_ends: [u64; 2],
+    /// Which records the others were told of last.
+    told_mark: StateMark,
     ticks: u32,
     upstream: SocketAddr,
     upstream_id: HeaderName,
@@ -127,7 +132,7 @@
         write_pending: Rc::default(),
         write_result: Rc::default(),
         notices: Vec::new(),
-        told_ends: [0; 2],
+        told_mark: StateMark::default(),
         ticks: 0,
         upstream,
         upstream_id,
@@ -181,7 +186,7 @@
                 self.step();
             }
             ControlEvent::Snapshot(topic, snapshot, at) => {
-                self.state.handle_snapshot(topic, snapshot, at, now);
+                self.state.handle_snapshot(topic, &snapshot, at, now);
                 self.publish_and_step();
                 self.tell_news();
                 if topic == StateTopic::Hosts {
@@ -190,15 +195,16 @@
                     self.execute(actions);
                 }
             }
-            ControlEvent::Records(topic, batch, at) => {
+            ControlEvent::Records(topic, from, batch, at) => {
                 let changed = !batch.records.is_empty();
-                self.state.handle_records(topic, &batch, at, now);
+                self.state.handle_records(topic, from, &batch, at, now);
                 if changed {
                     self.publish_and_step();
                     self.send_ended_fences();
                 }
                 self.tell_news();
             }
+            ControlEvent::EpochSeen(epoch) => self.state.enter_epoch(epoch, now),
             ControlEvent::StoreFailed(_) => self.state.note_store_answer(false),
             ControlEvent::Datagram(bytes) => {
                 if let Some(host) = self.state.handle_datagram(&bytes, now) {
@@ -232,7 +238,7 @@
                     self.state.plan_stored(*plan, end, at, now);
                     self.publish();
                 }
-                self.state.plan_appended(end);
+                self.state.plan_appended(end, now);
                 self.tell_news();
             }
             ControlEvent::Shutdown => {
@@ -246,11 +252,11 @@
     /// Tells others at once of plans and manifests that this node has just applied; returns whether
     /// there were any.
     fn tell_news(&mut self) -> bool {
-        let ends = self.state.news_ends();
-        if ends == self.told_ends {
+        let mark = self.state.mark();
+        if mark == self.told_mark {
             return false;
         }
-        self.told_ends = ends;
+        self.told_mark = mark;
         let now = self.clock.now();
         let hosts = self.state.new_plan_hosts(now);
         let actions = self.state.datagrams(&hosts, now);
@@ -283,7 +289,7 @@
         self.update_schedules();
         self.state.set_load(self.shared.load(), self.shared.demand());
         self.finish_notices();
-        self.shared.metrics.logs_replaced.set(self.state.logs_replaced().cast_signed());
+        self.shared.metrics.restores.set(self.state.restores().cast_signed());
         self.publish();
         self.step();
         if self.ticks.is_multiple_of(TRAFFIC_LOG_TICKS) {
@@ -306,8 +312,8 @@
 
     fn step(&mut self) {
         // First, so that a record that was just written is not written again.
-        if let Some((record, done)) = self.write_result.take() {
-            self.state.host_written(record, done);
+        if let Some((record, end)) = self.write_result.take() {
+            self.state.host_written(record, end, self.clock.now());
         }
         let actions = self.state.tick(self.clock.now());
         self.execute(actions);
--- a/crates/mesh/src/process/control_thread/call_step.rs
+++ b/crates/mesh/src/process/control_thread/call_step.rs
@@ -47,7 +47,7 @@
                 log::info!(error:%; "writing the host record failed");
                 tokio::time::sleep(TICK_INTERVAL).await;
             }
-            write_result.set(Some((record, put.is_ok())));
+            write_result.set(Some((record, put.ok())));
             write_pending.set(false);
         });
     }
--- a/crates/mesh/src/process/mesh_metrics.rs
+++ b/crates/mesh/src/process/mesh_metrics.rs
@@ -41,8 +41,8 @@
     peer_bytes: [[IntCounter; 4]; 2],
     /// Calls to the store, by topic and kind: newest, read or append.
     pub store_calls: IntCounterVec,
-    /// Answers of the store that showed another log than those before: shorter, or of another epoch.
-    pub logs_replaced: IntGauge,
+    /// Restores of the store that this node has noticed.
+    pub restores: IntGauge,
     /// Requests sent to the upstream.
     pub sends: IntCounter,
 }
@@ -80,12 +80,12 @@
         )
         .expect("valid");
         registry.register(Box::new(upstream_limit.clone())).expect("the name is new");
-        let logs_replaced = IntGauge::new(
-            "firspindle_logs_replaced",
-            "Answers of the store that showed a shorter log or another epoch than those before",
+        let restores = IntGauge::new(
+            "firspindle_store_restores",
+            "Restores of the store from an older copy that this node has noticed",
         )
         .expect("valid");
-        registry.register(Box::new(logs_replaced.clone())).expect("the name is new");
+        registry.register(Box::new(restores.clone())).expect("the name is new");
         let peer_bytes = family(
             "firspindle_peer_bytes_total",
             "Bytes exchanged with other nodes",
@@ -113,7 +113,7 @@
                 &["service"],
             ),
             timer_lag,
-            logs_replaced,
+            restores,
             link_backlog,
             upstream_limit,
             abandoned: family(
--- a/crates/mesh/src/process/mesh_settings.rs
+++ b/crates/mesh/src/process/mesh_settings.rs
@@ -32,6 +32,8 @@
     pub upstream: SocketAddr,
     /// Address of the platform's store.
     pub store: Box<str>,
+    /// Whether the system starts for the first time, so that no upstream can hold keys yet.
+    pub bootstrap: bool,
     /// Addresses to listen on.
     pub listen: MeshListen,
     /// Limits that the platform sets.
@@ -89,6 +91,8 @@
     service: Spanned<Box<str>>,
     upstream: Spanned<Box<str>>,
     store: Spanned<Box<str>>,
+    #[serde(default)]
+    bootstrap: bool,
     listen: RawListen,
     bounds: RawBounds,
 }
@@ -133,6 +137,7 @@
             service: non_empty(text, "service", &raw.service)?,
             upstream: address(text, "upstream", &raw.upstream)?,
             store: non_empty(text, "store", &raw.store)?,
+            bootstrap: raw.bootstrap,
             listen: MeshListen {
                 traffic: address(text, "traffic", &listen.traffic)?,
                 forward: address(text, "forward", &listen.forward)?,
--- a/crates/mesh/src/process/peer_table.rs
+++ b/crates/mesh/src/process/peer_table.rs
@@ -3,9 +3,10 @@
 use std::time::{Duration, Instant};
 
 use firspindle_core::connection::{
-    DemandReport, EndedFenceList, GossipMessage, HostHash, UpstreamLoad,
+    DemandReport, EndedFenceList, GossipMessage, HostHash, StateMark, UpstreamLoad,
 };
 use firspindle_core::request::SuspectHint;
+use firspindle_core::version::LogPosition;
 
 /// Newest state of one other node.
 #[derive(Debug, Clone)]
@@ -17,9 +18,8 @@
     pub(crate) incarnation: u64,
     /// Newest timestamp on the peer's clock, to be echoed to it.
     pub(crate) stamp_ms: u64,
-    /// Ends of the logs of plans, hosts and manifests, in this order, up to which the peer has
-    /// applied records.
-    pub(crate) ends: [u64; 3],
+    /// Which records the peer has applied.
+    pub(crate) mark: StateMark,
     /// Whether the store answered the peer's last call.
     pub(crate) reaches_store: bool,
     /// Plan version up to which every hold of an earlier holder of the peer's cells has ended.
@@ -27,7 +27,7 @@
     pub(crate) load: UpstreamLoad,
     pub(crate) demand: DemandReport,
     /// End of the plans that the peer attested most recently, and a time before it did so.
-    pub(crate) attested: Option<(u64, Instant)>,
+    pub(crate) attested: Option<(LogPosition, Instant)>,
     /// Ended fences that the peer reported, to be acknowledged.
     pub(crate) to_acknowledge: EndedFenceList,
     /// Suspected requests in the peer's newest datagram.
@@ -49,7 +49,7 @@
 pub(crate) struct CollectedAttestation {
     pub(crate) service: Box<str>,
     /// End of the plans that they attested.
-    pub(crate) plan_end: u64,
+    pub(crate) plan_end: LogPosition,
     /// Who attested, as a sum of hashes.
     pub(crate) covered: u64,
     /// A time before the oldest of them.
@@ -75,7 +75,7 @@
                     received_at: now,
                     incarnation: 0,
                     stamp_ms: 0,
-                    ends: [0; 3],
+                    mark: StateMark::default(),
                     reaches_store: false,
                     settled_version: 0,
                     load: UpstreamLoad::default(),
@@ -105,7 +105,7 @@
         row.received_at = now;
         row.incarnation = incarnation;
         row.stamp_ms = message.stamp_ms;
-        row.ends = message.ends;
+        row.mark = message.mark;
         row.reaches_store = message.reaches_store;
         row.settled_version = message.settled_version;
         row.load = message.load;
--- a/crates/mesh/src/process/store_watch.rs
+++ b/crates/mesh/src/process/store_watch.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use firspindle_core::version::LogPosition;
 use firspindle_edge::{BootClock, StateStore, StateTopic, StoreError};
 use tokio::sync::mpsc::UnboundedSender;
 
@@ -29,8 +30,8 @@
 /// How a topic is read: from where, how long, how often.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct ReadSchedule {
-    /// Offset of the next read; state fetched from a peer may have advanced it.
-    pub from: u64,
+    /// Position of the next read; state fetched from a peer may have advanced it.
+    pub from: LogPosition,
     /// Time that the store may wait for new records before it answers.
     pub wait: Duration,
     /// Time between two reads.
@@ -57,20 +58,31 @@
     shared: Arc<SharedState>,
 ) {
     let mut has_snapshot = wait_start(&schedule).await;
+    let mut epoch = schedule().from.epoch;
     loop {
         wait_unpaused(&schedule).await;
+        if schedule().from.epoch != epoch {
+            // A peer may have sent the newest records of the later epoch.
+            epoch = schedule().from.epoch;
+            has_snapshot &= schedule().from.offset > 0;
+        }
         let at = clock.now();
         let failed = if has_snapshot {
             let ReadSchedule { from, wait, .. } = schedule();
             shared.metrics.count_store_call(topic, "read");
             let read = tokio::select! {
-                read = store.read(topic, from, wait) => read,
+                read = store.read(topic, from.offset, wait) => read,
                 () = wait_outdated(&schedule, from) => continue,
                 () = wait_unanswered(&unanswered_at, at) => continue,
             };
             match read {
                 Ok(batch) => {
-                    let _ = tx.send(ControlEvent::Records(topic, batch, at));
+                    let replaced = batch.end.epoch != from.epoch;
+                    let _ = tx.send(ControlEvent::Records(topic, from, batch, at));
+                    if replaced {
+                        tokio::time::sleep(RETRY_DELAY).await;
+                        continue;
+                    }
                     // Lets the control state apply the batch before its end is read again.
                     tokio::task::yield_now().await;
                     wait_interval(&schedule).await;
@@ -83,6 +95,7 @@
             match store.newest(topic).await {
                 Ok(snapshot) => {
                     has_snapshot = true;
+                    epoch = epoch.max(snapshot.end.epoch);
                     let _ = tx.send(ControlEvent::Snapshot(topic, snapshot, at));
                     tokio::task::yield_now().await;
                     continue;
@@ -91,8 +104,10 @@
             }
         };
         log::info!(topic:?, error:% = failed; "store call failed");
-        if matches!(failed, StoreError::Expired { .. }) {
+        if let StoreError::Expired { first } = failed {
             has_snapshot = false;
+            let _ = tx.send(ControlEvent::EpochSeen(first.epoch));
+            tokio::time::sleep(RETRY_DELAY).await;
             continue;
         }
         if matches!(failed, StoreError::NoAnswer { .. }) {
@@ -142,7 +157,7 @@
 
 /// Completes once the current read is outdated: it takes longer than the schedule now allows, or
 /// the control state is already past the offset that it reads from.
-async fn wait_outdated(schedule: &impl Fn() -> ReadSchedule, from: u64) {
+async fn wait_outdated(schedule: &impl Fn() -> ReadSchedule, from: LogPosition) {
     let since = tokio::time::Instant::now();
     loop {
         tokio::time::sleep(SCHEDULE_POLL_INTERVAL).await;
--- a/crates/mesh/src/request/traffic_context.rs
+++ b/crates/mesh/src/request/traffic_context.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use firspindle_core::connection::StateMark;
 use firspindle_core::request::{NoticeTable, RetryWindow};
 use firspindle_core::version::RequestKind;
 use firspindle_edge::{BootClock, HeaderNames, unix_ms};
@@ -52,10 +53,10 @@
     outstanding: RefCell<Vec<(Box<str>, u32)>>,
 }
 
-/// News for peers with a known state, from a state with these ends of plans and manifests.
+/// News for peers with a known state, from a state with this mark.
 struct EncodedNews {
     known: KnownState,
-    ends: (u64, u64),
+    mark: StateMark,
     bytes: Bytes,
 }
 
@@ -186,13 +187,12 @@
     pub fn encoded_state(&self, known: Option<KnownState>) -> Bytes {
         let snapshot = self.shared.view.load().snapshot.clone();
         let Some(known) = known else { return snapshot.encode().into() };
-        let ends = (snapshot.plan_end, snapshot.manifest_end);
         let mut cached = self.news.borrow_mut();
         match &*cached {
-            Some(news) if (news.known, news.ends) == (known, ends) => news.bytes.clone(),
+            Some(news) if (news.known, news.mark) == (known, snapshot.mark) => news.bytes.clone(),
             _ => {
                 let bytes = Bytes::from(snapshot.news_since(known).encode());
-                *cached = Some(EncodedNews { known, ends, bytes: bytes.clone() });
+                *cached = Some(EncodedNews { known, mark: snapshot.mark, bytes: bytes.clone() });
                 bytes
             }
         }
--- a/crates/mesh/src/version/state_snapshot.rs
+++ b/crates/mesh/src/version/state_snapshot.rs
@@ -1,22 +1,23 @@
 //! State that a node fetches from a peer when it cannot read the store.
 
-use firspindle_core::version::{PlanChanges, PlanVersion, RangePlan};
+use firspindle_core::connection::StateMark;
+use firspindle_core::version::{LogPosition, PlanChanges, PlanVersion, RangePlan};
 use serde::{Deserialize, Serialize};
 
 /// Newest records of each topic of the store, each with the end of the log up to which they are the
 /// newest.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct StateSnapshot {
+    /// Which records the node has applied.
+    pub mark: StateMark,
     /// Log end of the manifests.
-    pub manifest_end: u64,
+    pub manifest_end: LogPosition,
     /// Newest valid manifest as the operator wrote it, or empty.
     pub manifest: Vec<u8>,
-    /// Log end of the plans.
-    pub plan_end: u64,
     /// Newest plan, or empty.
     pub plan: Vec<u8>,
     /// Log end of the host records.
-    pub hosts_end: u64,
+    pub hosts_end: LogPosition,
     /// Newest record of each host.
     pub hosts: Vec<Vec<u8>>,
 }
@@ -26,19 +27,19 @@
 pub struct KnownState {
     /// Version of its plan; 0 if it has none.
     pub plan: PlanVersion,
-    /// Log end of its manifests.
-    pub manifest_end: u64,
+    /// Version of its manifest.
+    pub manifest: u64,
 }
 
 /// What a node lacks of a peer's state: the changes of the plan, and the manifest if it is newer.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StateNews {
+    /// Which records the peer has applied.
+    pub mark: StateMark,
     /// Log end of the manifests.
-    pub manifest_end: u64,
+    pub manifest_end: LogPosition,
     /// Newest valid manifest as the operator wrote it; `None` if it is known.
     pub manifest: Option<Vec<u8>>,
-    /// Log end of the plans.
-    pub plan_end: u64,
     /// Changes from the known plan to the newest; `None` without a newer one.
     pub changes: Option<PlanChanges>,
 }
@@ -67,12 +68,12 @@
 impl StateSnapshot {
     /// Returns what a node lacks that knows an earlier state.
     pub fn news_since(&self, known: KnownState) -> StateNews {
-        let newer_manifest = self.manifest_end > known.manifest_end;
+        let newer_manifest = self.mark.manifest > known.manifest;
         let plan = RangePlan::decode(&self.plan).filter(|plan| plan.version > known.plan);
         StateNews {
+            mark: self.mark,
             manifest_end: self.manifest_end,
             manifest: newer_manifest.then(|| self.manifest.clone()),
-            plan_end: self.plan_end,
             changes: plan.map(|plan| PlanChanges::new(known.plan, &plan)),
         }
     }
--- a/crates/mesh/tests/fleet/model.rs
+++ b/crates/mesh/tests/fleet/model.rs
@@ -115,7 +115,7 @@
         demand: DemandReport::default(),
     });
     let service = ServiceCandidates { service: SERVICE.into(), candidates: candidates.collect() };
-    plan_ranges(&RangePlan::default(), &[service]).expect("a first plan")
+    plan_ranges(&RangePlan::default(), 1, &[service]).expect("a first plan")
 }
 
 fn topic_record(key: &str, value: Vec<u8>) -> TopicRecord {
@@ -143,7 +143,7 @@
             for (topic, values) in topics {
                 state.handle_snapshot(
                     topic,
-                    TopicSnapshot { values, end: LogPosition::new(0, 1) },
+                    &TopicSnapshot { values, end: LogPosition::new(0, 1) },
                     epoch,
                     epoch,
                 );
@@ -236,7 +236,7 @@
         let due = schedule.interval <= Duration::from_millis(READ_MS);
         if due && self.store_up {
             let batch = ReadBatch { records: Vec::new(), end: LogPosition::new(0, 1) };
-            state.handle_records(StateTopic::Plans, &batch, now, now);
+            state.handle_records(StateTopic::Plans, schedule.from, &batch, now, now);
         } else if due {
             state.note_store_answer(false);
         }
--- a/crates/mesh/tests/ownership/node_settings.rs
+++ b/crates/mesh/tests/ownership/node_settings.rs
@@ -16,6 +16,7 @@
         service: SERVICE.into(),
         upstream: address(1),
         store: "store".into(),
+        bootstrap: false,
         listen: MeshListen {
             traffic: address(2),
             forward: address(3),
--- a/crates/mesh/tests/ownership/plans.rs
+++ b/crates/mesh/tests/ownership/plans.rs
@@ -36,7 +36,7 @@
     };
     let candidates = (0..HOLDERS).map(candidate).collect();
     let services = [ServiceCandidates { service: SERVICE.into(), candidates }];
-    plan_ranges(&RangePlan::default(), &services).expect("a first plan")
+    plan_ranges(&RangePlan::default(), 1, &services).expect("a first plan")
 }
 
 fn record_of(key: &str, value: Bytes) -> TopicSnapshot {
@@ -66,9 +66,9 @@
     state.handle_report(&report, epoch);
     let read_at = epoch + Duration::from_millis(1_300);
     let plan = record_of("plan", plan_of_all().encode().into());
-    state.handle_snapshot(StateTopic::Plans, plan, read_at, read_at);
+    state.handle_snapshot(StateTopic::Plans, &plan, read_at, read_at);
     let manifest = record_of("manifest", Bytes::new());
-    state.handle_snapshot(StateTopic::Manifests, manifest, read_at, read_at);
+    state.handle_snapshot(StateTopic::Manifests, &manifest, read_at, read_at);
     for ms in (0..2_000).step_by(100) {
         let actions = state.tick(read_at + Duration::from_millis(ms));
         let planned = actions.iter().any(|action| matches!(action, ControlAction::AppendPlan(..)));
--- a/crates/mesh/tests/ownership/suspects.rs
+++ b/crates/mesh/tests/ownership/suspects.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use firspindle_core::connection::{GossipMessage, RelayReport, UpstreamLoad};
+use firspindle_core::connection::{GossipMessage, RelayReport, StateMark, UpstreamLoad};
 use firspindle_core::process::GrantGuards;
 use firspindle_core::version::HostRecord;
 use firspindle_mesh::process::{ControlAction, ControlState};
@@ -47,6 +47,7 @@
         acknowledged: Vec::new(),
         suspects: Vec::new(),
         report: RelayReport::default(),
+        mark: StateMark::default(),
     };
     message.encode()
 }
--- a/crates/mesh/tests/ownership/world.rs
+++ b/crates/mesh/tests/ownership/world.rs
@@ -221,12 +221,13 @@
                 self.enqueue(host, incarnation, 300, Event::Gossip);
             }
             Event::Read(index) => self.read(host, index),
-            Event::ReadDone { topic, snapshot, values, end, at } => {
+            Event::ReadDone { topic, snapshot, from, values, end, at } => {
                 let state = self.hosts[host].state.as_mut().expect("the node is running");
                 if snapshot {
-                    state.handle_snapshot(topic, TopicSnapshot { values, end }, at, now);
+                    state.handle_snapshot(topic, &TopicSnapshot { values, end }, at, now);
                 } else {
-                    state.handle_records(topic, &ReadBatch { records: values, end }, at, now);
+                    let batch = ReadBatch { records: values, end };
+                    state.handle_records(topic, from, &batch, at, now);
                 }
                 self.step(host);
             }
@@ -246,7 +247,8 @@
             }
             Event::Append { call, answers } => self.append(host, call, answers),
             Event::PlanAppended(end) => {
-                self.hosts[host].state.as_mut().expect("the node is running").plan_appended(end);
+                let state = self.hosts[host].state.as_mut().expect("the node is running");
+                state.plan_appended(end, now);
             }
             Event::SendHeartbeat => self.send_heartbeat(host),
             Event::Report { report, sent_at } => self.deliver_report(host, &report, sent_at),
--- a/crates/mesh/tests/ownership/world/event.rs
+++ b/crates/mesh/tests/ownership/world/event.rs
@@ -25,6 +25,7 @@
     ReadDone {
         topic: StateTopic,
         snapshot: bool,
+        from: LogPosition,
         values: Vec<TopicRecord>,
         end: LogPosition,
         at: Instant,
--- a/crates/mesh/tests/ownership/world/network.rs
+++ b/crates/mesh/tests/ownership/world/network.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
+use firspindle_core::version::LogPosition;
 use firspindle_edge::StateTopic;
 use firspindle_mesh::process::ControlAction;
 use rand::Rng;
@@ -12,7 +13,7 @@
 
 impl World {
     pub(super) fn execute(&mut self, host: usize, actions: Vec<ControlAction>) {
-        let incarnation = self.hosts[host].incarnation;
+        let (incarnation, now) = (self.hosts[host].incarnation, self.now());
         for action in actions {
             match action {
                 ControlAction::Send(address, bytes, _) => self.send(host, address, bytes),
@@ -23,7 +24,7 @@
                     let topic = StateTopic::Hosts;
                     self.enqueue_append(host, AppendCall { topic, key, value, at: None });
                     let state = self.hosts[host].state.as_mut().expect("the node is running");
-                    state.host_written(record, true);
+                    state.host_written(record, Some(LogPosition::default()), now);
                 }
                 ControlAction::AppendPlan(plan, at) => {
                     let (key, value) = ("plan".into(), plan.encode());
--- a/crates/mesh/tests/ownership/world/store.rs
+++ b/crates/mesh/tests/ownership/world/store.rs
@@ -21,10 +21,10 @@
             let values = if snapshot {
                 newest(rows)
             } else {
-                rows.iter().filter(|row| row.offset >= from).cloned().collect()
+                rows.iter().filter(|row| row.offset >= from.offset).cloned().collect()
             };
             let at = self.now();
-            let event = Event::ReadDone { topic, snapshot, values, end, at };
+            let event = Event::ReadDone { topic, snapshot, from, values, end, at };
             self.enqueue(host, incarnation, delay, event);
         } else {
             self.enqueue(host, incarnation, delay, Event::ReadFailed);
--- a/crates/mesh/tests/state_news.rs
+++ b/crates/mesh/tests/state_news.rs
@@ -1,9 +1,9 @@
 //! What relays send to the hosts of their data centre for a new plan.
 
-use firspindle_core::connection::DemandReport;
+use firspindle_core::connection::{DemandReport, StateMark};
 use firspindle_core::process::{RangeCandidate, ServiceCandidates, plan_ranges};
 use firspindle_core::version::{
-    HostRecord, RangePlan, UpstreamInstance, UpstreamRecord, UpstreamState,
+    HostRecord, LogPosition, RangePlan, UpstreamInstance, UpstreamRecord, UpstreamState,
 };
 use firspindle_mesh::version::{KnownState, StateNews, StateSnapshot};
 
@@ -65,11 +65,15 @@
 
 fn snapshot(plan: &RangePlan, plan_end: u64) -> StateSnapshot {
     StateSnapshot {
-        manifest_end: 4,
+        mark: StateMark {
+            plan_position: LogPosition::new(0, plan_end),
+            plan: plan.version,
+            manifest: 4,
+        },
+        manifest_end: LogPosition::new(0, 4),
         manifest: vec![b'x'; MANIFEST_BYTES],
-        plan_end,
         plan: plan.encode(),
-        hosts_end: 300,
+        hosts_end: LogPosition::new(0, 300),
         hosts: (0..HOSTS).map(host_record).collect(),
     }
 }
@@ -77,9 +81,11 @@
 /// Guards against whole states that fill the links of relays whenever a plan changes.
 #[test]
 fn the_news_of_a_loss_reach_all_hosts_of_a_data_centre_in_a_tenth_of_a_second() {
-    let first = plan_ranges(&RangePlan::default(), &candidates(0..HOLDERS)).expect("a first plan");
-    let second = plan_ranges(&first, &candidates(1..HOLDERS)).expect("a second plan");
-    let known = KnownState { plan: first.version, manifest_end: 4 };
+    let first =
+        plan_ranges(&RangePlan::default(), 1, &candidates(0..HOLDERS)).expect("a first plan");
+    let second =
+        plan_ranges(&first, first.version + 1, &candidates(1..HOLDERS)).expect("a second plan");
+    let known = KnownState { plan: first.version, manifest: 4 };
     let news = snapshot(&second, 2).news_since(known);
     let bytes = news.encode();
     assert!(bytes.len() * MEMBERS <= LINK_BYTES, "{} bytes for each host", bytes.len());
