--- a/crates/mesh/tests/ownership/main.rs
+++ b/crates/mesh/tests/ownership/main.rs
@@ -10,7 +10,9 @@
 mod world;
 
 use firspindle_core::process::GrantGuards;
-use world::{PlanScript, run_history, run_script};
+use world::{
+    PlanScript, Violation, run_history, run_script, run_with_late_writes, run_with_restores,
+};
 
 /// Histories with all guards in place, for each shard. Shards are tests that run in parallel.
 const SAFE_HISTORIES: u64 = 12;
@@ -53,6 +55,50 @@
     assert_single_holder(2);
 }
 
+/// Histories in which the store comes back from older copies.
+fn assert_kept_over_restores(shard: u64) {
+    let first = env_number("GRANT_SEED", 1) * 100_000 + shard * 10_000;
+    for seed in first..first + env_number("GRANT_HISTORIES", SAFE_HISTORIES) {
+        let mut violations = run_with_restores(seed, GrantGuards::all());
+        violations.retain(|row| !matches!(row, Violation::NotServed(_)));
+        assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
+    }
+}
+
+/// Guards against keys that nobody holds, and manifests that are not in force, after the last fault.
+fn assert_served(run: fn(u64, GrantGuards) -> Vec<Violation>) {
+    let first = env_number("GRANT_SEED", 1) * 100_000 + 50_000;
+    for seed in first..first + env_number("GRANT_HISTORIES", SAFE_HISTORIES) {
+        let violations = run(seed, GrantGuards::all());
+        assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
+    }
+}
+
+#[test]
+fn cells_are_held_after_faults_and_late_writes() {
+    assert_served(run_with_late_writes);
+}
+
+#[test]
+fn cells_are_held_after_faults_and_restores() {
+    assert_served(run_with_restores);
+}
+
+#[test]
+fn one_owner_with_restores_shard_0() {
+    assert_kept_over_restores(0);
+}
+
+#[test]
+fn one_owner_with_restores_shard_1() {
+    assert_kept_over_restores(1);
+}
+
+#[test]
+fn one_owner_with_restores_shard_2() {
+    assert_kept_over_restores(2);
+}
+
 fn assert_violation_found(guards: GrantGuards) {
     let found = (1..=GUARD_HISTORIES).find(|seed| run_history(*seed, guards).is_err());
     let found = found.expect("a history without the guard has two holders of one key");
--- a/crates/mesh/tests/ownership/world.rs
+++ b/crates/mesh/tests/ownership/world.rs
@@ -1,8 +1,11 @@
 //! A simulation of several nodes with their upstreams, a store and a network, determined by a seed.
 
+mod checks;
 mod event;
 mod faults;
 mod network;
+mod reads;
+mod restores;
 mod store;
 
 use std::cmp::Reverse;
@@ -12,15 +15,18 @@
 use bytes::Bytes;
 use firspindle_core::connection::UpstreamReport;
 use firspindle_core::process::GrantGuards;
-use firspindle_core::version::{CELLS, UpstreamInstance};
+use firspindle_core::version::{LogEpoch, UpstreamInstance};
 use firspindle_edge::{ReadBatch, StateTopic, TopicRecord, TopicSnapshot};
 use firspindle_mesh::process::{ControlState, MeshSettings};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
 use event::{Event, Scheduled};
+use reads::TopicReader;
+use restores::RestoreModel;
 
 pub use event::PlanScript;
+pub use restores::{Violation, run_with_late_writes, run_with_restores};
 
 use super::codec::{SERVICE, TestCodec};
 use super::node_settings::node_settings;
@@ -51,11 +57,20 @@
     incarnation: u64,
     /// Whether the snapshot of each topic was read.
     known: [bool; 3],
+    readers: [TopicReader; 3],
+    /// Whether a write of the node's host record is in flight.
+    write_pending: bool,
+    /// Version of the manifest that was last seen in force in this process.
+    manifest: u64,
     frozen_until: u64,
     store_cut_until: u64,
     /// Time until which datagrams to each host are lost.
     cut_until: [u64; HOSTS],
     upstream: Option<Upstream>,
+    /// Number of the upstream's instance among all of a history, from 1.
+    instance_number: u64,
+    /// Whether node and upstream were lost for good.
+    lost: bool,
 }
 
 struct World {
@@ -67,6 +82,10 @@
     rng: StdRng,
     hosts: Vec<Host>,
     topics: [Vec<TopicRecord>; 3],
+    /// Number of restores of the store.
+    log_epoch: LogEpoch,
+    /// What may happen if the store is restored; `None` if it never is.
+    restores: Option<Box<RestoreModel>>,
     store_down_until: u64,
     /// Number of upstream instances that have started.
     started_instances: u64,
@@ -129,10 +148,15 @@
             codec: TestCodec::new(),
             incarnation: 0,
             known: [false; 3],
+            readers: Default::default(),
+            write_pending: false,
+            manifest: 0,
             frozen_until: 0,
             store_cut_until: 0,
             cut_until: [0; HOSTS],
             upstream: None,
+            instance_number: 0,
+            lost: false,
         };
         let mut world = Self {
             epoch: Instant::now(),
@@ -142,6 +166,8 @@
             rng: StdRng::seed_from_u64(seed),
             hosts: (0..HOSTS).map(|_| host()).collect(),
             topics: Default::default(),
+            log_epoch: 0,
+            restores: None,
             store_down_until: 0,
             started_instances: 0,
             layout: LAYOUTS[usize::try_from(seed).unwrap_or(0) % LAYOUTS.len()],
@@ -191,6 +217,9 @@
                 | Event::SendHeartbeat
                 | Event::Reply { .. }
                 | Event::Append { .. }
+                | Event::StoreRead(_)
+                | Event::WriteManifest(_)
+                | Event::Restore { .. }
         );
         if for_node {
             if row.incarnation != self.hosts[host].incarnation || self.hosts[host].state.is_none() {
@@ -220,8 +249,10 @@
                 self.execute(host, actions);
                 self.enqueue(host, incarnation, 300, Event::Gossip);
             }
+            Event::Read(index) if self.restores.is_some() => self.begin_read(host, index),
             Event::Read(index) => self.read(host, index),
-            Event::ReadDone { topic, snapshot, values, end, at } => {
+            Event::ReadDone { topic, snapshot, from, values, end, at } => {
+                self.finish_read(host, topic, snapshot, from, end);
                 let state = self.hosts[host].state.as_mut().expect("the node is running");
                 if snapshot {
                     state.handle_snapshot(topic, TopicSnapshot { values, end }, at, now);
@@ -270,19 +301,29 @@
                 self.hosts[host].store_cut_until = HISTORY_MS;
                 self.kill_node(host, down);
             }
+            event @ (Event::StoreRead(_)
+            | Event::ReadExpired { .. }
+            | Event::PeerState(_)
+            | Event::HostWritten { .. }
+            | Event::PlanStored { .. }
+            | Event::WriteManifest(_)
+            | Event::Restore { .. }) => self.dispatch_restorable(host, event),
             Event::Start => self.start(host),
             Event::StartUpstream => self.start_upstream(host),
         }
     }
 
     fn start(&mut self, host: usize) {
-        if self.hosts[host].state.is_some() {
+        if self.hosts[host].state.is_some() || self.hosts[host].lost {
             return;
         }
         let layout = self.layout;
         let row = &mut self.hosts[host];
         row.incarnation = self.now_ms.max(row.incarnation) + 1;
         row.known = [false; 3];
+        row.readers = Default::default();
+        row.write_pending = false;
+        row.manifest = 0;
         let incarnation = row.incarnation;
         let now = self.epoch + Duration::from_millis(self.now_ms);
         row.state = Some(ControlState::new(
@@ -300,7 +341,8 @@
     }
 
     fn start_upstream(&mut self, host: usize) {
-        if self.hosts[host].upstream.as_ref().is_some_and(|row| row.up) {
+        let is_up = self.hosts[host].upstream.as_ref().is_some_and(|row| row.up);
+        if is_up || self.hosts[host].lost {
             return;
         }
         self.started_instances += 1;
@@ -314,6 +356,7 @@
         };
         let slow = self.rng.random_bool(0.5);
         self.hosts[host].upstream = Some(Upstream::new(instance, slow));
+        self.hosts[host].instance_number = self.started_instances;
         self.enqueue(host, 0, 10, Event::SendHeartbeat);
     }
 
@@ -352,25 +395,4 @@
         let actions = self.hosts[host].state.as_mut().expect("the node is running").tick(now);
         self.execute(host, actions);
     }
-
-    /// Fails if two upstreams hold the same cell.
-    fn check_single_holder(&mut self) -> Result<(), String> {
-        let now = self.now();
-        let mut holder = vec![usize::MAX; CELLS];
-        for (host, row) in self.hosts.iter_mut().enumerate() {
-            let Some(upstream) = row.upstream.as_mut().filter(|row| row.up) else { continue };
-            upstream.expire(now);
-            for (cell, fence) in upstream.held.iter().enumerate().filter(|row| *row.1 > 0) {
-                if holder[cell] != usize::MAX {
-                    let other = holder[cell];
-                    return Err(format!(
-                        "{} ms: cell {cell} is held by {other} and {host} (fence {fence})",
-                        self.now_ms
-                    ));
-                }
-                holder[cell] = host;
-            }
-        }
-        Ok(())
-    }
 }
--- a/crates/mesh/tests/ownership/world/event.rs
+++ b/crates/mesh/tests/ownership/world/event.rs
@@ -4,8 +4,9 @@
 
 use bytes::Bytes;
 use firspindle_core::connection::{GrantReply, UpstreamReport};
-use firspindle_core::version::{LogPosition, UpstreamInstance};
+use firspindle_core::version::{HostRecord, LogEpoch, LogPosition, RangePlan, UpstreamInstance};
 use firspindle_edge::{StateTopic, TopicRecord};
+use firspindle_mesh::version::PeerState;
 
 /// A write to the store.
 #[derive(Debug, Clone)]
@@ -15,6 +16,22 @@
     pub(super) value: Vec<u8>,
     /// End of the topic that the write is conditional on.
     pub(super) at: Option<u64>,
+    pub(super) began: Instant,
+}
+
+/// A read of a topic of a store that may be restored.
+#[derive(Debug, Clone)]
+pub(super) struct ReadCall {
+    /// Index of the topic.
+    pub(super) index: usize,
+    /// Whether the newest records are read, and not those from a position on.
+    pub(super) snapshot: bool,
+    pub(super) from: LogPosition,
+    pub(super) began: Instant,
+    /// Time until which the store waits for records, in milliseconds.
+    pub(super) until: u64,
+    /// Incarnation of the node that reads.
+    pub(super) incarnation: u64,
 }
 
 #[derive(Debug, Clone)]
@@ -25,11 +42,38 @@
     ReadDone {
         topic: StateTopic,
         snapshot: bool,
+        /// Position that the read began from.
+        from: LogPosition,
         values: Vec<TopicRecord>,
         end: LogPosition,
         at: Instant,
     },
     ReadFailed,
+    /// A read reaches the store.
+    StoreRead(ReadCall),
+    /// The store does not have the position that a read of this topic began from.
+    ReadExpired {
+        index: usize,
+        epoch: LogEpoch,
+    },
+    /// What a peer sent of its state.
+    PeerState(Box<PeerState>),
+    HostWritten {
+        record: Box<HostRecord>,
+        done: bool,
+    },
+    /// A plan of this node was appended by a call that began at `began`.
+    PlanStored {
+        plan: Box<RangePlan>,
+        end: LogPosition,
+        began: Instant,
+    },
+    /// The operator writes a manifest.
+    WriteManifest(u64),
+    /// The store is restored from an older copy after it was away for some time, in milliseconds.
+    Restore {
+        away: u64,
+    },
     Datagram(Bytes),
     Append {
         call: AppendCall,
--- a/crates/mesh/tests/ownership/world/faults.rs
+++ b/crates/mesh/tests/ownership/world/faults.rs
@@ -60,7 +60,8 @@
 
     /// Injects a random fault in one call of [`FAULT_TICKS`] on average.
     pub(super) fn inject_fault(&mut self) {
-        if !self.random_faults || !self.rng.random_ratio(1, FAULT_TICKS) {
+        let over = self.restores.as_ref().is_some_and(|row| self.now_ms >= row.faults_until);
+        if !self.random_faults || over || !self.rng.random_ratio(1, FAULT_TICKS) {
             return;
         }
         let host = self.rng.random_range(0..HOSTS);
--- a/crates/mesh/tests/ownership/world/network.rs
+++ b/crates/mesh/tests/ownership/world/network.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use firspindle_edge::StateTopic;
 use firspindle_mesh::process::ControlAction;
+use firspindle_mesh::version::PeerState;
 use rand::Rng;
 
 use super::event::{AppendCall, Event};
@@ -13,22 +14,29 @@
 impl World {
     pub(super) fn execute(&mut self, host: usize, actions: Vec<ControlAction>) {
         let incarnation = self.hosts[host].incarnation;
+        let began = self.now();
         for action in actions {
             match action {
                 ControlAction::Send(address, bytes, _) => self.send(host, address, bytes),
                 ControlAction::FetchState(address, _) => self.fetch(host, address),
                 ControlAction::ProbeUpstream(_) => self.enqueue(host, incarnation, 5, Event::Probe),
+                ControlAction::PutHost(record) if self.restores.is_some() => {
+                    self.put_host(host, record);
+                }
                 ControlAction::PutHost(record) => {
                     let (key, value) = (record.host.to_string(), record.encode());
                     let topic = StateTopic::Hosts;
-                    self.enqueue_append(host, AppendCall { topic, key, value, at: None });
+                    self.enqueue_append(host, AppendCall { topic, key, value, at: None, began });
                     let state = self.hosts[host].state.as_mut().expect("the node is running");
                     state.host_written(record, true);
                 }
                 ControlAction::AppendPlan(plan, at) => {
                     let (key, value) = ("plan".into(), plan.encode());
                     let topic = StateTopic::Plans;
-                    self.enqueue_append(host, AppendCall { topic, key, value, at: Some(at) });
+                    self.enqueue_append(
+                        host,
+                        AppendCall { topic, key, value, at: Some(at), began },
+                    );
                 }
             }
         }
@@ -45,7 +53,7 @@
         }
     }
 
-    /// Fetches a peer's state without delay, if neither direction is cut and the peer is not
+    /// Fetches a peer's state, without delay unless the store may be restored, if neither direction is cut and the peer is not
     /// frozen.
     pub(super) fn fetch(&mut self, host: usize, address: SocketAddr) {
         let peer = (0..HOSTS).find(|host| settings(*host).listen.forward == address);
@@ -58,6 +66,15 @@
             snapshot.filter(|_| !cut && self.now_ms >= self.hosts[peer].frozen_until)
         {
             let state = self.hosts[host].state.as_mut().expect("the node is running");
+            if self.restores.is_some() {
+                let state = match state.known_state() {
+                    Some(known) => PeerState::News(snapshot.news_since(known)),
+                    None => PeerState::Whole((*snapshot).clone()),
+                };
+                let delay = self.delay();
+                let incarnation = self.hosts[host].incarnation;
+                return self.enqueue(host, incarnation, delay, Event::PeerState(Box::new(state)));
+            }
             match state.known_state() {
                 Some(known) => state.handle_peer_news(&snapshot.news_since(known), now),
                 None => state.handle_peer_state(&snapshot, now),
--- a/crates/mesh/tests/ownership/world/store.rs
+++ b/crates/mesh/tests/ownership/world/store.rs
@@ -1,6 +1,6 @@
 //! The store: reads, conditional writes and lost answers.
 
-use firspindle_core::version::LogPosition;
+use firspindle_core::version::{LogPosition, RangePlan};
 use firspindle_edge::{StateTopic, TopicRecord};
 use rand::Rng;
 
@@ -24,7 +24,8 @@
                 rows.iter().filter(|row| row.offset >= from).cloned().collect()
             };
             let at = self.now();
-            let event = Event::ReadDone { topic, snapshot, values, end, at };
+            let from = LogPosition::new(0, from);
+            let event = Event::ReadDone { topic, snapshot, from, values, end, at };
             self.enqueue(host, incarnation, delay, event);
         } else {
             self.enqueue(host, incarnation, delay, Event::ReadFailed);
@@ -33,6 +34,9 @@
     }
 
     pub(super) fn enqueue_append(&mut self, host: usize, call: AppendCall) {
+        if self.restores.is_some() {
+            return self.enqueue_late_append(host, call);
+        }
         let topic = call.topic;
         let incarnation = self.hosts[host].incarnation;
         let delay = self.delay();
@@ -48,25 +52,30 @@
     }
 
     pub(super) fn append(&mut self, host: usize, call: AppendCall, answers: bool) {
-        let AppendCall { topic, key, value, at } = call;
+        let AppendCall { topic, key, value, at, began } = call;
         let incarnation = self.hosts[host].incarnation;
         let index = TOPICS.iter().position(|row| *row == topic).expect("every topic is listed");
         let rows = &mut self.topics[index];
         let end = rows.len() as u64;
         let done = at.is_none_or(|at| at == end);
+        let stored = if self.restores.is_some() && done { RangePlan::decode(&value) } else { None };
         if done {
             rows.push(TopicRecord { key: key.into(), value: value.into(), offset: end });
         }
         if topic == StateTopic::Plans && answers {
             let end = if done { end + 1 } else { end };
-            let end = LogPosition::new(0, end);
+            let end = LogPosition::new(self.log_epoch, end);
+            if let Some(plan) = stored {
+                let event = Event::PlanStored { plan: Box::new(plan), end, began };
+                self.enqueue(host, incarnation, 4, event);
+            }
             self.enqueue(host, incarnation, 4, Event::PlanAppended(Some(end)));
         }
     }
 }
 
 /// Returns the newest record of each key.
-fn newest(rows: &[TopicRecord]) -> Vec<TopicRecord> {
+pub(super) fn newest(rows: &[TopicRecord]) -> Vec<TopicRecord> {
     let mut newest: Vec<TopicRecord> = Vec::new();
     for row in rows {
         newest.retain(|known| known.key != row.key);
