--- a/crates/mesh/tests/ownership/world/checks.rs
+++ b/crates/mesh/tests/ownership/world/checks.rs
@@ -64,10 +64,8 @@
 
     /// Returns a violation if a process has an older manifest in force than before.
     pub(super) fn check_manifest(&mut self, host: usize) -> Option<Violation> {
-        let now = self.now();
         let row = &mut self.hosts[host];
-        let state = row.state.as_ref()?;
-        let version = state.view(now).manifest.map_or(0, |manifest| manifest.version);
+        let version = row.state.as_ref()?.mark().manifest;
         if version < row.manifest {
             let text =
                 format!("{} ms: host {host} from {} to {version}", self.now_ms, row.manifest);
--- a/crates/mesh/tests/ownership/world/restores.rs
+++ b/crates/mesh/tests/ownership/world/restores.rs
@@ -258,7 +258,7 @@
     /// Returns a violation unless each cell was held a short time ago and the newest manifest is in force
     /// on all nodes.
     fn check_served(&mut self) -> Option<Violation> {
-        let (now, since) = (self.now(), self.now_ms - HELD_WINDOW_MS);
+        let since = self.now_ms - HELD_WINDOW_MS;
         let cells = &self.model().cells;
         let lost = cells.iter().filter(|row| row.held_at < since).count();
         if lost > 0 {
@@ -269,7 +269,7 @@
         let newest = self.model().newest_manifest;
         for (host, row) in self.hosts.iter().enumerate() {
             let Some(state) = &row.state else { continue };
-            let version = state.view(now).manifest.map_or(0, |manifest| manifest.version);
+            let version = state.mark().manifest;
             if version != newest {
                 let text = format!("host {host} has manifest {version}, not {newest}");
                 return Some(Violation::NotServed(text));
