fix(mesh): only the first plan of an empty log counts as the first in a system that starts

Keys were granted to a second upstream while the first still held them: with 'bootstrap' set, a node without a plan took any plan for the first of all, and waited for nobody. Cause: the condition asked what the node knew, and not which plan it was. Now the plan has to be the first record of its epoch, and the epoch the one in which this node first read the plans.

What remains: a restore before a node's first read of all, while the system starts for the first time.

--- a/crates/mesh/src/process/control_state/record_step.rs
+++ b/crates/mesh/src/process/control_state/record_step.rs
@@ -5,7 +5,9 @@
 
 use bytes::Bytes;
 use firspindle_core::connection::{StateMark, hash_host};
-use firspindle_core::version::{HostRecord, LogEpoch, LogPosition, RangePlan};
+use firspindle_core::version::{
+    HostRecord, LogEpoch, LogPosition, RangePlan, plan_version_at,
+};
 use firspindle_edge::{PlatformCodec, ReadBatch, StateTopic, TopicRecord, TopicSnapshot};
 
 use super::record_origin::RecordOrigin;
@@ -156,6 +158,7 @@
                     }
                 }
                 self.plan_known = true;
+                self.first_epoch.get_or_insert(end.epoch);
                 self.confirmation.note_applied(end, at);
             }
         }
@@ -225,7 +228,10 @@
             return;
         }
         let is_next = plan.version == self.plan.version + 1;
-        let is_first = self.plan.version == 0 && self.settings.bootstrap;
+        let is_first = self.settings.bootstrap
+            && self.plan.version == 0
+            && self.first_epoch == Some(plan.epoch())
+            && plan.version == plan_version_at(LogPosition::new(plan.epoch(), 0));
         let contiguous = self.plan_known && (is_next || is_first);
         log::info!(
             version = plan.version, contiguous, origin = origin.name(),
