fix(mesh): the first plan of an epoch revives no ranges of an earlier one

After a restore, an upstream was granted the keys of a plan of the earlier epoch while another one held them. Cause: whether a plan of the store's epoch is known was asked of the plan in force, while grants follow the newest plan that has the service's ranges; a first plan without the service let the older ranges through. Now the grant table is asked, and ranges of a later epoch keep what is held and nothing else, whether or not their plan follows the one before.

--- a/crates/core/src/process/grant_table.rs
+++ b/crates/core/src/process/grant_table.rs
@@ -26,7 +26,7 @@
 use super::{GrantGuards, GrantPermit, GrantTiming};
 use crate::connection::{GrantReply, GrantRow, UpstreamReport};
 use crate::version::{
-    CELL_KEYS, CELLS, CellIndex, HolderRow, PlanVersion, ServiceRanges, UpstreamInstance,
+    CELL_KEYS, CELLS, CellIndex, HolderRow, LogEpoch, PlanVersion, ServiceRanges, UpstreamInstance,
     epoch_of_version, keys_of_cells,
 };
 
@@ -114,6 +114,11 @@
         self.no_later_holds || !self.guards.heartbeat_proof
     }
 
+    /// Returns the epoch of the newest plan applied that has ranges of the service.
+    pub const fn epoch(&self) -> LogEpoch {
+        epoch_of_version(self.version)
+    }
+
     /// Returns which safety guards are in place.
     pub const fn guards(&self) -> GrantGuards {
         self.guards
@@ -161,14 +166,18 @@
                 .map(|(before, row)| &before.holders[usize::from(row.holder)]);
             let stays =
                 |old: &HolderRow| old.host == holder.host && old.instance == holder.instance;
-            if (contiguous || restored && cell.is_held(now)) && old_holder.is_some_and(stays) {
+            let kept = if restored { cell.is_held(now) } else { contiguous };
+            if kept && old_holder.is_some_and(stays) {
                 // The same instance keeps the cell under a higher fence.
                 if cell.fence > 0 {
                     cell.renumber(new.fence);
                 }
                 continue;
             }
-            if !contiguous && new.fence > holder.settled_version && self.guards.snapshot_wait {
+            if (!contiguous || restored)
+                && new.fence > holder.settled_version
+                && self.guards.snapshot_wait
+            {
                 cell.add_earlier_grant(UNKNOWN_FENCE, ends_at);
             }
             if known > 0 {
--- a/crates/mesh/src/process/control_state/record_step.rs
+++ b/crates/mesh/src/process/control_state/record_step.rs
@@ -5,9 +5,7 @@
 
 use bytes::Bytes;
 use firspindle_core::connection::{StateMark, hash_host};
-use firspindle_core::version::{
-    HostRecord, LogEpoch, LogPosition, RangePlan, plan_version_at,
-};
+use firspindle_core::version::{HostRecord, LogEpoch, LogPosition, RangePlan, plan_version_at};
 use firspindle_edge::{PlatformCodec, ReadBatch, StateTopic, TopicRecord, TopicSnapshot};
 
 use super::record_origin::RecordOrigin;
--- a/crates/mesh/src/process/control_state/upstream_step.rs
+++ b/crates/mesh/src/process/control_state/upstream_step.rs
@@ -58,7 +58,7 @@
             let until = Some(now + timing.confirm);
             return GrantPermit { acquire_until: until, renew_until: until, trusts_reports: true };
         }
-        if guards.epoch_plan && self.plan.epoch() < self.epoch() {
+        if guards.epoch_plan && self.grants.epoch() < self.epoch() {
             let extended = short.filter(|_| self.earlier_epoch_ended(now));
             let renew_until = self.earlier_permit_until.max(extended);
             return GrantPermit { acquire_until: None, renew_until, trusts_reports: false };
