fix(mesh): a read that the store bounds by size confirms the plans only where the log ended

An upstream was granted keys under a plan that later records of the log replaced. Cause: the position after the last record of a read counted as the end of the log at that moment, also where the answer named a later end. Now the end in the answer is what is confirmed.

--- a/crates/mesh/src/process/control_state/record_step.rs
+++ b/crates/mesh/src/process/control_state/record_step.rs
@@ -44,7 +44,7 @@
             self.first_start = own.is_none() && !self.hosts_known;
             self.own_written = self.own_written.take().or(own);
         }
-        self.apply_values(topic, &state.values, state.end, at, now);
+        self.apply_values(topic, &state.values, state.end, state.end, at, now);
     }
 
     /// Applies consecutive records of a topic from a position on, read by a call that began at `at`.
@@ -65,7 +65,7 @@
         // The store may bound a read by size, so the read ends after its last record.
         let last = batch.records.last();
         let end = last.map_or(batch.end, |row| LogPosition::new(from.epoch, row.offset + 1));
-        self.apply_values(topic, &batch.records, end, at, now);
+        self.apply_values(topic, &batch.records, end, batch.end, at, now);
     }
 
     /// Notes that the store's log is of this epoch, unless a later one is known already. Nothing of its
@@ -121,11 +121,13 @@
         self.reaches_store = answers;
     }
 
+    /// Applies records up to `end` of a log that ended at `log_end`.
     fn apply_values(
         &mut self,
         topic: StateTopic,
         values: &[TopicRecord],
         end: LogPosition,
+        log_end: LogPosition,
         at: Instant,
         now: Instant,
     ) {
@@ -157,7 +159,8 @@
                 }
                 self.plan_known = true;
                 self.first_epoch.get_or_insert(end.epoch);
-                self.confirmation.note_applied(end, at);
+                self.confirmation.advance(end);
+                self.confirmation.confirm(log_end, at);
             }
         }
         self.refresh_snapshot();
