fix(mesh): what the holders attest counts for a node that learns of a restore, however old its confirmation is

Keys were held by nobody for about 12 s after a restore that followed a moment without the store. Cause: attestations were asked only once the store's confirmation was older than the confirmation time; a node that learned of the restore just before that had nothing left soon after it, and renewed nothing until the new epoch could confirm, 2 s later. Now the permission that it takes along holds as long as the attestations say.

--- a/crates/mesh/src/process/control_state/record_step.rs
+++ b/crates/mesh/src/process/control_state/record_step.rs
@@ -83,7 +83,10 @@
             );
             self.restores += 1;
         }
-        self.earlier_permit_until = self.grant_permit(now).renew_until;
+        let permit = self.grant_permit(now);
+        let knows_plan = self.grants.epoch() == earlier;
+        let attested = self.attested_until(now).filter(|_| knows_plan);
+        self.earlier_permit_until = permit.renew_until.max(attested);
         self.epoch_entered_at = Some(now);
         self.confirmation.enter_epoch(epoch);
         self.manifest_end = LogPosition::new(epoch, 0);
--- a/crates/mesh/src/process/control_state/upstream_step.rs
+++ b/crates/mesh/src/process/control_state/upstream_step.rs
@@ -63,18 +63,16 @@
             let renew_until = self.earlier_permit_until.max(extended);
             return GrantPermit { acquire_until: None, renew_until, trusts_reports: false };
         }
-        let renew_until = short.max(self.attested_until(now));
+        let confirmed_now = short.is_some_and(|at| now < at);
+        let renew_until = if confirmed_now { short } else { short.max(self.attested_until(now)) };
         let acquire_until = if guards.acquire_confirm { short } else { renew_until };
         GrantPermit { acquire_until, renew_until, trusts_reports: true }
     }
 
     /// Returns until when the attestations of the other holders extend the permission to grant.
-    fn attested_until(&self, now: Instant) -> Option<Instant> {
+    pub(super) fn attested_until(&self, now: Instant) -> Option<Instant> {
         let timing = self.grants.timing();
         let confirmed = self.confirmation.confirmed_at().filter(|_| self.plan_known)?;
-        if now < confirmed + timing.confirm {
-            return None;
-        }
         let ranges = self.plan.service(&self.settings.service)?;
         let attested = self.fleet_attested(ranges, now)?;
         Some((confirmed + timing.attested).min(attested + timing.confirm))
--- a/crates/mesh/tests/grants_over_restores.rs
+++ b/crates/mesh/tests/grants_over_restores.rs
@@ -370,6 +370,8 @@
         node.beat(at(ms));
         assert!(node.held(at(ms)) > 0);
     }
+    // The node notes its own record, as it does with each tick; without it no holder would be known.
+    node.state.tick(at(11_300));
     // The node learns of the restore 1.95 s after the last confirmation; the copy has the plan.
     for ms in (11_950..15_000).step_by(90) {
         node.read_newest(vec![record(&plan, 0)], LogPosition::new(1, 1), at(ms));
