fix(mesh): an echo of an earlier process of a node confirms nothing, and nor do the changes that it had seen

A node that had started again renewed keys under a plan last confirmed 2.7 s before. Cause: timestamps count from the start of a process, and an echo did not say which process had sent its timestamp, so a late answer to the process before was dated seconds too late. In the same way a relay that started again took 'seen up to change 500' of its earlier life for its own, and never passed its first changes on to that peer. Now each datagram names the incarnation that it answers.

--- a/crates/core/src/connection/gossip_message.rs
+++ b/crates/core/src/connection/gossip_message.rs
@@ -107,6 +107,10 @@
     /// Which records the sender has applied.
     #[serde(skip)]
     pub mark: StateMark,
+    /// Incarnation of the receiver that sent the newest datagram which the sender has; 0 without one. The
+    /// echo, and the changes seen, are of that incarnation.
+    #[serde(skip)]
+    pub heard_incarnation: u64,
 }
 
 impl GossipMessage {
@@ -123,6 +127,7 @@
         };
         bytes.extend(postcard::to_allocvec(&limits).unwrap_or_default());
         bytes.extend(postcard::to_allocvec(&self.mark).unwrap_or_default());
+        bytes.extend(postcard::to_allocvec(&self.heard_incarnation).unwrap_or_default());
         bytes
     }
 
@@ -143,9 +148,9 @@
                 row.load.limit_milli = limit_milli;
             }
         }
-        if let Ok(mark) = postcard::from_bytes(rest) {
-            message.mark = mark;
-        }
+        let Ok((mark, rest)) = postcard::take_from_bytes(rest) else { return Some(message) };
+        message.mark = mark;
+        message.heard_incarnation = postcard::from_bytes(rest).unwrap_or(0);
         Some(message)
     }
 }
--- a/crates/core/tests/datagrams.rs
+++ b/crates/core/tests/datagrams.rs
@@ -37,6 +37,7 @@
         suspects: Vec::new(),
         report: RelayReport { wants_reply: true, sequence: 3, ..RelayReport::default() },
         mark: StateMark { plan_position: LogPosition::new(0, 1), plan: 0, manifest: 0 },
+        heard_incarnation: 0,
     }
 }
 
@@ -48,6 +49,7 @@
         RelayedLoad { host, age_ms: 5, load, link_ms: 6 }
     };
     sent.mark = StateMark { plan_position: LogPosition::new(2, 1), plan: 9, manifest: 8 };
+    sent.heard_incarnation = 7;
     sent.report.loads = vec![row(1, 0), row(2, 4_600), row(3, 0)];
     assert_eq!(GossipMessage::decode(&sent.encode()), Some(sent));
 }
--- a/crates/mesh/src/process/control_state/gossip_step.rs
+++ b/crates/mesh/src/process/control_state/gossip_step.rs
@@ -47,7 +47,7 @@
         self.keep_host(message.sender.clone());
         self.asked.note_answer(&message.sender.host);
         let stamp = self.stamp_ms(now);
-        let peer = self.peers.update(&message, now)?;
+        let peer = self.peers.update(&message, self.incarnation, now)?;
         for row in &message.ended {
             self.grants.apply_ended(row);
             if peer.to_acknowledge.len() < MAX_ENDED_ROWS {
@@ -55,7 +55,8 @@
             }
         }
         self.grants.remove_acknowledged(&message.acknowledged);
-        if let Some(echo) = message.echo {
+        let echo = message.echo.filter(|_| message.heard_incarnation == self.incarnation);
+        if let Some(echo) = echo {
             self.apply_echo(&message, echo, stamp, now);
         }
         self.apply_report(&message.report, now);
@@ -171,6 +172,7 @@
             suspects: self.suspects.hints(now),
             report: RelayReport::default(),
             mark: self.mark(),
+            heard_incarnation: self.peers.get(host).map_or(0, |peer| peer.incarnation),
         }
     }
 }
--- a/crates/mesh/src/process/peer_table.rs
+++ b/crates/mesh/src/process/peer_table.rs
@@ -63,9 +63,14 @@
 }
 
 impl PeerTable {
-    /// Updates the sender's row from a datagram and returns it; `None` if the datagram is older
-    /// than the row.
-    pub(crate) fn update(&mut self, message: &GossipMessage, now: Instant) -> Option<&mut PeerRow> {
+    /// Updates the sender's row from a datagram to this incarnation and returns it; `None` if the
+    /// datagram is older than the row.
+    pub(crate) fn update(
+        &mut self,
+        message: &GossipMessage,
+        own_incarnation: u64,
+        now: Instant,
+    ) -> Option<&mut PeerRow> {
         let found = self.rows.binary_search_by(|row| row.host.cmp(&message.sender.host));
         let index = match found {
             Ok(index) => index,
@@ -112,7 +117,9 @@
         row.suspects.clone_from(&message.suspects);
         row.leaders.clone_from(&message.report.leaders);
         row.got_sequence = row.got_sequence.max(message.report.sequence);
-        row.seen_there = message.report.seen;
+        // What it has seen of an earlier incarnation is numbered otherwise.
+        let heard = message.heard_incarnation == own_incarnation;
+        row.seen_there = if heard { message.report.seen } else { 0 };
         if let Some(demand) = &message.demand {
             row.demand.clone_from(demand);
         }
--- a/crates/mesh/tests/ownership/suspects.rs
+++ b/crates/mesh/tests/ownership/suspects.rs
@@ -48,6 +48,7 @@
         suspects: Vec::new(),
         report: RelayReport::default(),
         mark: StateMark::default(),
+        heard_incarnation: 0,
     };
     message.encode()
 }
