fix(core): a node that has not heard its upstream calls no version settled

A node that started again twice could grant keys that another upstream held (reasoned in the review; shown on the grant table). Now it reports none until its upstream has sent a heartbeat; the planner keeps what the plan says of it.

--- a/crates/core/src/process/grant_table.rs
+++ b/crates/core/src/process/grant_table.rs
@@ -328,6 +328,10 @@
     /// Returns the plan version up to which every hold of an earlier holder of this node's cells
     /// has ended.
     pub fn settled_version(&self, now: Instant) -> PlanVersion {
+        // Which cells are its own is known from the first heartbeat on.
+        if self.instance.is_none() {
+            return 0;
+        }
         let open =
             self.cells.iter().filter(|cell| cell.fence > 0 && !cell.earlier_grants_ended(now));
         let first_open = open.map(|cell| cell.fence).min();
