fix(mesh): a node that starts again after its clock was set back is heard

Its datagrams were dropped as older than those of the process before, so it counted as lost until the clock had caught up. Cause: a process's start is numbered by the host's time of day. Now a node that finds its own record, or hears from a peer, that an earlier process had a higher number takes a higher one.

--- a/crates/mesh/src/process/control_state/gossip_step.rs
+++ b/crates/mesh/src/process/control_state/gossip_step.rs
@@ -44,6 +44,7 @@
             return None;
         }
         self.enter_epoch(message.mark.plan_position.epoch, now);
+        self.outnumber_incarnation(message.heard_incarnation);
         self.keep_host(message.sender.clone());
         self.asked.note_answer(&message.sender.host);
         let stamp = self.stamp_ms(now);
--- a/crates/mesh/src/process/control_state/record_step.rs
+++ b/crates/mesh/src/process/control_state/record_step.rs
@@ -217,9 +217,20 @@
         }
     }
 
+    /// Takes a higher incarnation than one that others know of this host: the clock may have been set back
+    /// before this process started, and what it says would seem older.
+    pub(super) fn outnumber_incarnation(&mut self, known: u64) {
+        if known > self.incarnation {
+            log::warn!(from = self.incarnation, known; "an earlier process has a higher incarnation");
+            self.incarnation = known + 1;
+            self.own.incarnation = self.incarnation;
+        }
+    }
+
     /// After a restart, adopts the upstream that the previous process recorded and counts its last
     /// heartbeat as received at the start, so that no cell moves before the next one is due.
     pub(super) fn adopt_own_record(&mut self, record: &HostRecord) {
+        self.outnumber_incarnation(record.incarnation);
         let restarted = record.incarnation < self.incarnation && self.own.upstream.is_none();
         if restarted && record.upstream.is_some() {
             self.own.upstream.clone_from(&record.upstream);
