fix(mesh): a waiting read without records dates from the end of its wait, and schedules are looked at each 0.1 s

Cause: a read that waits at the store for 3 s and brings nothing was dated back to its beginning, so it could not show that nothing had come until its end. A task that waits between two reads looked each 0.5 s whether the schedule had become shorter, a quarter of the 2 s within which a manifest is to be in force.

Change: an answer without records dates from the end of the wait, and not later than its arrival. The reads of plans do not wait, so their confirmations are dated as before. Schedules are looked at each 0.1 s.

Evidence: reading; there is no test of the tasks alone.

--- a/crates/mesh/src/process/store_watch.rs
+++ b/crates/mesh/src/process/store_watch.rs
@@ -70,6 +70,8 @@
             };
             match read {
                 Ok(batch) => {
+                    // A store that waited for records had none until the end of the wait.
+                    let at = if batch.records.is_empty() { clock.now().min(at + wait) } else { at };
                     let _ = tx.send(ControlEvent::Records(topic, batch, at));
                     // Lets the control state apply the batch before its end is read again.
                     tokio::task::yield_now().await;
@@ -132,7 +134,7 @@
 }
 
 /// Time between checks whether the schedule has changed.
-const SCHEDULE_POLL_INTERVAL: Duration = Duration::from_millis(500);
+const SCHEDULE_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Time between checks whether another call failed without an answer.
 const UNANSWERED_POLL_INTERVAL: Duration = Duration::from_millis(100);
