fix(mesh): hosts read manifests for themselves once nobody is known to have read them

What callers saw: requests handled by an older manifest for up to a minute, on hosts that the store served all the while.

Cause: a node that a relay tells of news read manifests once in 60 s, whether the relay could read them or not. If the store turned all relays away, or they were cut off from it, nobody was left who read. Plans have a shared interval for that case; manifests had nothing, and what a node that shares the reading of plans confirms made all others calm again. While a call of a told node had failed, its reads of manifests paused even if it was not to read plans either.

Ruled out as the only cause: that a store turns away all relays at once; the random faults find it with single hosts, data centres, frozen relays and one-way cuts.

Change: datagrams carry the age of the time until which the sender knows all manifests, dated by the echoed timestamp like the confirmations of plans. What is known until then stays known, so it needs no end of its own: a node takes it over if it has applied as much as the sender. A node reads once that is 1.6 s old, 3 ms later for each host before it by name, so that in larger fleets some hear of others' reads. No reader has to be noticed as lost, and a reader that is back makes the others calm. The first reader waits 0.9 s at most for news, so that its answers show how fresh the manifests are; the other readers wait 3 s as before.

Why it holds: each host that the store serves is at most 1.6 s, its place, two looks at the schedule and one read behind: 1.8 s, 2.1 s and 2.8 s for limits of 2, 2.5 and 3 s. No other host has to do anything for that.

Tried and dropped: nodes that read go on each 0.9 s until another reads.

--- a/crates/core/src/connection/relay_report.rs
+++ b/crates/core/src/connection/relay_report.rs
@@ -67,4 +67,7 @@
     pub sequence: u64,
     /// Number of the newest change that the sender has got from the receiver.
     pub seen: u64,
+    /// Time since the store was last known to have no manifest that the sender has not applied, in
+    /// milliseconds, when this was sent; `None` if it never was.
+    pub manifest_age_ms: Option<u64>,
 }
--- a/crates/mesh/src/process/control_state.rs
+++ b/crates/mesh/src/process/control_state.rs
@@ -91,6 +91,8 @@
     /// The manifest as the operator wrote it, for peers that fetch it.
     manifest_value: Bytes,
     manifest_end: u64,
+    /// A time at which the store had no manifest that this node has not applied.
+    manifests_known_at: Option<Instant>,
     plan: RangePlan,
     /// Whether the plans were read, from the store or a peer; there may be none yet.
     plan_known: bool,
@@ -186,6 +188,7 @@
             manifest: None,
             manifest_value: Bytes::new(),
             manifest_end: 0,
+            manifests_known_at: None,
             plan: RangePlan::default(),
             plan_known: false,
             confirmation: PlanConfirmation::default(),
--- a/crates/mesh/src/process/control_state/gossip_step.rs
+++ b/crates/mesh/src/process/control_state/gossip_step.rs
@@ -31,6 +31,11 @@
     dated.collect()
 }
 
+/// Returns when this node sent the timestamp that a peer echoed; `None` if it has not reached it.
+fn date_echo(echo: EchoRow, stamp_ms: u64, now: Instant) -> Option<Instant> {
+    now.checked_sub(Duration::from_millis(stamp_ms.checked_sub(echo.stamp_ms)?))
+}
+
 impl<C: PlatformCodec> ControlState<C> {
     /// Handles a datagram of another node; returns the sender if it is to get a reply at once: it
     /// asks for one, reported ended fences, or a suspect that is new to this node.
@@ -55,6 +60,7 @@
         self.grants.remove_acknowledged(&message.acknowledged);
         if let Some(echo) = message.echo {
             self.apply_echo(&message.sender.host, echo, &message.report, stamp, now);
+            self.apply_manifest_age(echo, &message, stamp, now);
         }
         self.apply_report(&message.report, now);
         let [plan_end, _, manifest_end] = message.ends;
@@ -77,11 +83,7 @@
         stamp_ms: u64,
         now: Instant,
     ) {
-        if echo.stamp_ms > stamp_ms {
-            return;
-        }
-        let sent_at = now.checked_sub(Duration::from_millis(stamp_ms - echo.stamp_ms));
-        let Some(sent_at) = sent_at else { return };
+        let Some(sent_at) = date_echo(echo, stamp_ms, now) else { return };
         let aged = self.grants.guards().attestation_age;
         if let Some(peer) = self.peers.get_mut(host) {
             if echo.attests {
@@ -96,6 +98,23 @@
         }
     }
 
+    /// Applies when a peer knew every manifest, if this node has applied those too.
+    fn apply_manifest_age(
+        &mut self,
+        echo: EchoRow,
+        message: &GossipMessage,
+        stamp_ms: u64,
+        now: Instant,
+    ) {
+        let age = message.report.manifest_age_ms.map(Duration::from_millis);
+        let at = date_echo(echo, stamp_ms, now)
+            .and_then(|sent_at| age.and_then(|age| sent_at.checked_sub(age)));
+        let [_, _, manifest_end] = message.ends;
+        if manifest_end <= self.manifest_end {
+            self.manifests_known_at = self.manifests_known_at.max(at);
+        }
+    }
+
     /// Returns the sends of a datagram to each of these hosts that is known.
     pub fn datagrams(&mut self, hosts: &[Box<str>], now: Instant) -> Vec<ControlAction> {
         self.sends(hosts, false, now)
--- a/crates/mesh/src/process/control_state/read_step.rs
+++ b/crates/mesh/src/process/control_state/read_step.rs
@@ -16,8 +16,11 @@
 /// as of that moment; who appended a plan announces it.
 const CONFIRM_INTERVAL: Duration = Duration::from_millis(900);
 
-/// Time that the store may hold a reader's read of the manifests. A connection that fell silent is
-/// noticed soon after.
+/// Time that the store may hold a read of the manifests by the reader that shows the others how fresh
+/// theirs are. An answer without a record shows that there was none until then.
+const CONFIRM_WAIT: Duration = CONFIRM_INTERVAL;
+
+/// The same for a reader that others show it. A connection that fell silent is noticed soon after.
 const MANIFEST_WAIT: Duration = Duration::from_millis(3_000);
 
 /// The same while the store does not answer.
@@ -27,7 +30,7 @@
 /// plans itself: the relay's own start and two questions.
 const START_WAIT: Duration = Duration::from_millis(1_000);
 
-/// Hosts that together read the store about as often as one reader, while nobody confirms the plan.
+/// Hosts that together read the store about as often as one reader, while it does not answer them.
 const SHARING_HOSTS: u32 = 8;
 
 /// Time between reads of nodes that are told of new records by relays.
@@ -42,36 +45,44 @@
 /// Time between reads of the host records during discovery.
 const DISCOVERY_INTERVAL: Duration = Duration::from_millis(900);
 
-/// Age of the plan's confirmation below which a node relies on the readers' confirmations.
+/// Age of what others read, plans or manifests, below which a node relies on them.
 const PEER_CONFIRM_AGE: Duration = Duration::from_millis(1_600);
 
+/// Time between the hosts, by name, that read for themselves once nobody else does, so that some hear
+/// of the reads of others and need none.
+const TAKEOVER_SPACING: Duration = Duration::from_millis(3);
+
 impl<C: PlatformCodec> ControlState<C> {
     /// Returns how a topic is to be read at present. The readers, the first of the relays, read often;
     /// the others are told of new records and read often only if nobody tells them.
     pub fn read_schedule(&self, topic: StateTopic, now: Instant) -> ReadSchedule {
         let reader = self.is_reader(now);
         let told = !reader && self.told_recently(now);
+        let plan_end = self.confirmation.end();
         let since = self.confirmation.confirmed_at().max(self.plan_applied_at);
         let confirmed = since.is_some_and(|at| now < at + PEER_CONFIRM_AGE);
-        let (from, wait, interval) = match topic {
-            StateTopic::Manifests if told => (self.manifest_end, Duration::ZERO, IDLE_INTERVAL),
-            StateTopic::Manifests => (self.manifest_end, MANIFEST_WAIT, Duration::ZERO),
-            StateTopic::Hosts => (self.hosts_end, Duration::ZERO, self.hosts_interval(now)),
-            StateTopic::Plans if told && confirmed => {
-                (self.confirmation.end(), Duration::ZERO, IDLE_INTERVAL)
-            }
+        let plan_interval = match told {
+            true if confirmed => IDLE_INTERVAL,
             // The relays read as well; if they cannot, the others try in turn.
-            StateTopic::Plans if told => {
-                (self.confirmation.end(), Duration::ZERO, self.shared_interval())
+            true => self.shared_interval(),
+            false => CONFIRM_INTERVAL,
+        };
+        let (from, wait, interval) = match topic {
+            StateTopic::Manifests if told => {
+                let interval = self.told_interval(self.manifests_known_at, now);
+                (self.manifest_end, Duration::ZERO, interval)
             }
-            StateTopic::Plans => (self.confirmation.end(), Duration::ZERO, CONFIRM_INTERVAL),
+            StateTopic::Manifests => (self.manifest_end, self.manifest_wait(now), Duration::ZERO),
+            StateTopic::Hosts => (self.hosts_end, Duration::ZERO, self.hosts_interval(now)),
+            StateTopic::Plans => (plan_end, Duration::ZERO, plan_interval),
         };
         // While the store does not answer, a read is to fail soon: its failure restarts the other
         // reads that hang.
         let limit = if reader && !self.reaches_store { UNREACHABLE_WAIT } else { wait };
         let start = self.read_start(topic, now);
-        // While the store does not answer, one topic is enough to notice its return.
-        let paused = self.store_failed && topic != StateTopic::Plans;
+        // While the store does not answer, one topic is enough to notice its return, if it is read.
+        let probed = plan_interval < IDLE_INTERVAL;
+        let paused = self.store_failed && topic != StateTopic::Plans && probed;
         ReadSchedule { from, wait: wait.min(limit), interval, start, paused }
     }
 
@@ -106,6 +117,33 @@
             .any(|peer| !peer.leaders.is_empty() && now < peer.received_at + RELAY_TIMEOUT)
     }
 
+    /// Returns the time between reads of a topic by a node that others tell of its records: none once
+    /// nobody is known to have read it since `known_at` or a little later.
+    fn told_interval(&self, known_at: Option<Instant>, now: Instant) -> Duration {
+        let position = self.hosts.partition_point(|row| row.host < self.settings.host);
+        let spacing = TAKEOVER_SPACING * u32::try_from(position).unwrap_or(u32::MAX);
+        match known_at {
+            Some(at) if now < at + PEER_CONFIRM_AGE + spacing => IDLE_INTERVAL,
+            _ if self.store_failed => self.shared_interval(),
+            _ => Duration::ZERO,
+        }
+    }
+
+    /// Returns the time that the store may hold a read of the manifests by a node that nobody tells of
+    /// them.
+    fn manifest_wait(&self, now: Instant) -> Duration {
+        let follows = self.duty_rank(now).is_some_and(|rank| rank > 0);
+        let known = self.manifests_known_at.is_some_and(|at| now < at + PEER_CONFIRM_AGE);
+        if follows && known { MANIFEST_WAIT } else { CONFIRM_WAIT }
+    }
+
+    /// Notes a read of the manifests: the store had none beyond `end` at `at`.
+    pub fn note_manifests_read(&mut self, end: u64, at: Instant) {
+        if end <= self.manifest_end {
+            self.manifests_known_at = self.manifests_known_at.max(Some(at));
+        }
+    }
+
     /// Returns the time between two reads of a node if all nodes together read about as often as a
     /// small fleet.
     fn shared_interval(&self) -> Duration {
--- a/crates/mesh/src/process/control_state/relay_step.rs
+++ b/crates/mesh/src/process/control_state/relay_step.rs
@@ -211,8 +211,9 @@
         now: Instant,
     ) -> RelayReport {
         let seen = self.peers.get(host).map_or(0, |peer| peer.got_sequence);
+        let manifest_age_ms = self.manifests_known_at.map(|at| age_ms(at, now));
         if !self.duties.relays {
-            return RelayReport { wants_reply, seen, ..RelayReport::default() };
+            return RelayReport { wants_reply, seen, manifest_age_ms, ..RelayReport::default() };
         }
         let collected = self.collected(now);
         let in_own_centre =
@@ -231,6 +232,7 @@
             records: records.filter(|row| &*row.host != host).collect(),
             sequence,
             seen,
+            manifest_age_ms,
         };
         self.collected = Some(collected);
         report
--- a/crates/mesh/src/process/control_thread.rs
+++ b/crates/mesh/src/process/control_thread.rs
@@ -181,7 +181,11 @@
                 self.step();
             }
             ControlEvent::Snapshot(topic, snapshot, at) => {
+                let end = snapshot.end;
                 self.state.handle_snapshot(topic, snapshot, at, now);
+                if topic == StateTopic::Manifests {
+                    self.state.note_manifests_read(end, at);
+                }
                 self.publish_and_step();
                 self.tell_news();
                 if topic == StateTopic::Hosts {
@@ -193,6 +197,9 @@
             ControlEvent::Records(topic, batch, at) => {
                 let changed = !batch.records.is_empty();
                 self.state.handle_records(topic, &batch, at, now);
+                if topic == StateTopic::Manifests {
+                    self.state.note_manifests_read(batch.end, at);
+                }
                 if changed {
                     self.publish_and_step();
                     self.send_ended_fences();
--- /dev/null
+++ b/crates/mesh/tests/manifests/model.rs
@@ -0,0 +1,393 @@
+//! Nodes that read manifests from a store and pass them on, in memory: links to the store and between
+//! hosts fail as a test says.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeSet, BinaryHeap, HashMap};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use firspindle_core::connection::GossipMessage;
+use firspindle_core::process::GrantGuards;
+use firspindle_core::version::HostRecord;
+use firspindle_edge::{StateTopic, TopicRecord, TopicSnapshot};
+use firspindle_mesh::process::{ControlAction, ControlState, MeshSettings};
+use firspindle_mesh::version::PeerState;
+
+use crate::codec::TestCodec;
+use crate::node_settings::node_settings;
+use crate::reads::{Answer, ReadTask};
+
+/// Delay of a message between hosts or to the store, in milliseconds.
+pub const DELAY_MS: u64 = 3;
+
+/// Time between two rounds of datagrams of a node, in milliseconds.
+const ROUND_MS: u64 = 300;
+
+/// Time between two ticks of a node, in milliseconds.
+const TICK_MS: u64 = 100;
+
+/// Time without a fault after which a host counts as in touch, in milliseconds.
+const CONTACT_MS: u64 = 3_000;
+
+/// Topics whose reads are simulated; the records of hosts are known from the start.
+pub const READ_TOPICS: [StateTopic; 2] = [StateTopic::Manifests, StateTopic::Plans];
+
+/// How the store treats the calls of a host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StoreLink {
+    Open,
+    /// Calls are answered with a refusal.
+    Refused,
+    /// The same, for the manifests alone.
+    ManifestsRefused,
+    /// The same, for the plans alone.
+    PlansRefused,
+    /// Neither calls nor responses arrive.
+    Cut,
+}
+
+pub struct Node {
+    pub state: ControlState<TestCodec>,
+    pub tasks: [ReadTask; READ_TOPICS.len()],
+    link: StoreLink,
+    frozen_until: u64,
+    /// Since when the node runs and the store serves it.
+    served_since: u64,
+    /// Since when the node runs and has a path to the store.
+    touched_since: u64,
+    told_ends: [u64; 2],
+    /// Version of the manifest in force.
+    version: u64,
+}
+
+pub enum Event {
+    Datagram(Bytes),
+    Round,
+    Tick,
+    Answered(usize, u64, Answer),
+    Fetched(Box<PeerState>),
+}
+
+/// Longest times for which a host in touch lacked a manifest that the store had, in milliseconds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Lateness {
+    /// Of hosts that the store served.
+    pub served: u64,
+    /// Of hosts that the store turned away or had done so recently.
+    pub refused: u64,
+    /// Greatest age of the plan's confirmation at a host that the store served.
+    pub plan_age: u64,
+}
+
+impl Lateness {
+    /// Returns the longer of each of the times.
+    pub fn max(self, other: Self) -> Self {
+        Self {
+            served: self.served.max(other.served),
+            refused: self.refused.max(other.refused),
+            plan_age: self.plan_age.max(other.plan_age),
+        }
+    }
+}
+
+/// A fleet whose hosts are spread over data centres by their number.
+pub struct FleetModel {
+    epoch: Instant,
+    pub now_ms: u64,
+    queue: BinaryHeap<Reverse<(u64, u64)>>,
+    events: HashMap<u64, (usize, Event)>,
+    order: u64,
+    pub nodes: Vec<Node>,
+    /// Times at which versions 1, 2 and so on were written.
+    pub written: Vec<u64>,
+    /// Pairs of hosts of which the first does not reach the second.
+    pub cuts: BTreeSet<(usize, usize)>,
+    /// Since when all hosts reach one another.
+    joined_since: u64,
+    pub lateness: Lateness,
+    /// Calls to the store.
+    pub calls: u64,
+}
+
+fn settings(index: usize, centres: usize) -> MeshSettings {
+    let octet = |value: usize| u8::try_from(value).expect("a small number");
+    let ip = [10, 0, octet(index / 250), octet(index % 250)].into();
+    node_settings(&format!("host-{index:03}"), &format!("centre-{}", index % centres), ip)
+}
+
+fn host_of(address: SocketAddr) -> usize {
+    let SocketAddr::V4(address) = address else { unreachable!("addresses are IPv4") };
+    let [_, _, high, low] = address.ip().octets();
+    usize::from(high) * 250 + usize::from(low)
+}
+
+fn host_record(index: usize, centres: usize) -> Vec<u8> {
+    let settings = settings(index, centres);
+    let record = HostRecord {
+        host: settings.host,
+        data_centre: settings.data_centre,
+        incarnation: 1,
+        revision: 0,
+        forward: settings.listen.forward,
+        gossip: settings.listen.gossip,
+        service: settings.service,
+        upstream: None,
+    };
+    record.encode()
+}
+
+pub fn topic_record(key: &str, value: Vec<u8>, offset: u64) -> TopicRecord {
+    TopicRecord { key: key.into(), value: value.into(), offset }
+}
+
+impl FleetModel {
+    /// Returns nodes that have just read the newest records of each topic.
+    pub fn new(hosts: usize, centres: usize) -> Self {
+        let epoch = Instant::now();
+        let records: Vec<_> = (0..hosts)
+            .map(|index| topic_record(&format!("host-{index:03}"), host_record(index, centres), 0))
+            .collect();
+        let node = |index| {
+            let settings = settings(index, centres);
+            let guards = GrantGuards::all();
+            let mut state = ControlState::new(settings, TestCodec::new(), 1, guards, epoch);
+            let topics = [
+                (StateTopic::Manifests, vec![topic_record("manifest", vec![b'1'], 0)]),
+                (StateTopic::Hosts, records.clone()),
+                (StateTopic::Plans, Vec::new()),
+            ];
+            for (topic, values) in topics {
+                state.handle_snapshot(topic, TopicSnapshot { values, end: 1 }, epoch, epoch);
+            }
+            Node {
+                state,
+                tasks: Default::default(),
+                link: StoreLink::Open,
+                frozen_until: 0,
+                served_since: 0,
+                touched_since: 0,
+                told_ends: [1; 2],
+                version: 1,
+            }
+        };
+        let mut fleet = Self {
+            epoch,
+            now_ms: 0,
+            queue: BinaryHeap::new(),
+            events: HashMap::new(),
+            order: 0,
+            nodes: (0..hosts).map(node).collect(),
+            written: vec![0],
+            cuts: BTreeSet::new(),
+            joined_since: 0,
+            lateness: Lateness::default(),
+            calls: 0,
+        };
+        for index in 0..hosts {
+            // Each host begins at another moment, as on real clocks.
+            let phase = (index as u64 * 7_919) % 1_000;
+            fleet.enqueue(index, phase * ROUND_MS / 1_000, Event::Round);
+            fleet.enqueue(index, phase * TICK_MS / 1_000, Event::Tick);
+        }
+        fleet
+    }
+
+    pub fn now(&self) -> Instant {
+        self.at(self.now_ms)
+    }
+
+    pub fn at(&self, ms: u64) -> Instant {
+        self.epoch + Duration::from_millis(ms)
+    }
+
+    pub fn enqueue(&mut self, host: usize, delay: u64, event: Event) {
+        self.order += 1;
+        self.queue.push(Reverse((self.now_ms + delay, self.order)));
+        self.events.insert(self.order, (host, event));
+    }
+
+    /// Runs the fleet for a time.
+    pub fn run(&mut self, ms: u64) {
+        let end = self.now_ms + ms;
+        while let Some(Reverse((due, order))) = self.queue.pop() {
+            if due > end {
+                self.queue.push(Reverse((due, order)));
+                break;
+            }
+            self.now_ms = due;
+            let (host, event) = self.events.remove(&order).expect("each event is kept");
+            let thaws_at = self.nodes[host].frozen_until;
+            if due < thaws_at {
+                self.enqueue(host, thaws_at - due, event);
+            } else {
+                self.handle(host, event);
+            }
+        }
+        self.now_ms = end;
+    }
+
+    fn handle(&mut self, host: usize, event: Event) {
+        let now = self.now();
+        match event {
+            Event::Datagram(bytes) => {
+                let state = &mut self.nodes[host].state;
+                if let Some(sender) = state.handle_datagram(&bytes, now) {
+                    let actions = state.datagrams(&[sender], now);
+                    self.execute(host, actions);
+                }
+            }
+            Event::Round => {
+                let actions = self.nodes[host].state.gossip_round(now);
+                self.execute(host, actions);
+                self.enqueue(host, ROUND_MS, Event::Round);
+            }
+            Event::Tick => {
+                self.step(host);
+                for task in 0..READ_TOPICS.len() {
+                    self.step_read(host, task);
+                }
+                self.check(host);
+                self.enqueue(host, TICK_MS, Event::Tick);
+            }
+            Event::Answered(task, call, answer) => {
+                if self.finish_read(host, task, call, answer) {
+                    self.step(host);
+                    self.tell_news(host);
+                }
+                self.step_read(host, task);
+            }
+            Event::Fetched(state) => {
+                let node = &mut self.nodes[host].state;
+                match *state {
+                    PeerState::Whole(snapshot) => node.handle_peer_state(&snapshot, now),
+                    PeerState::News(news) => node.handle_peer_news(&news, now),
+                }
+                self.step(host);
+                if self.tell_news(host) {
+                    let actions = self.nodes[host].state.gossip_round(now);
+                    self.execute(host, actions);
+                }
+            }
+        }
+    }
+
+    fn step(&mut self, host: usize) {
+        let now = self.now();
+        let actions = self.nodes[host].state.tick(now);
+        self.execute(host, actions);
+    }
+
+    fn tell_news(&mut self, host: usize) -> bool {
+        let now = self.now();
+        let node = &mut self.nodes[host];
+        let ends = node.state.news_ends();
+        if ends == node.told_ends {
+            return false;
+        }
+        node.told_ends = ends;
+        let manifest = node.state.view(now).manifest;
+        node.version = manifest.map_or(0, |manifest| manifest.version);
+        let hosts = node.state.new_plan_hosts(now);
+        let actions = node.state.datagrams(&hosts, now);
+        self.execute(host, actions);
+        true
+    }
+
+    fn execute(&mut self, from: usize, actions: Vec<ControlAction>) {
+        for action in actions {
+            match action {
+                ControlAction::Send(to, bytes, _) => {
+                    let to = host_of(to);
+                    self.note_plan_age(from, &bytes);
+                    if !self.cuts.contains(&(from, to)) {
+                        self.enqueue(to, DELAY_MS, Event::Datagram(bytes));
+                    }
+                }
+                ControlAction::FetchState(to, _) => self.fetch(from, host_of(to)),
+                ControlAction::AppendPlan(..)
+                | ControlAction::PutHost(_)
+                | ControlAction::ProbeUpstream(_) => {}
+            }
+        }
+    }
+
+    fn fetch(&mut self, host: usize, peer: usize) {
+        let cut = self.cuts.contains(&(host, peer)) || self.cuts.contains(&(peer, host));
+        if cut || self.now_ms < self.nodes[peer].frozen_until {
+            return;
+        }
+        let snapshot = self.nodes[peer].state.view(self.now()).snapshot;
+        let state = match self.nodes[host].state.known_state() {
+            Some(known) => PeerState::News(snapshot.news_since(known)),
+            None => PeerState::Whole((*snapshot).clone()),
+        };
+        self.enqueue(host, 2 * DELAY_MS, Event::Fetched(Box::new(state)));
+    }
+
+    /// Notes how late the node is with a manifest, if its host is in touch.
+    fn check(&mut self, host: usize) {
+        let now = self.now_ms;
+        self.note_links(host);
+        if !self.cuts.is_empty() {
+            self.joined_since = now;
+        }
+        let node = &self.nodes[host];
+        let missing = usize::try_from(node.version).expect("a small number");
+        let Some(written) = self.written.get(missing) else { return };
+        let late = now - written;
+        if now >= node.served_since + CONTACT_MS {
+            self.lateness.served = self.lateness.served.max(late);
+        } else if now >= node.touched_since + CONTACT_MS {
+            // Others can pass it on for as long as one of them is served and reaches this one.
+            let served_since = self.nodes.iter().map(|row| row.served_since).min().unwrap_or(now);
+            let since = served_since.max(self.joined_since);
+            self.lateness.refused = self.lateness.refused.max(late.min(now.saturating_sub(since)));
+        }
+    }
+
+    fn note_plan_age(&mut self, sender: usize, bytes: &[u8]) {
+        let message = GossipMessage::decode(bytes).expect("datagrams arrive as they were sent");
+        let age = message.echo.and_then(|echo| echo.age_ms).unwrap_or(0);
+        if self.now_ms >= self.nodes[sender].served_since + CONTACT_MS {
+            self.lateness.plan_age = self.lateness.plan_age.max(age);
+        }
+    }
+
+    fn note_links(&mut self, host: usize) {
+        let now = self.now_ms;
+        let node = &mut self.nodes[host];
+        if node.link != StoreLink::Open {
+            node.served_since = node.served_since.max(now);
+        }
+        if node.link == StoreLink::Cut {
+            node.touched_since = node.touched_since.max(now);
+        }
+    }
+
+    /// Changes how the store treats a host.
+    pub fn set_link(&mut self, host: usize, link: StoreLink) {
+        self.note_links(host);
+        self.nodes[host].link = link;
+        self.note_links(host);
+    }
+
+    /// Returns how the store treats a host.
+    pub fn link(&self, host: usize) -> StoreLink {
+        self.nodes[host].link
+    }
+
+    /// Stops a node for a time; what is sent to it meanwhile arrives when it goes on.
+    pub fn freeze(&mut self, host: usize, ms: u64) {
+        let node = &mut self.nodes[host];
+        node.frozen_until = node.frozen_until.max(self.now_ms + ms);
+        node.served_since = node.frozen_until;
+        node.touched_since = node.frozen_until;
+    }
+
+    /// Writes the next manifest, as an operator does.
+    pub fn write_manifest(&mut self) {
+        self.written.push(self.now_ms);
+        self.answer_waiting_reads();
+    }
+}
--- a/crates/mesh/tests/ownership/codec.rs
+++ b/crates/mesh/tests/ownership/codec.rs
@@ -48,7 +48,9 @@
         "manifest"
     }
 
-    fn decode_manifest(&self, _value: &[u8]) -> Result<RouteManifest, DecodeError> {
+    fn decode_manifest(&self, value: &[u8]) -> Result<RouteManifest, DecodeError> {
+        let version = std::str::from_utf8(value).ok().and_then(|text| text.parse().ok());
+        let version = version.ok_or_else(|| DecodeError::new("version", "not a number"))?;
         let service = MeshService {
             name: SERVICE.into(),
             health_path: "/".into(),
@@ -62,7 +64,7 @@
             header_timeout: Duration::ZERO,
             idle_timeout: Duration::ZERO,
         };
-        Ok(RouteManifest::new(1, Vec::new(), vec![service], limits))
+        Ok(RouteManifest::new(version, Vec::new(), vec![service], limits))
     }
 
     fn decode_report(&self, _id: &str, _body: &[u8]) -> Result<UpstreamReport, DecodeError> {
