fix(mesh): hosts that read the plans a moment ago read them again once nobody confirms them

What callers saw: keys that stop after 6.5 s although the store serves most hosts.

Cause: while nobody confirms the plan, a told node read it once in a shared interval, 0.9 s for each eight hosts (8 s at 70, 32 s at 295 hosts), counted from its last read, also if that had succeeded. Hosts that had started together had all read at the same time, so if their relays then lost the store, nobody read for that long.

Found by reading, when the same interval was to be used for manifests.

Change: plans are read by the same rule as manifests, and the shared interval is for hosts that the store does not answer.

--- a/crates/mesh/src/process/control_state/read_step.rs
+++ b/crates/mesh/src/process/control_state/read_step.rs
@@ -58,13 +58,10 @@
     pub fn read_schedule(&self, topic: StateTopic, now: Instant) -> ReadSchedule {
         let reader = self.is_reader(now);
         let told = !reader && self.told_recently(now);
-        let plan_end = self.confirmation.end();
-        let since = self.confirmation.confirmed_at().max(self.plan_applied_at);
-        let confirmed = since.is_some_and(|at| now < at + PEER_CONFIRM_AGE);
+        let (plan_end, confirmed_at) = (self.confirmation.end(), self.confirmation.confirmed_at());
         let plan_interval = match told {
-            true if confirmed => IDLE_INTERVAL,
-            // The relays read as well; if they cannot, the others try in turn.
-            true => self.shared_interval(),
+            // A plan that was applied a moment ago is about to be confirmed.
+            true => self.told_interval(confirmed_at.max(self.plan_applied_at), now),
             false => CONFIRM_INTERVAL,
         };
         let (from, wait, interval) = match topic {
--- a/crates/mesh/tests/manifests/main.rs
+++ b/crates/mesh/tests/manifests/main.rs
@@ -27,6 +27,9 @@
 /// Time that the limit is stretched by while the store turns hosts away, in milliseconds.
 const REFUSED_STRETCH: u64 = 5_000;
 
+/// Age of a plan's confirmation at which keys stop, in milliseconds.
+const PERMISSION: u64 = 6_500;
+
 /// Time until the nodes have heard of one another and read as they will, in milliseconds.
 const WARM_UP: u64 = 10_000;
 
@@ -42,6 +45,7 @@
     let late = fleet.lateness;
     assert!(late.served <= limit, "a host that the store served was late: {late:?}");
     assert!(late.refused <= limit + REFUSED_STRETCH, "a host turned away was late: {late:?}");
+    assert!(late.plan_age <= PERMISSION, "the plan of a host that the store served aged: {late:?}");
 }
 
 /// Guards against manifests that nobody reads because the relays alone do, and cannot.
@@ -146,10 +150,8 @@
         let fleet = faults::run_history(seed, SITES[0].hosts, SITES[0].centres);
         let late = fleet.lateness;
         worst = worst.max(late);
-        assert!(
-            late.served <= SITES[0].limit && late.refused <= SITES[0].limit + REFUSED_STRETCH,
-            "seed {seed}: {late:?}"
-        );
+        println!("seed {seed}: {late:?}");
+        assert_in_time(&fleet, SITES[0].limit);
     }
     println!("worst of seeds {seeds}: {worst:?}");
 }
