--- a/crates/mesh/src/process.rs
+++ b/crates/mesh/src/process.rs
@@ -18,4 +18,4 @@
 pub use mesh_metrics::{MeshMetrics, PeerTraffic};
 pub use mesh_node::{NodeError, run_mesh_node};
 pub use mesh_settings::{MeshBounds, MeshListen, MeshSettings};
-pub use store_watch::ReadSchedule;
+pub use store_watch::{ReadSchedule, ReadStart};
--- a/crates/mesh/tests/manifests/faults.rs
+++ b/crates/mesh/tests/manifests/faults.rs
@@ -1,4 +1,5 @@
-//! Random faults: hosts that the store turns away or does not hear, frozen nodes, one-way cuts.
+//! Random faults: hosts that the store turns away or does not hear, frozen nodes, one-way cuts,
+//! restarts.
 
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -43,7 +44,7 @@
     let relay = rng.random_range(0..relays);
     let [from, to] = [(); 2].map(|()| rng.random_range(0..centres));
     let link = LINKS[rng.random_range(0..LINKS.len())];
-    match rng.random_range(0..12) {
+    match rng.random_range(0..14) {
         0 => fleet.set_link(host, link),
         1 => fleet.set_link(relay, link),
         2 => (0..relays).for_each(|relay| fleet.set_link(relay, link)),
@@ -69,6 +70,8 @@
                 }
             }
         }
+        12 => fleet.restart(host),
+        13 => fleet.restart(relay),
         10 => (0..hosts).for_each(|host| fleet.set_link(host, StoreLink::Open)),
         _ => fleet.cuts.clear(),
     }
--- a/crates/mesh/tests/manifests/main.rs
+++ b/crates/mesh/tests/manifests/main.rs
@@ -4,6 +4,7 @@
 #[path = "../ownership/codec.rs"]
 mod codec;
 mod faults;
+mod hosts;
 mod model;
 #[path = "../ownership/node_settings.rs"]
 mod node_settings;
--- a/crates/mesh/tests/manifests/model.rs
+++ b/crates/mesh/tests/manifests/model.rs
@@ -3,19 +3,17 @@
 
 use std::cmp::Reverse;
 use std::collections::{BTreeSet, BinaryHeap, HashMap};
-use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use firspindle_core::connection::GossipMessage;
 use firspindle_core::process::GrantGuards;
-use firspindle_core::version::HostRecord;
-use firspindle_edge::{StateTopic, TopicRecord, TopicSnapshot};
-use firspindle_mesh::process::{ControlAction, ControlState, MeshSettings};
+use firspindle_edge::{StateTopic, TopicSnapshot};
+use firspindle_mesh::process::{ControlAction, ControlState};
 use firspindle_mesh::version::PeerState;
 
 use crate::codec::TestCodec;
-use crate::node_settings::node_settings;
+use crate::hosts::{host_of, host_records, settings, topic_record};
 use crate::reads::{Answer, ReadTask};
 
 /// Delay of a message between hosts or to the store, in milliseconds.
@@ -30,8 +28,9 @@
 /// Time without a fault after which a host counts as in touch, in milliseconds.
 const CONTACT_MS: u64 = 3_000;
 
-/// Topics whose reads are simulated; the records of hosts are known from the start.
-pub const READ_TOPICS: [StateTopic; 2] = [StateTopic::Manifests, StateTopic::Plans];
+/// Topics that are read.
+pub const READ_TOPICS: [StateTopic; 3] =
+    [StateTopic::Manifests, StateTopic::Plans, StateTopic::Hosts];
 
 /// How the store treats the calls of a host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -94,6 +93,7 @@
 /// A fleet whose hosts are spread over data centres by their number.
 pub struct FleetModel {
     epoch: Instant,
+    centres: usize,
     pub now_ms: u64,
     queue: BinaryHeap<Reverse<(u64, u64)>>,
     events: HashMap<u64, (usize, Event)>,
@@ -110,44 +110,11 @@
     pub calls: u64,
 }
 
-fn settings(index: usize, centres: usize) -> MeshSettings {
-    let octet = |value: usize| u8::try_from(value).expect("a small number");
-    let ip = [10, 0, octet(index / 250), octet(index % 250)].into();
-    node_settings(&format!("host-{index:03}"), &format!("centre-{}", index % centres), ip)
-}
-
-fn host_of(address: SocketAddr) -> usize {
-    let SocketAddr::V4(address) = address else { unreachable!("addresses are IPv4") };
-    let [_, _, high, low] = address.ip().octets();
-    usize::from(high) * 250 + usize::from(low)
-}
-
-fn host_record(index: usize, centres: usize) -> Vec<u8> {
-    let settings = settings(index, centres);
-    let record = HostRecord {
-        host: settings.host,
-        data_centre: settings.data_centre,
-        incarnation: 1,
-        revision: 0,
-        forward: settings.listen.forward,
-        gossip: settings.listen.gossip,
-        service: settings.service,
-        upstream: None,
-    };
-    record.encode()
-}
-
-pub fn topic_record(key: &str, value: Vec<u8>, offset: u64) -> TopicRecord {
-    TopicRecord { key: key.into(), value: value.into(), offset }
-}
-
 impl FleetModel {
     /// Returns nodes that have just read the newest records of each topic.
     pub fn new(hosts: usize, centres: usize) -> Self {
         let epoch = Instant::now();
-        let records: Vec<_> = (0..hosts)
-            .map(|index| topic_record(&format!("host-{index:03}"), host_record(index, centres), 0))
-            .collect();
+        let records = host_records(hosts, centres);
         let node = |index| {
             let settings = settings(index, centres);
             let guards = GrantGuards::all();
@@ -162,7 +129,7 @@
             }
             Node {
                 state,
-                tasks: Default::default(),
+                tasks: [ReadTask::following(); READ_TOPICS.len()],
                 link: StoreLink::Open,
                 frozen_until: 0,
                 served_since: 0,
@@ -173,6 +140,7 @@
         };
         let mut fleet = Self {
             epoch,
+            centres,
             now_ms: 0,
             queue: BinaryHeap::new(),
             events: HashMap::new(),
@@ -238,8 +206,7 @@
                 }
             }
             Event::Round => {
-                let actions = self.nodes[host].state.gossip_round(now);
-                self.execute(host, actions);
+                self.begin_round(host);
                 self.enqueue(host, ROUND_MS, Event::Round);
             }
             Event::Tick => {
@@ -265,13 +232,19 @@
                 }
                 self.step(host);
                 if self.tell_news(host) {
-                    let actions = self.nodes[host].state.gossip_round(now);
-                    self.execute(host, actions);
+                    self.begin_round(host);
                 }
             }
         }
     }
 
+    /// Sends a round of datagrams before the next is due.
+    pub fn begin_round(&mut self, host: usize) {
+        let now = self.now();
+        let actions = self.nodes[host].state.gossip_round(now);
+        self.execute(host, actions);
+    }
+
     fn step(&mut self, host: usize) {
         let now = self.now();
         let actions = self.nodes[host].state.tick(now);
@@ -385,6 +358,33 @@
         node.touched_since = node.frozen_until;
     }
 
+    /// Ends a node's process and starts it again.
+    pub fn restart(&mut self, host: usize) {
+        let (now, guards) = (self.now(), GrantGuards::all());
+        let (settings, incarnation) = (settings(host, self.centres), self.now_ms + 2);
+        let node = &mut self.nodes[host];
+        node.state = ControlState::new(settings, TestCodec::new(), incarnation, guards, now);
+        node.tasks.iter_mut().for_each(ReadTask::restart);
+        node.told_ends = [0; 2];
+        node.version = 0;
+        node.served_since = node.served_since.max(self.now_ms);
+        node.touched_since = node.touched_since.max(self.now_ms);
+    }
+
+    /// Returns the newest records of a topic and its end.
+    pub fn newest(&self, topic: StateTopic) -> TopicSnapshot {
+        let version = self.written.len() as u64;
+        let (values, end) = match topic {
+            StateTopic::Manifests => {
+                let value = version.to_string().into_bytes();
+                (vec![topic_record("manifest", value, version - 1)], version)
+            }
+            StateTopic::Plans => (Vec::new(), 1),
+            StateTopic::Hosts => (host_records(self.nodes.len(), self.centres), 1),
+        };
+        TopicSnapshot { values, end }
+    }
+
     /// Writes the next manifest, as an operator does.
     pub fn write_manifest(&mut self) {
         self.written.push(self.now_ms);
--- a/crates/mesh/tests/manifests/reads.rs
+++ b/crates/mesh/tests/manifests/reads.rs
@@ -3,8 +3,10 @@
 use std::time::Duration;
 
 use firspindle_edge::{ReadBatch, StateTopic, TopicRecord};
+use firspindle_mesh::process::ReadStart;
 
-use crate::model::{DELAY_MS, Event, FleetModel, READ_TOPICS, StoreLink, topic_record};
+use crate::hosts::topic_record;
+use crate::model::{DELAY_MS, Event, FleetModel, READ_TOPICS, StoreLink};
 
 /// Time limit for a read, in addition to the time that it asks the store to wait, in milliseconds.
 const CALL_TIMEOUT_MS: u64 = 800;
@@ -34,6 +36,8 @@
     wait: u64,
     /// Whether it waits at the store for a record.
     waits: bool,
+    /// Whether it asks for the newest records.
+    newest: bool,
 }
 
 /// A task that reads one topic.
@@ -41,6 +45,8 @@
 pub struct ReadTask {
     call: Option<Call>,
     calls: u64,
+    /// Whether the newest records were read, or are known from a peer.
+    follows: bool,
     ended_at: u64,
     /// Whether the last read failed.
     failed: bool,
@@ -48,6 +54,18 @@
     unanswered_at: u64,
 }
 
+impl ReadTask {
+    /// Returns the task of a node that knows the newest records.
+    pub fn following() -> Self {
+        Self { follows: true, ..Self::default() }
+    }
+
+    /// Starts the task again; answers to its earlier reads are lost.
+    pub fn restart(&mut self) {
+        *self = Self { calls: self.calls, ..Self::default() };
+    }
+}
+
 fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).expect("a short time")
 }
@@ -68,9 +86,17 @@
             task.call = None;
             task.ended_at = 0;
         }
+        match schedule.start {
+            _ if task.follows => {}
+            ReadStart::Wait => return,
+            ReadStart::Following => task.follows = true,
+            ReadStart::Newest => {}
+        }
+        let newest = !task.follows;
         let pause = match task.failed {
             true if schedule.interval > FREQUENT_INTERVAL => RETRY_MS + millis(schedule.interval),
             true => RETRY_MS,
+            false if newest => 0,
             false => millis(schedule.interval),
         };
         if schedule.paused || (task.ended_at > 0 && now < task.ended_at + pause) {
@@ -78,8 +104,9 @@
         }
         task.calls += 1;
         let number = task.calls;
-        let (from, wait) = (schedule.from, millis(schedule.wait));
-        task.call = Some(Call { number, from, began_at: now, wait, waits: false });
+        let wait = if newest { 0 } else { millis(schedule.wait) };
+        let from = schedule.from;
+        task.call = Some(Call { number, from, began_at: now, wait, waits: false, newest });
         self.calls += 1;
         self.answer_read(host, index, false);
     }
@@ -147,6 +174,20 @@
             node.state.note_store_answer(false);
             return false;
         }
+        if call.newest {
+            task.follows = true;
+            let snapshot = self.newest(topic);
+            let end = snapshot.end;
+            let state = &mut self.nodes[host].state;
+            state.handle_snapshot(topic, snapshot, began, now);
+            if topic == StateTopic::Manifests {
+                state.note_manifests_read(end, began);
+            }
+            if topic == StateTopic::Hosts {
+                self.begin_round(host);
+            }
+            return true;
+        }
         let batch = match topic {
             StateTopic::Manifests => {
                 let end = self.written.len() as u64;
