--- a/crates/core/src/connection/gossip_message.rs
+++ b/crates/core/src/connection/gossip_message.rs
@@ -111,6 +111,10 @@
     /// echo, and the changes seen, are of that incarnation.
     #[serde(skip)]
     pub heard_incarnation: u64,
+    /// Time since the store was last known to have no manifest that the sender has not applied, in
+    /// milliseconds, when this was sent; `None` if it never was.
+    #[serde(skip)]
+    pub manifest_age_ms: Option<u64>,
 }
 
 impl GossipMessage {
@@ -126,8 +130,8 @@
             relayed: limited.map(|row| (row.host, row.load.limit_milli)).collect(),
         };
         bytes.extend(postcard::to_allocvec(&limits).unwrap_or_default());
-        bytes.extend(postcard::to_allocvec(&self.mark).unwrap_or_default());
-        bytes.extend(postcard::to_allocvec(&self.heard_incarnation).unwrap_or_default());
+        let state = (self.mark, self.heard_incarnation, self.manifest_age_ms);
+        bytes.extend(postcard::to_allocvec(&state).unwrap_or_default());
         bytes
     }
 
@@ -148,9 +152,9 @@
                 row.load.limit_milli = limit_milli;
             }
         }
-        let Ok((mark, rest)) = postcard::take_from_bytes(rest) else { return Some(message) };
-        message.mark = mark;
-        message.heard_incarnation = postcard::from_bytes(rest).unwrap_or(0);
+        if let Ok(state) = postcard::from_bytes(rest) {
+            (message.mark, message.heard_incarnation, message.manifest_age_ms) = state;
+        }
         Some(message)
     }
 }
--- a/crates/mesh/src/process/control_state/gossip_step.rs
+++ b/crates/mesh/src/process/control_state/gossip_step.rs
@@ -9,6 +9,7 @@
 use firspindle_core::version::LogPosition;
 use firspindle_edge::PlatformCodec;
 
+use super::relay_step;
 use super::{ControlAction, ControlState};
 use crate::process::peer_table::CollectedAttestation;
 
@@ -32,6 +33,11 @@
     dated.collect()
 }
 
+/// Returns when this node sent the timestamp that a peer echoed; `None` if it has not reached it.
+fn date_echo(echo: EchoRow, stamp_ms: u64, now: Instant) -> Option<Instant> {
+    now.checked_sub(Duration::from_millis(stamp_ms.checked_sub(echo.stamp_ms)?))
+}
+
 impl<C: PlatformCodec> ControlState<C> {
     /// Handles a datagram of another node; returns the sender if it is to get a reply at once: it
     /// asks for one, reported ended fences, or a suspect that is new to this node.
@@ -59,6 +65,7 @@
         let echo = message.echo.filter(|_| message.heard_incarnation == self.incarnation);
         if let Some(echo) = echo {
             self.apply_echo(&message, echo, stamp, now);
+            self.apply_manifest_age(&message, echo, stamp, now);
         }
         self.apply_report(&message.report, now);
         if message.mark.is_ahead_of(&self.mark()) {
@@ -79,11 +86,7 @@
         stamp_ms: u64,
         now: Instant,
     ) {
-        if echo.stamp_ms > stamp_ms {
-            return;
-        }
-        let sent_at = now.checked_sub(Duration::from_millis(stamp_ms - echo.stamp_ms));
-        let Some(sent_at) = sent_at else { return };
+        let Some(sent_at) = date_echo(echo, stamp_ms, now) else { return };
         let aged = self.grants.guards().attestation_age;
         let plan_end = LogPosition::new(message.mark.plan_position.epoch, echo.plan_end);
         let report = &message.report;
@@ -100,6 +103,22 @@
         }
     }
 
+    /// Applies when a peer knew every manifest, if this node has applied those too.
+    fn apply_manifest_age(
+        &mut self,
+        message: &GossipMessage,
+        echo: EchoRow,
+        stamp_ms: u64,
+        now: Instant,
+    ) {
+        let age = message.manifest_age_ms.map(Duration::from_millis);
+        let at = date_echo(echo, stamp_ms, now)
+            .and_then(|sent_at| age.and_then(|age| sent_at.checked_sub(age)));
+        if message.mark.manifest <= self.mark().manifest {
+            self.manifests_known_at = self.manifests_known_at.max(at);
+        }
+    }
+
     /// Returns the sends of a datagram to each of these hosts that is known.
     pub fn datagrams(&mut self, hosts: &[Box<str>], now: Instant) -> Vec<ControlAction> {
         self.sends(hosts, false, now)
@@ -173,6 +192,7 @@
             suspects: self.suspects.hints(now),
             report: RelayReport::default(),
             mark: self.mark(),
+            manifest_age_ms: self.manifests_known_at.map(|at| relay_step::age_ms(at, now)),
             heard_incarnation: self.peers.get(host).map_or(0, |peer| peer.incarnation),
         }
     }
--- a/crates/mesh/src/process/control_state/record_step.rs
+++ b/crates/mesh/src/process/control_state/record_step.rs
@@ -145,6 +145,7 @@
                     self.apply_manifest(&row.value, origin(row), now);
                 }
                 self.manifest_end = self.manifest_end.max(end);
+                self.note_manifests_read(log_end, at);
             }
             StateTopic::Hosts => {
                 self.hosts_known = true;
--- a/crates/mesh/src/process/control_state/relay_step.rs
+++ b/crates/mesh/src/process/control_state/relay_step.rs
@@ -77,7 +77,7 @@
     aged.collect()
 }
 
-fn age_ms(at: Instant, now: Instant) -> u64 {
+pub(super) fn age_ms(at: Instant, now: Instant) -> u64 {
     u64::try_from(now.saturating_duration_since(at).as_millis()).unwrap_or(u64::MAX) + 1
 }
 
--- a/crates/mesh/src/process/store_watch.rs
+++ b/crates/mesh/src/process/store_watch.rs
@@ -78,6 +78,8 @@
             match read {
                 Ok(batch) => {
                     let replaced = batch.end.epoch != from.epoch;
+                    // A store that waited for records had none until the end of the wait.
+                    let at = if batch.records.is_empty() { clock.now().min(at + wait) } else { at };
                     let _ = tx.send(ControlEvent::Records(topic, from, batch, at));
                     if replaced {
                         tokio::time::sleep(RETRY_DELAY).await;
@@ -147,7 +149,7 @@
 }
 
 /// Time between checks whether the schedule has changed.
-const SCHEDULE_POLL_INTERVAL: Duration = Duration::from_millis(500);
+const SCHEDULE_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Time between checks whether another call failed without an answer.
 const UNANSWERED_POLL_INTERVAL: Duration = Duration::from_millis(100);
--- a/crates/mesh/tests/ownership/suspects.rs
+++ b/crates/mesh/tests/ownership/suspects.rs
@@ -49,6 +49,7 @@
         report: RelayReport::default(),
         mark: StateMark::default(),
         heard_incarnation: 0,
+        manifest_age_ms: None,
     };
     message.encode()
 }
