fix(core): the ranges of an upstream fit into one reply whatever their fence

After a restore of the store fences have 10 digits and more, and a reply of 140 ranges did not fit into 4 KiB from the 24th restore on: 119 of 140 rows at the longest fence, the rest of the keys lost. Now moves for demand leave at most 118. The test failed with 140 (119 rows) and passes now.

--- a/crates/core/src/process/range_planner.rs
+++ b/crates/core/src/process/range_planner.rs
@@ -27,8 +27,8 @@
 const JOIN_RANGES: usize = 100;
 
 /// Most ranges that moves for demand may leave an upstream with. The reply to a heartbeat is at
-/// most 4 KiB, and a range in it at most 26 bytes without a handover token and 42 with one.
-const MAX_RANGES: usize = 140;
+/// most 4 KiB, and a range in it at most 34 bytes without a handover token, with a fence of 16 digits.
+pub const MAX_RANGES: usize = 118;
 
 /// Percentage of its share below which an upstream receives cells from others.
 const UNDERFILLED_PERCENT: usize = 70;
