fix(mesh): an upstream that left stays closed after its node started again

Requests reached a leaving upstream after the drain time once its node had started again. Cause: the node adopted the state of its host's record, not the bound that goes with it, and a heartbeat that still said 'ready' opened the upstream again. Now an adopted record that drains closes the upstream at once, since nobody knows when that was acknowledged, and for good; also if the heartbeat came first.

What remains: a leave that was acknowledged while the store was away is lost with the process, as no record of it was written.

--- a/crates/mesh/src/process/control_state/record_step.rs
+++ b/crates/mesh/src/process/control_state/record_step.rs
@@ -5,7 +5,9 @@
 
 use bytes::Bytes;
 use firspindle_core::connection::{StateMark, hash_host};
-use firspindle_core::version::{HostRecord, LogEpoch, LogPosition, RangePlan, plan_version_at};
+use firspindle_core::version::{
+    HostRecord, LogEpoch, LogPosition, RangePlan, UpstreamState, plan_version_at,
+};
 use firspindle_edge::{PlatformCodec, ReadBatch, StateTopic, TopicRecord, TopicSnapshot};
 
 use super::record_origin::RecordOrigin;
@@ -229,14 +231,20 @@
     }
 
     /// After a restart, adopts the upstream that the previous process recorded and counts its last
-    /// heartbeat as received at the start, so that no cell moves before the next one is due.
+    /// heartbeat as received at the start, so that no cell moves before the next one is due. One that
+    /// drains was acknowledged before the start, nobody knows when, so it gets no more requests.
     pub(super) fn adopt_own_record(&mut self, record: &HostRecord) {
         self.outnumber_incarnation(record.incarnation);
-        let restarted = record.incarnation < self.incarnation && self.own.upstream.is_none();
-        if restarted && record.upstream.is_some() {
-            self.own.upstream.clone_from(&record.upstream);
+        let recorded = record.upstream.as_ref().filter(|_| record.incarnation < self.incarnation);
+        let Some(recorded) = recorded else { return };
+        if self.own.upstream.is_none() {
+            self.own.upstream = Some(recorded.clone());
             self.last_heartbeat_at = Some(self.started_at);
         }
+        let current = self.own.upstream.as_ref().map(|row| &row.instance);
+        if recorded.state == UpstreamState::Draining && current == Some(&recorded.instance) {
+            self.close_upstream(recorded.instance.clone(), None);
+        }
     }
 
     pub(super) fn apply_plan(&mut self, plan: RangePlan, origin: RecordOrigin, now: Instant) {
--- a/crates/mesh/src/process/control_state/upstream_step.rs
+++ b/crates/mesh/src/process/control_state/upstream_step.rs
@@ -117,7 +117,7 @@
         log::info!(id; "upstream leave requested");
         let known = self.own.upstream.as_ref().map(|upstream| &upstream.instance);
         if let Some(instance) = known.filter(|known| &*known.id == id).cloned() {
-            self.close_upstream(instance, now);
+            self.close_upstream(instance, Some(now));
         }
     }
 
@@ -129,19 +129,21 @@
             });
         if is_ready {
             log::info!(life = &*instance.id; "upstream says in an answer that it leaves");
-            self.close_upstream(instance, said_at);
+            self.close_upstream(instance, Some(said_at));
         }
     }
 
-    /// Drains the upstream, of which this is the instance, from `since` on; its later heartbeats do not
-    /// end that.
-    fn close_upstream(&mut self, instance: UpstreamInstance, since: Instant) {
+    /// Drains the upstream, of which this is the instance, from `since` on, or from an unknown time before
+    /// the start; its later heartbeats do not end that.
+    pub(super) fn close_upstream(&mut self, instance: UpstreamInstance, since: Option<Instant>) {
         let Some(upstream) = &mut self.own.upstream else { return };
         upstream.state = UpstreamState::Draining;
-        self.leaving.push(instance);
-        if self.closes_at.is_none() {
-            self.closes_at = Some(since + self.settings.bounds.close_delay());
+        if !self.leaving.contains(&instance) {
+            self.leaving.push(instance);
         }
+        let closes_at =
+            since.map_or(self.started_at, |since| since + self.settings.bounds.close_delay());
+        self.closes_at = Some(self.closes_at.map_or(closes_at, |at| at.min(closes_at)));
     }
 
     /// Notes that nothing listens at the upstream's address, so its instance has ended.
--- /dev/null
+++ b/crates/mesh/tests/own_record.rs
@@ -0,0 +1,105 @@
+//! What a node that starts again takes over from the record of its host.
+
+#[path = "ownership/codec.rs"]
+mod codec;
+#[path = "ownership/node_settings.rs"]
+mod node_settings;
+
+use std::time::{Duration, Instant};
+
+use codec::{SERVICE, TestCodec};
+use firspindle_core::connection::UpstreamReport;
+use firspindle_core::process::GrantGuards;
+use firspindle_core::version::{
+    HostRecord, LogPosition, UpstreamInstance, UpstreamRecord, UpstreamState,
+};
+use firspindle_edge::{StateTopic, TopicRecord, TopicSnapshot};
+use firspindle_mesh::process::{ControlState, MeshSettings};
+use node_settings::node_settings;
+
+const HOST: &str = "host-0";
+
+fn settings() -> MeshSettings {
+    node_settings(HOST, "centre-0", [10, 0, 0, 1].into())
+}
+
+fn instance() -> UpstreamInstance {
+    UpstreamInstance { id: "u0".into(), born_ms: 5 }
+}
+
+fn hosts(state: UpstreamState) -> TopicSnapshot {
+    let settings = settings();
+    let upstream =
+        UpstreamRecord { instance: instance(), service: SERVICE.into(), slots: 9, state };
+    let record = HostRecord {
+        host: HOST.into(),
+        data_centre: settings.data_centre,
+        incarnation: 1,
+        revision: 4,
+        forward: settings.listen.forward,
+        gossip: settings.listen.gossip,
+        service: SERVICE.into(),
+        upstream: Some(upstream),
+    };
+    let value = record.encode().into();
+    TopicSnapshot {
+        values: vec![TopicRecord { key: HOST.into(), value, offset: 0 }],
+        end: LogPosition::new(0, 1),
+    }
+}
+
+fn report() -> UpstreamReport {
+    UpstreamReport {
+        instance: instance(),
+        service: SERVICE.into(),
+        slots: 9,
+        state: UpstreamState::Ready,
+        cold_remaining: Duration::ZERO,
+        sequence: 9,
+        holds: Vec::new(),
+        freed: Vec::new(),
+    }
+}
+
+fn restarted(now: Instant) -> ControlState<TestCodec> {
+    ControlState::new(settings(), TestCodec::new(), 2, GrantGuards::all(), now)
+}
+
+fn assert_closed(state: &ControlState<TestCodec>, now: Instant) {
+    let upstream = state.view(now).upstream.expect("the upstream is known");
+    assert_eq!(upstream.state, UpstreamState::Draining);
+    assert!(upstream.closes_at.is_some_and(|at| at <= now), "requests may start: {upstream:?}");
+}
+
+/// Guards against a node that starts again and uses an upstream whose leaving it has acknowledged.
+#[test]
+fn an_upstream_that_left_stays_closed_when_its_node_starts_again() {
+    let now = Instant::now();
+    let mut state = restarted(now);
+    state.handle_snapshot(StateTopic::Hosts, &hosts(UpstreamState::Draining), now, now);
+    assert_closed(&state, now);
+    // A late heartbeat, or one of an upstream that only announced that it leaves.
+    state.handle_report(&report(), now);
+    assert_closed(&state, now);
+}
+
+/// The same, if the upstream's heartbeat arrives before the record.
+#[test]
+fn an_upstream_that_left_is_closed_once_the_record_of_its_host_is_read() {
+    let now = Instant::now();
+    let mut state = restarted(now);
+    state.handle_report(&report(), now);
+    state.handle_snapshot(StateTopic::Hosts, &hosts(UpstreamState::Draining), now, now);
+    assert_closed(&state, now);
+}
+
+/// Guards against an upstream that is left alone for good because its heartbeats once failed.
+#[test]
+fn an_upstream_that_was_silent_is_used_again_when_its_node_starts_again() {
+    let now = Instant::now();
+    let mut state = restarted(now);
+    state.handle_snapshot(StateTopic::Hosts, &hosts(UpstreamState::Gone), now, now);
+    state.handle_report(&report(), now);
+    let upstream = state.view(now).upstream.expect("the upstream is known");
+    assert_eq!((upstream.state, upstream.closes_at), (UpstreamState::Ready, None));
+}
