fix(core): a late heartbeat of an ended life of an upstream replaces no later one

Two upstreams could hold the same keys, and one could be left without keys for good. Cause: a node whose upstream refused a connection forgot that life altogether, so a late heartbeat of it, after the next life had registered, counted as a third one: the live upstream lost its grants, and with a start time below the old one its fence was reported as ended while it held the keys. Now the life that refused counts as ended once another registers.

Ruled out: counting it as ended at the refusal, since a live upstream that refuses once would be ignored for good.

--- a/crates/core/src/process/grant_table.rs
+++ b/crates/core/src/process/grant_table.rs
@@ -60,6 +60,8 @@
     instance: Option<UpstreamInstance>,
     /// Instances that have ended; a late heartbeat from one of them gets no grant.
     ended_instances: Vec<UpstreamInstance>,
+    /// The instance whose address refused connections last. It has ended once another registers.
+    refused_instance: Option<UpstreamInstance>,
     /// Whether the current instance is known to listen at the upstream's address.
     address_confirmed: bool,
     /// Time by which every hold that an earlier process of this node granted has ended.
@@ -91,6 +93,7 @@
             host,
             instance: None,
             ended_instances: Vec::new(),
+            refused_instance: None,
             address_confirmed: false,
             earlier_holds_end: timing.hold_end(now),
             last_sequence: 0,
--- a/crates/core/src/process/grant_table/instance_step.rs
+++ b/crates/core/src/process/grant_table/instance_step.rs
@@ -12,9 +12,9 @@
     pub(super) fn change_instance(&mut self, instance: UpstreamInstance, now: Instant) {
         let address_confirmed =
             self.instance.as_ref().is_some_and(|old| is_superseded(old, &instance));
-        if let Some(old) = self.instance.replace(instance) {
-            self.ended_instances.push(old);
-        }
+        let refused = self.refused_instance.take().filter(|refused| *refused != instance);
+        self.ended_instances.extend(refused);
+        self.ended_instances.extend(self.instance.replace(instance));
         self.last_sequence = 0;
         self.address_confirmed = false;
         self.revoke_cells(address_confirmed);
@@ -67,7 +67,7 @@
 
     /// Records that the upstream's process has ended, and with it everything that it held.
     pub fn end_instance(&mut self) {
-        self.instance = None;
+        self.refused_instance = self.instance.take().or(self.refused_instance.take());
         self.address_confirmed = false;
         self.revoke_cells(true);
     }
--- /dev/null
+++ b/crates/core/tests/instances.rs
@@ -0,0 +1,90 @@
+//! Heartbeats of an upstream's earlier life that arrive after another life has registered.
+
+use std::time::{Duration, Instant};
+
+use firspindle_core::connection::{DemandReport, UpstreamReport};
+use firspindle_core::process::{
+    GrantGuards, GrantPermit, GrantTable, GrantTiming, RangeCandidate, ServiceCandidates,
+    plan_ranges,
+};
+use firspindle_core::version::{RangePlan, UpstreamInstance, UpstreamState};
+
+const HOST: &str = "host-0";
+
+fn report(instance: &UpstreamInstance, sequence: u64) -> UpstreamReport {
+    UpstreamReport {
+        instance: instance.clone(),
+        service: "orders".into(),
+        slots: 9,
+        state: UpstreamState::Ready,
+        cold_remaining: Duration::ZERO,
+        sequence,
+        holds: Vec::new(),
+        freed: Vec::new(),
+    }
+}
+
+fn next_plan(before: &RangePlan, instance: &UpstreamInstance) -> RangePlan {
+    let candidate = RangeCandidate {
+        host: HOST.into(),
+        instance: instance.clone(),
+        weight: 9,
+        warm: true,
+        settled_version: 0,
+        capacity: 0.0,
+        demand: DemandReport::default(),
+    };
+    let service = ServiceCandidates { service: "orders".into(), candidates: vec![candidate] };
+    plan_ranges(before, before.version + 1, &[service]).expect("the holder changes")
+}
+
+/// Lets one life end and another register and be granted its keys; then a late heartbeat of the first
+/// arrives.
+fn assert_late_heartbeat_is_ignored(first: &UpstreamInstance, second: &UpstreamInstance) {
+    let start = Instant::now();
+    let timing = GrantTiming::default();
+    let mut table = GrantTable::new(HOST.into(), timing, GrantGuards::all(), start);
+    let apply = |table: &mut GrantTable, plan: &RangePlan, now| {
+        let ranges = plan.service("orders").expect("the service is planned").clone();
+        table.apply_ranges(plan.version, ranges, true, now);
+    };
+    table.apply_report(&report(first, 7), GrantPermit::default(), start);
+    let plan = next_plan(&RangePlan::default(), first);
+    apply(&mut table, &plan, start);
+    table.end_instance();
+    table.apply_report(&report(second, 1), GrantPermit::default(), start);
+    let second_plan = next_plan(&plan, second);
+    apply(&mut table, &second_plan, start);
+    // Every hold under the plan of the first life has ended.
+    let now = start + Duration::from_secs(20);
+    let until = Some(now + Duration::from_secs(2));
+    let permit = GrantPermit { acquire_until: until, renew_until: until, trusts_reports: true };
+    let reply = table.apply_report(&report(second, 2), permit, now).expect("it may be granted");
+    assert!(!reply.rows.is_empty(), "the second life is granted its keys");
+    table.apply_report(&report(first, 8), permit, now);
+    let ended = table.ended_fences(now);
+    let held = |fence| fence >= second_plan.version;
+    assert!(
+        !ended.iter().flat_map(|row| &row.1).any(|row| held(row.fence)),
+        "the fence of keys that the second life holds has ended"
+    );
+    assert_eq!(table.instance(), Some(second), "the first life has ended");
+    let reply = table.apply_report(&report(second, 3), permit, now).expect("it may be granted");
+    assert!(!reply.rows.is_empty(), "the second life keeps its keys");
+}
+
+fn instance(id: &str, born_ms: u64) -> UpstreamInstance {
+    UpstreamInstance { id: id.into(), born_ms }
+}
+
+/// Guards against a live upstream that is never granted keys again.
+#[test]
+fn a_late_heartbeat_of_an_ended_life_does_not_replace_the_next() {
+    assert_late_heartbeat_is_ignored(&instance("u0", 0), &instance("u1", 0));
+}
+
+/// Guards against keys of a live upstream that are given to another.
+#[test]
+fn a_life_that_began_on_a_clock_set_back_keeps_its_keys() {
+    assert_late_heartbeat_is_ignored(&instance("u0", 9_000), &instance("u0", 5_000));
+}
