test: the stand-in log can come back from an older copy

`POST /restore?end=N&lost_ms=M` drops the newest records, gives their offsets out again and raises the log's epoch, which all answers name in `Firspindle-Log-Epoch`. A read past the end is refused with 410, as on the platform; reads that wait are answered at once. Existing tests do not restore.

--- a/crates/harness/src/fleet.rs
+++ b/crates/harness/src/fleet.rs
@@ -321,6 +321,29 @@
         );
     }
 
+    /// Puts an older copy in place of the log: without the records from offset `end` on.
+    ///
+    /// # Panics
+    ///
+    /// If the log service does not do so.
+    pub fn restore_log(&self, end: u64) {
+        let path = format!("/restore?end={end}");
+        let response = HttpClient::call(self.log_address(), "POST", &path, &[], "");
+        assert_eq!(response.expect("the log service responds").status, 200, "the log is restored");
+    }
+
+    /// Returns the offset that the log gives out next.
+    ///
+    /// # Panics
+    ///
+    /// If the log service does not answer.
+    pub fn log_end(&self) -> u64 {
+        let response = HttpClient::call(self.log_address(), "GET", "/bounds", &[], "");
+        let body = response.expect("the log service responds").body;
+        let bounds: serde_json::Value = serde_json::from_str(&body).expect("bounds are JSON");
+        bounds["next"].as_u64().expect("bounds name the next offset")
+    }
+
     /// Kills the node and the upstream of a host.
     pub fn kill_host(&mut self, host: usize) {
         let processes = [self.nodes[host].take(), self.upstreams[host].take()];
--- a/crates/standin/src/log_server.rs
+++ b/crates/standin/src/log_server.rs
@@ -2,9 +2,13 @@
 //!
 //! - `POST /append` appends the body as a record and returns its offset.
 //! - `GET /records?from=N&wait_ms=M` returns the records from offset N on, and waits up to M ms for
-//!   one to be appended; status 410 if the offset has expired.
+//!   one to be appended; status 410 if the offset has expired or is beyond the next one.
 //! - `GET /bounds` returns the first retained offset and the next one.
+//! - `POST /restore?end=N&lost_ms=M` puts an older copy in place of the log: it drops the records
+//!   from offset N on and those of the last M ms, and raises the log's epoch.
 //! - `POST /faults` replaces the injected faults.
+//!
+//! All answers of a log that is not down name its epoch in the header `Firspindle-Log-Epoch`.
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -12,7 +16,7 @@
 use std::time::Duration;
 
 use clap::Args;
-use http::{Method, Request};
+use http::{HeaderValue, Method, Request, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
@@ -21,6 +25,9 @@
 use crate::http_server::{self, FullResponse, new_response, query_parameter};
 use crate::log_store::LogStore;
 
+/// Header that names the log's epoch.
+const EPOCH_HEADER: &str = "firspindle-log-epoch";
+
 /// Command-line arguments of the log service.
 #[derive(Args)]
 pub struct LogArgs {
@@ -67,8 +74,20 @@
 }
 
 async fn handle(state: Rc<LogState>, request: Request<Incoming>) -> Option<FullResponse> {
+    let mut response = answer(&state, request).await?;
+    if response.status() != StatusCode::SERVICE_UNAVAILABLE {
+        let epoch = HeaderValue::from(state.store.borrow().epoch());
+        response.headers_mut().insert(EPOCH_HEADER, epoch);
+    }
+    Some(response)
+}
+
+async fn answer(state: &LogState, request: Request<Incoming>) -> Option<FullResponse> {
     if request.uri().path() == "/faults" {
-        return Some(set_faults(&state, request).await);
+        return Some(set_faults(state, request).await);
+    }
+    if request.uri().path() == "/restore" {
+        return Some(restore(state, &request));
     }
     let faults = *state.faults.borrow();
     if faults.slow_ms > 0 {
@@ -78,13 +97,13 @@
         return Some(new_response(503, "the log is down"));
     }
     match (request.method(), request.uri().path()) {
-        (&Method::POST, "/append") => append(&state, request).await,
+        (&Method::POST, "/append") => append(state, request).await,
         (&Method::GET, "/bounds") => {
             let (first, next) = state.store.borrow_mut().bounds();
             let body = serde_json::json!({ "first": first, "next": next });
             Some(new_response(200, body.to_string()))
         }
-        (&Method::GET, "/records") => Some(read_records(&state, &request).await),
+        (&Method::GET, "/records") => Some(read_records(state, &request).await),
         _ => Some(new_response(404, "no such call")),
     }
 }
@@ -116,10 +135,19 @@
         Some(records) => {
             new_response(200, postcard::to_stdvec(&records).expect("records can be encoded"))
         }
-        None => new_response(410, "the offset has expired"),
+        None => new_response(410, "the log does not have the offset"),
     }
 }
 
+/// Reads that wait for a record are answered at once, as connections break when a log comes back.
+fn restore(state: &LogState, request: &Request<Incoming>) -> FullResponse {
+    let end = query_parameter(request.uri(), "end").unwrap_or(u64::MAX);
+    let lost_time = Duration::from_millis(query_parameter(request.uri(), "lost_ms").unwrap_or(0));
+    let next = state.store.borrow_mut().restore(end, lost_time);
+    state.appended.notify_waiters();
+    new_response(200, serde_json::json!({ "next": next }).to_string())
+}
+
 async fn set_faults(state: &LogState, request: Request<Incoming>) -> FullResponse {
     let Ok(body) = request.into_body().collect().await else { return new_response(400, "no body") };
     match serde_json::from_slice(&body.to_bytes()) {
--- a/crates/standin/src/log_store.rs
+++ b/crates/standin/src/log_store.rs
@@ -22,6 +22,8 @@
 pub struct LogStore {
     records: VecDeque<(Instant, StoredRecord)>,
     next_offset: u64,
+    /// Number of times that the log came back from an older copy.
+    epoch: u64,
     retention: Option<Duration>,
     append_rate: Option<u32>,
     tokens: f64,
@@ -34,6 +36,7 @@
         Self {
             records: VecDeque::new(),
             next_offset: 1,
+            epoch: 0,
             retention,
             append_rate,
             tokens: f64::from(append_rate.unwrap_or(0)),
@@ -72,10 +75,11 @@
         )
     }
 
-    /// Returns the records from an offset on, at most 512; `None` if the offset has expired.
+    /// Returns the records from an offset on, at most 512; `None` if the offset has expired or is
+    /// beyond that of the next append.
     pub fn read(&mut self, from: u64) -> Option<Vec<StoredRecord>> {
-        let (first, _) = self.bounds();
-        if from < first {
+        let (first, next) = self.bounds();
+        if from < first || from > next {
             return None;
         }
         let skip = usize::try_from(from - first).ok()?;
@@ -83,6 +87,24 @@
         Some(rows.map(|(_, record)| record.clone()).collect())
     }
 
+    /// Returns the number of the log's history, which rises with each restore.
+    pub const fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// Drops the records at `end` and beyond and those appended within `lost_time`; their offsets
+    /// are given out again. Returns the new end.
+    pub fn restore(&mut self, end: u64, lost_time: Duration) -> u64 {
+        let is_lost = |row: &(Instant, StoredRecord)| {
+            row.1.offset >= end || (!lost_time.is_zero() && row.0.elapsed() < lost_time)
+        };
+        while let Some((_, record)) = self.records.pop_back_if(|row| is_lost(row)) {
+            self.next_offset = record.offset;
+        }
+        self.epoch += 1;
+        self.next_offset
+    }
+
     fn remove_expired(&mut self) {
         let Some(retention) = self.retention else { return };
         while self.records.front().is_some_and(|(at, _)| at.elapsed() > retention) {
