test: a log that comes back from an older copy, four fleets and random histories, all red

A manifest written after the restore is not in force after 3 s; a node that starts after it does not have the newest manifest after 3 s; the partitions are not evenly served 20 s after a host was replaced, with the log cut back to a time after and to a time before the members joined.

The schedules of existing tests are unchanged: restores are inserted into them afterwards.

--- a/crates/core/tests/ownership/main.rs
+++ b/crates/core/tests/ownership/main.rs
@@ -2,6 +2,7 @@
 //! clock drift, network partitions, log outages and racing records. For each safety guard, a test
 //! shows that an invariant breaks without it.
 
+mod restores;
 mod schedule;
 mod world;
 
@@ -10,7 +11,7 @@
 use firspindle_core::process::SafetyGuards;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestError, TestRng, TestRunner};
-use schedule::steps;
+use schedule::{Step, steps};
 use world::{PARTITIONS, World, run_history};
 
 /// Number of histories run with all guards enabled, over all shards.
@@ -39,7 +40,17 @@
 
 /// Runs random histories; returns the first fault with the seed and steps that lead to it.
 fn explore(cases: u32, seed: u8, guards: SafetyGuards) -> Result<(), String> {
-    let strategy = (any::<u64>(), steps());
+    explore_steps(steps(), cases, seed, guards)
+}
+
+/// The same with a given strategy for schedules.
+fn explore_steps(
+    steps: impl Strategy<Value = Vec<Step>>,
+    cases: u32,
+    seed: u8,
+    guards: SafetyGuards,
+) -> Result<(), String> {
+    let strategy = (any::<u64>(), steps);
     let result = runner(cases, seed).run(&strategy, |(seed, steps)| {
         run_history(seed, &steps, guards).map(|_| ()).map_err(TestCaseError::fail)
     });
--- a/crates/core/tests/ownership/schedule.rs
+++ b/crates/core/tests/ownership/schedule.rs
@@ -1,6 +1,7 @@
 //! Random schedules of faults, as a proptest strategy.
 
 use proptest::prelude::*;
+use proptest::sample::Index;
 use proptest::strategy::Union;
 
 use crate::world::{NODES, PARTITIONS};
@@ -34,6 +35,27 @@
     PlanWitnesses(usize, Vec<usize>),
     /// Drains a node.
     Drain(usize),
+    /// The log comes back from an older copy, without some of its newest records.
+    RestoreLog(usize),
+    /// An operator writes the next manifest.
+    Publish(u64),
+}
+
+/// Most records that one restore drops; a world starts with about thirty.
+const MAX_LOST_RECORDS: usize = 16;
+
+/// Returns random schedules during which the log is restored up to four times.
+pub fn steps_with_restores() -> impl Strategy<Value = Vec<Step>> {
+    let restore = (1..=MAX_LOST_RECORDS).prop_map(Step::RestoreLog);
+    let publish = any::<u64>().prop_map(Step::Publish);
+    let restores = proptest::collection::vec((any::<Index>(), restore), 1..=4);
+    let publications = proptest::collection::vec((any::<Index>(), publish), 0..4);
+    (steps(), restores, publications).prop_map(|(mut steps, restores, publications)| {
+        for (index, step) in restores.into_iter().chain(publications) {
+            steps.insert(index.index(steps.len() + 1), step);
+        }
+        steps
+    })
 }
 
 /// Returns random schedules. Weights and times suit the protocol's durations: leases of 1.5 s,
--- a/crates/core/tests/ownership/world.rs
+++ b/crates/core/tests/ownership/world.rs
@@ -185,6 +185,14 @@
         self.log.push(LogRecord { id: self.foreign_records, body });
     }
 
+    /// Appends a manifest that replaces the newest one on the log.
+    pub fn publish(&mut self, queue_limit: u64) {
+        let replaces = self.end_state().manifest_version();
+        let text = MANIFEST.replace("replaces = 0", &format!("replaces = {replaces}"));
+        let text = format!("{text}queue_limit = {}\n", queue_limit % 1000).into();
+        self.append_foreign(RecordBody::Manifest { replaces, text });
+    }
+
     /// State folded from the whole log, which no node may have read yet.
     fn end_state(&self) -> FoldState {
         let mut state = FoldState::default();
@@ -239,6 +247,8 @@
                 self.plan_assignment(*partition, assignment);
             }
             Step::PlanWitnesses(node, set) => self.plan_set(*node, set),
+            Step::RestoreLog(lost) => self.log.truncate(self.log.len().saturating_sub(*lost)),
+            Step::Publish(queue_limit) => self.publish(*queue_limit),
             Step::Drain(node) => {
                 let now = self.local(*node, self.now);
                 if self.nodes[*node].alive && self.nodes[*node].paused_until <= self.now {
@@ -290,6 +300,11 @@
         Ok(())
     }
 
+    /// Manifest versions of the nodes.
+    pub fn manifest_versions(&self) -> Vec<u64> {
+        self.nodes.iter().map(|node| node.machine.state().manifest_version()).collect()
+    }
+
     /// Describes a partition's assignments and the nodes' life cycles, for failure messages.
     pub fn describe(&self, partition: u32) -> String {
         let row = self.end_state().partition(partition).cloned();
--- a/crates/firspindle/tests/failures/log_faults.rs
+++ b/crates/firspindle/tests/failures/log_faults.rs
@@ -11,17 +11,17 @@
 };
 
 /// Longest time for a manifest to come into force everywhere that the project's target allows.
-const MANIFEST_TIMEOUT: Duration = Duration::from_secs(3);
+pub const MANIFEST_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Duration of an outage.
 const OUTAGE_TIME: Duration = Duration::from_secs(3);
 
-fn version(fleet: &Fleet, host: usize) -> u64 {
+pub fn version(fleet: &Fleet, host: usize) -> u64 {
     let status = fleet.status(host);
     status.and_then(|status| status["manifest_version"].as_u64()).unwrap_or(0)
 }
 
-fn wait_for_version(fleet: &Fleet, wanted: u64) {
+pub fn wait_for_version(fleet: &Fleet, wanted: u64) {
     let started = Instant::now();
     wait_until("the manifest is in force everywhere", MANIFEST_TIMEOUT, || {
         let hosts = (0..fleet.nodes.len()).filter(|host| fleet.nodes[*host].is_some());
--- a/crates/firspindle/tests/failures/main.rs
+++ b/crates/firspindle/tests/failures/main.rs
@@ -7,5 +7,6 @@
 mod fleet_checks;
 mod limits;
 mod log_faults;
+mod log_restores;
 mod losses;
 mod requests;
