test: the stand-in log refuses a read past its end at once

It held such a read for its wait of 5 s first, as one at its end. On the platform the refusal comes at once.

--- a/crates/standin/src/log_server.rs
+++ b/crates/standin/src/log_server.rs
@@ -125,7 +125,7 @@
     let from: u64 = query_parameter(request.uri(), "from").unwrap_or(1);
     let wait = Duration::from_millis(query_parameter(request.uri(), "wait_ms").unwrap_or(0));
     let appended = state.appended.notified();
-    if state.store.borrow_mut().bounds().1 <= from {
+    if state.store.borrow_mut().bounds().1 == from {
         let _ = tokio::time::timeout(wait, appended).await;
     }
     if state.faults.borrow().down {
