fix(node): a log that comes back from an older copy leaves each key one owner and loses no manifest

Cause: offsets were taken for positions of one history. A restored log gives them out again, so a node that goes on from the old end never reads what is written below it, and ids, fences and assignments of the lost history are taken for those of the new one.

Change (docs/design/ownership.md, rules 11 and 12): every offset holds the log's epoch in its upper bits. A node that learns of a newer epoch, from the log or from a peer, gives up its incarnation, its grants and its promises, and joins a full lease later; its join names the members and witness sets that the log lost. A planner assigns no partition of a service before the rights of its older members have ended. The newest manifest that a node knows stays in force and is written to the log again. The fold of manifests and the suspects of the node machine moved to files of their own.

The foreign plans of the world obey the planner's new rule, and what a node ran under a right that it gives up with the epoch counts until its grant ends.

Ruled out: a wait alone, without the members of older epochs: two owners appear (without_the_end_of_older_epochs).

--- a/crates/core/src/connection/peer_message.rs
+++ b/crates/core/src/connection/peer_message.rs
@@ -80,6 +80,8 @@
     Records(Vec<PeerRecord>),
     /// The whole state, for a node whose next records the sender no longer keeps.
     Snapshot(Box<FoldState>),
+    /// A node in an older epoch of the log is behind: `next_offset` has the newer one.
+    EpochNotice,
 }
 
 /// One record of the log, copied from a peer.
--- a/crates/core/src/process/node_machine.rs
+++ b/crates/core/src/process/node_machine.rs
@@ -5,10 +5,12 @@
 //! A notice that a holder is silent only prompts a node to look for proof that the holder's rights
 //! have ended: a partition opens only under the rules in `docs/design/ownership.md`.
 
+mod epoch_step;
 mod fold_step;
 mod message_step;
 mod ownership_step;
 mod right_step;
+mod suspect_step;
 mod tick_step;
 
 use std::collections::VecDeque;
@@ -20,8 +22,10 @@
     OwnershipTable, PeerLog, PlannerSchedule, RevocationTable, SafetyGuards, WitnessTable,
 };
 use crate::connection::{DedupState, Envelope, PeerMessage, SuspectRow};
-use crate::version::{FoldState, LogRecord, ManifestSpec, MemberInfo, RecordBody};
-use crate::{LogOffset, ManifestVersion, NodeId, PartitionId, RecordId};
+use crate::version::{
+    EarlierMember, FoldState, LogRecord, ManifestRow, ManifestSpec, MemberInfo, RecordBody,
+};
+use crate::{LogOffset, NodeId, PartitionId, RecordId};
 
 /// Time for which a notice that a holder is silent remains valid after its arrival.
 const SILENCE_RETENTION: Duration = Duration::from_millis(1600);
@@ -38,7 +42,19 @@
     life: LifeCycle,
     state: FoldState,
     spec: Option<Arc<ManifestSpec>>,
-    spec_version: ManifestVersion,
+    /// Record of the manifest that `spec` was parsed from.
+    spec_record: Option<RecordId>,
+    /// Newest manifest of older epochs of the log.
+    kept_manifest: Option<ManifestRow>,
+    /// Members of older epochs that this process knows.
+    earlier: Vec<EarlierMember>,
+    /// Time before which no right of older epochs is certain to have ended.
+    join_at: Option<Instant>,
+    /// Time of the next notice to members of older epochs.
+    notify_at: Instant,
+    /// Time from which this node writes a manifest again that the log lost; the planner does so at
+    /// once.
+    restore_at: Option<Instant>,
     lease: LeaseTable,
     /// Ids of earlier incarnations of this process, oldest first.
     past_incarnations: Vec<NodeId>,
@@ -143,6 +159,7 @@
     Claim,
     Plan,
     Checkpoint,
+    Manifest,
 }
 
 /// A peer that has folded more of the log than this node.
@@ -182,7 +199,12 @@
             life: LifeCycle::Joining(Incarnation::begin(boot_id)),
             state,
             spec: None,
-            spec_version: 0,
+            spec_record: None,
+            kept_manifest: None,
+            earlier: Vec::new(),
+            join_at: None,
+            notify_at: now,
+            restore_at: None,
             lease: LeaseTable::new(timing, guards),
             past_incarnations: Vec::new(),
             roles: Vec::new(),
@@ -244,6 +266,10 @@
         next.roles = self.roles;
         next.log = self.log;
         next.suspects = self.suspects;
+        next.kept_manifest = self.kept_manifest;
+        next.earlier = self.earlier;
+        next.join_at = self.join_at;
+        next.refresh_spec();
         next
     }
 
@@ -299,57 +325,12 @@
         lease && self.ownerships.is_active(partition)
     }
 
-    /// Requests suspected of crashing upstreams, reported here or by peers.
-    pub fn suspects(&self) -> &[SuspectRow] {
-        &self.suspects
-    }
-
     /// Discards the lease, because the clock that it was measured with cannot be trusted.
     pub fn discard_lease(&mut self) {
         self.lease.discard();
         self.lease_was_valid = false;
     }
 
-    /// Adds a request that was in flight when the upstream crashed to the suspects.
-    pub fn report_suspect(&mut self, row: &SuspectRow) {
-        self.merge_suspects(std::slice::from_ref(row));
-    }
-
-    /// Drops suspects whose suspicion ended by `unix_ms`, in milliseconds of Unix time.
-    pub fn expire_suspects(&mut self, unix_ms: u64) {
-        self.suspects.retain(|row| row.until_ms > unix_ms);
-    }
-
-    fn merge_suspects(&mut self, rows: &[SuspectRow]) {
-        let mut changed = Vec::new();
-        for row in rows {
-            if self.merge_suspect(row) {
-                changed.push(row.clone());
-            }
-        }
-        if !changed.is_empty() {
-            self.actions.push(NodeAction::Suspects { rows: changed });
-        }
-    }
-
-    fn merge_suspect(&mut self, row: &SuspectRow) -> bool {
-        match self.suspects.binary_search_by_key(&row.fingerprint, |known| known.fingerprint) {
-            Ok(index) => {
-                let known = &mut self.suspects[index];
-                let count = known.crashes.len();
-                known.crashes.extend(&row.crashes);
-                known.crashes.sort_unstable();
-                known.crashes.dedup();
-                known.until_ms = known.until_ms.max(row.until_ms);
-                known.crashes.len() > count
-            }
-            Err(index) => {
-                self.suspects.insert(index, row.clone());
-                true
-            }
-        }
-    }
-
     fn next_record(&mut self, body: RecordBody) -> LogRecord {
         self.record_count += 1;
         let id = self.info.boot_id.wrapping_add(u128::from(self.record_count));
--- a/crates/core/src/process/node_machine/fold_step.rs
+++ b/crates/core/src/process/node_machine/fold_step.rs
@@ -41,8 +41,12 @@
     ///
     /// Only an incarnation that has not joined, and so owns nothing, may do this.
     pub fn install_snapshot(&mut self, state: FoldState, now: Instant) -> bool {
+        self.enter_epoch(state.epoch(), now);
         let fresh = matches!(self.life, LifeCycle::Joining(_));
-        if !fresh || state.next_offset <= self.state.next_offset {
+        if !fresh
+            || state.epoch() != self.state.epoch()
+            || state.next_offset <= self.state.next_offset
+        {
             return false;
         }
         self.state = state;
@@ -64,6 +68,9 @@
             self.verify_checkpoint(body);
         }
         let outcome = self.state.fold(offset, record);
+        if !self.guards.earlier_epochs {
+            self.state.drop_earlier();
+        }
         self.outstanding.retain(|row: &OutstandingRow| row.record != record.id);
         log_outcome(offset, record, &outcome);
         if matches!(record.body, RecordBody::Checkpoint(_)) {
@@ -73,8 +80,8 @@
             return;
         }
         match &record.body {
-            RecordBody::Join(_) => self.handle_join(),
-            RecordBody::Manifest { .. } => self.refresh_spec(),
+            RecordBody::Join(_) | RecordBody::EpochJoin(_) => self.handle_join(),
+            RecordBody::Manifest { .. } | RecordBody::RestoredManifest(_) => self.refresh_spec(),
             RecordBody::Plan(plan) => {
                 if !plan.is_empty() {
                     self.last_plan_offset = offset;
@@ -134,7 +141,7 @@
     }
 
     /// Abandons all partitions and the lease, and ends the incarnation.
-    fn end_incarnation(&mut self, reason: &str) {
+    pub(super) fn end_incarnation(&mut self, reason: &str) {
         let held = self.ownerships.held.iter().map(|ownership| ownership.partition);
         let releasing = self.ownerships.releasing.iter().map(|ownership| ownership.partition);
         let partitions: Vec<_> = held.chain(releasing).collect();
@@ -155,14 +162,16 @@
     }
 
     pub(super) fn refresh_spec(&mut self) {
-        let version = self.state.manifest_version();
-        if version == self.spec_version {
+        let row = self.manifest();
+        let record = row.map(|row| row.record);
+        if record == self.spec_record {
             return;
         }
-        self.spec_version = version;
-        let text = self.state.manifest.as_ref().map(|row| &*row.text);
-        self.spec = text.and_then(|text| ManifestSpec::parse(text).ok()).map(Arc::new);
-        log::info!(version; "manifest in force");
+        let spec = row.and_then(|row| ManifestSpec::parse(&row.text).ok()).map(Arc::new);
+        let version = row.map_or(0, |row| row.version);
+        self.spec_record = record;
+        self.spec = spec;
+        log::info!(version, epoch = self.state.epoch(); "manifest in force");
     }
 
     /// Updates the list of partitions with an assignment that names this node.
@@ -211,7 +220,7 @@
 
 fn record_kind(body: &RecordBody) -> &'static str {
     match body {
-        RecordBody::Join(_) => "join",
+        RecordBody::Join(_) | RecordBody::EpochJoin(_) => "join",
         RecordBody::Drain { .. } => "drain",
         RecordBody::Left { .. } => "left",
         RecordBody::Retire { .. } => "retire",
@@ -221,5 +230,6 @@
         RecordBody::Claim { .. } => "claim",
         RecordBody::Plan(_) => "plan",
         RecordBody::Checkpoint(_) => "checkpoint",
+        RecordBody::RestoredManifest(_) => "restored manifest",
     }
 }
--- a/crates/core/src/process/node_machine/message_step.rs
+++ b/crates/core/src/process/node_machine/message_step.rs
@@ -19,6 +19,9 @@
     /// Earlier incarnations of this process still reply as witnesses, and to release requests for
     /// what they held.
     pub fn handle_message(&mut self, envelope: Envelope, now: Instant) {
+        if !self.check_epoch(&envelope, now) {
+            return;
+        }
         let (from, to) = (envelope.from, envelope.to);
         self.note_ahead(from, envelope.next_offset, now);
         match envelope.message {
@@ -60,7 +63,10 @@
             PeerMessage::Snapshot(state) => {
                 self.install_snapshot(*state, now);
             }
-            PeerMessage::Renew(_) | PeerMessage::SwitchSet(_) | PeerMessage::Revoke(_) => {}
+            PeerMessage::Renew(_)
+            | PeerMessage::SwitchSet(_)
+            | PeerMessage::Revoke(_)
+            | PeerMessage::EpochNotice => {}
         }
     }
 
--- a/crates/core/src/process/node_machine/right_step.rs
+++ b/crates/core/src/process/node_machine/right_step.rs
@@ -107,7 +107,10 @@
         let row = self.state.partition(partition);
         let rights = row.map(|row| self.earlier_rights(me, row)).unwrap_or_default();
         let last = self.last_served(partition);
-        let dedup_complete = rights.iter().all(|right| self.is_covered(partition, right, last));
+        // The first owner of an epoch does not know what ran in older ones.
+        let known = self.state.epoch() == 0 || last.is_some();
+        let dedup_complete =
+            known && rights.iter().all(|right| self.is_covered(partition, right, last));
         let mut dedup_state = Vec::new();
         for row in self.releases.iter_mut().filter(|row| row.partition == partition) {
             dedup_state.push(std::mem::take(&mut row.dedup_state));
@@ -181,6 +184,8 @@
         }
         let evidence = match departed.map(|row| row.reason) {
             Some(DepartReason::Left | DepartReason::Retired) => return true,
+            // Only records of the newer epoch show the end.
+            Some(DepartReason::Restored) => return false,
             Some(DepartReason::Lost) => return self.revocations.expired_since(node, now).is_some(),
             Some(DepartReason::Replaced { upstream_ended: true }) => {
                 return self.revocations.expired_since(node, now).is_some();
--- a/crates/core/src/process/node_machine/tick_step.rs
+++ b/crates/core/src/process/node_machine/tick_step.rs
@@ -37,10 +37,7 @@
     /// Does the work that is due at `now`.
     pub fn tick(&mut self, now: Instant) {
         match self.life {
-            LifeCycle::Joining(_) => {
-                let info = self.info.clone();
-                self.append(AppendKind::Join, RecordBody::Join(info));
-            }
+            LifeCycle::Joining(_) => self.join(now),
             LifeCycle::Serving(incarnation) => {
                 self.tick_member(incarnation.state.id, now);
                 self.tick_planner(incarnation.state.id, now);
@@ -219,7 +216,9 @@
     }
 
     fn tick_planner(&mut self, me: NodeId, now: Instant) {
+        self.restore_manifest(me, now);
         if self.state.term.planner == Some(me) {
+            self.notify_earlier(now);
             self.start_silent_inquiries(now);
             self.record_quiesced(now);
             self.write_checkpoint(now);
@@ -279,7 +278,8 @@
             self.compute_plan(floor)
         };
         if plan.is_empty() {
-            self.empty_plan_revision = Some(self.state.revision);
+            let complete = self.state.unended_members().next().is_none();
+            self.empty_plan_revision = complete.then_some(self.state.revision);
             if !self.schedule.floor_due(&self.state, floor, now) {
                 return;
             }
--- a/crates/core/src/process/planner_schedule.rs
+++ b/crates/core/src/process/planner_schedule.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use super::LeaseTiming;
-use crate::version::FoldState;
+use crate::version::{FoldState, epoch_of};
 use crate::{LogOffset, NodeId};
 
 /// Time between two plans, so that one plan covers several changes.
@@ -86,6 +86,11 @@
         state.members.iter().map(|row| acked_offset(row.id).unwrap_or(row.id)).min().unwrap_or(0)
     }
 
+    /// Starts over, in a new epoch of the log.
+    pub fn restart(&mut self, now: Instant) {
+        *self = Self::new(self.checkpoint_interval, now);
+    }
+
     /// Drops the acknowledgements of members that ended.
     pub fn retain_members(&mut self, state: &FoldState) {
         self.acked.retain(|row| state.member(row.node).is_some());
@@ -124,7 +129,8 @@
             return false;
         }
         let assignments = state.partitions.iter().filter_map(|row| row.assignments.get(1));
-        let sets = state.witnesses.iter().filter_map(|row| row.sets.get(1));
+        let rows = state.witnesses.iter().filter(|row| epoch_of(row.member) == state.epoch());
+        let sets = rows.filter_map(|row| row.sets.get(1));
         let superseded =
             assignments.map(|assignment| assignment.offset).chain(sets.map(|set| set.offset));
         if !superseded.into_iter().any(|offset| offset <= floor) {
--- a/crates/core/src/process/safety_guards.rs
+++ b/crates/core/src/process/safety_guards.rs
@@ -29,6 +29,13 @@
     pub drift_margin: bool,
     /// A partition is released only once none of its requests is in flight.
     pub idle_release: bool,
+    /// Partitions are assigned in a newer epoch of the log only after every right of older ones has
+    /// ended.
+    pub earlier_epochs: bool,
+    /// A node joins a newer epoch of the log a full lease after it gave up the older one.
+    pub epoch_wait: bool,
+    /// A node says in its join which members of older epochs the log does not tell of.
+    pub epoch_members: bool,
 }
 
 impl SafetyGuards {
@@ -44,6 +51,9 @@
             fence_order: true,
             drift_margin: true,
             idle_release: true,
+            earlier_epochs: true,
+            epoch_wait: true,
+            epoch_members: true,
         }
     }
 }
--- a/crates/core/src/request/route_table.rs
+++ b/crates/core/src/request/route_table.rs
@@ -47,13 +47,16 @@
     /// Builds the routes for a state and its parsed manifest.
     pub fn build(state: &FoldState, spec: &ManifestSpec) -> Self {
         let mut services = Vec::new();
-        for row in &state.services {
-            let Some(service) = spec.service(&row.name) else { continue };
+        for service in &spec.services {
+            // After a restore of the log, a manifest may be in force that the log does not have.
+            let row = state.service_named(&service.name);
+            let row = row.filter(|row| row.partitions == service.partitions);
+            let id = row.map_or(ServiceId::MAX, |row| row.id);
             services.push(ServiceRoute {
-                id: row.id,
+                id,
                 spec: Arc::new(service.clone()),
-                nodes_by_partition: service_partition_nodes(state, row.id, row.partitions),
-                nodes: service_nodes(state, &row.name),
+                nodes_by_partition: service_partition_nodes(state, id, service.partitions),
+                nodes: service_nodes(state, &service.name),
             });
         }
         services.sort_by(|a, b| a.spec.name.cmp(&b.spec.name));
--- a/crates/core/src/version.rs
+++ b/crates/core/src/version.rs
@@ -6,6 +6,7 @@
 //! version that is not in force, a plan computed from an outdated revision), so a late or repeated
 //! append changes nothing.
 
+mod epoch_offset;
 mod fold_state;
 mod host_record;
 mod key_hash;
@@ -23,14 +24,17 @@
 mod witness_chooser;
 mod witness_row;
 
+pub use epoch_offset::{FoldEpoch, MAX_EPOCH, epoch_of, epoch_offset, offset_in_log};
 pub use fold_state::{FoldOutcome, FoldState, ManifestRow, ServiceRow, TermRow};
 pub use host_record::{HostRecord, UpstreamRecord, UpstreamState};
 pub use key_hash::{partition_id, partition_index, partition_of_key, partition_service};
-pub use log_record::{CheckpointBody, LogRecord, RecordBody};
+pub use log_record::{CheckpointBody, EpochJoin, LogRecord, RecordBody, RestoredManifest};
 pub use manifest_spec::{
     ManifestSpec, OperationSpec, PlacementPolicy, PriorityClass, ServicePartitioning, ServiceSpec,
 };
-pub use member_row::{DepartReason, DepartedRow, MemberInfo, MemberRow, UpstreamInfo};
+pub use member_row::{
+    DepartReason, DepartedRow, EarlierMember, MemberInfo, MemberRow, UpstreamInfo,
+};
 pub use partition_row::{AssignmentRow, PartitionRow};
 pub use plan_builder::{PlanBuilder, SuccessorStrategy};
 pub use plan_changes::PlanChanges;
--- a/crates/core/src/version/fold_state.rs
+++ b/crates/core/src/version/fold_state.rs
@@ -1,13 +1,15 @@
 //! The replicated state, and how each record of the log changes it.
 
+mod epoch_step;
+mod manifest_step;
 mod plan_step;
 
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
-    DepartReason, DepartedRow, LogRecord, ManifestSpec, MemberInfo, MemberRow, PartitionRow,
-    RecordBody, WitnessRow, partition_id,
+    DepartReason, DepartedRow, LogRecord, MemberInfo, MemberRow, PartitionRow, RecordBody,
+    WitnessRow, epoch_of,
 };
 use crate::{LogOffset, ManifestVersion, NodeId, PartitionId, RecordId, ServiceId, TermNumber};
 
@@ -141,7 +143,11 @@
 
     fn apply(&mut self, offset: LogOffset, record: &LogRecord) -> FoldOutcome {
         match &record.body {
+            RecordBody::Join(info) if self.epoch() > 0 => {
+                self.note_earlier_join(0, offset, info, &[])
+            }
             RecordBody::Join(info) => self.join(offset, info),
+            RecordBody::EpochJoin(join) => self.join_epoch(offset, join),
             RecordBody::Drain { node } => self.drain(*node),
             RecordBody::Left { node } => self.depart(*node, DepartReason::Left, offset),
             RecordBody::Retire { node } => self.depart(*node, DepartReason::Retired, offset),
@@ -150,7 +156,11 @@
             RecordBody::Manifest { replaces, text } => {
                 self.accept_manifest(offset, record.id, *replaces, text)
             }
+            RecordBody::RestoredManifest(manifest) => self.restore_manifest(offset, manifest),
             RecordBody::Claim { term, node } => self.claim(*term, *node),
+            RecordBody::Plan(plan) if epoch_of(plan.base) < self.epoch() => {
+                self.note_earlier_plan(offset, plan)
+            }
             RecordBody::Plan(plan) => self.apply_plan(offset, plan),
             // A reader that has a state keeps it; checkpoints are for readers that start.
             RecordBody::Checkpoint(_) => FoldOutcome::Applied,
@@ -200,7 +210,7 @@
 
     fn depart(&mut self, node: NodeId, reason: DepartReason, offset: LogOffset) -> FoldOutcome {
         let Ok(index) = self.members.binary_search_by_key(&node, |row| row.id) else {
-            return dropped("no such member");
+            return self.depart_earlier(node, reason);
         };
         let row = self.members.remove(index);
         // A revocation is complete only after the last grant expired, so an upstream that checks
@@ -208,7 +218,7 @@
         let quiesced = match reason {
             DepartReason::Left | DepartReason::Retired => true,
             DepartReason::Revoked => row.info.upstream.checks_grants,
-            DepartReason::Replaced { .. } | DepartReason::Lost => false,
+            DepartReason::Replaced { .. } | DepartReason::Lost | DepartReason::Restored => false,
         };
         let departed = DepartedRow { id: node, reason, offset, quiesced, info: row.info };
         let index = self.departed.partition_point(|other| other.id < node);
@@ -220,6 +230,9 @@
         match self.departed.binary_search_by_key(&node, |row| row.id) {
             Ok(index) if !self.departed[index].quiesced => {
                 self.departed[index].quiesced = true;
+                if epoch_of(node) < self.epoch() {
+                    return dropped("member of an older epoch");
+                }
                 self.compact();
                 FoldOutcome::Applied
             }
@@ -227,86 +240,6 @@
         }
     }
 
-    fn accept_manifest(
-        &mut self,
-        offset: LogOffset,
-        record: RecordId,
-        replaces: ManifestVersion,
-        text: &str,
-    ) -> FoldOutcome {
-        let version = self.manifest_version();
-        if replaces != version {
-            let reason = format!("replaces version {replaces}, but version {version} is in force");
-            return FoldOutcome::Dropped(reason.into());
-        }
-        let spec = match ManifestSpec::parse(text) {
-            Ok(spec) => spec,
-            Err(error) => return FoldOutcome::Dropped(error.to_string().into()),
-        };
-        if spec.replaces != replaces {
-            return dropped("manifest text and record replace different versions");
-        }
-        if let Err(reason) = self.check_partition_counts(&spec) {
-            return FoldOutcome::Dropped(reason);
-        }
-        self.update_services(&spec);
-        self.depart_lost_hosts(&spec, offset);
-        self.manifest =
-            Some(ManifestRow { version: version + 1, offset, record, text: text.into() });
-        FoldOutcome::Applied
-    }
-
-    /// Refuses a changed number of partitions: the keys of a service in force must not move to
-    /// other partitions.
-    fn check_partition_counts(&self, spec: &ManifestSpec) -> Result<(), Box<str>> {
-        for service in &self.services {
-            let Some(next) = spec.service(&service.name) else { continue };
-            if next.partitions != service.partitions {
-                let reason = format!(
-                    "service `{}` has {} partitions; the number is fixed while it is in force",
-                    service.name, service.partitions
-                );
-                return Err(reason.into());
-            }
-        }
-        Ok(())
-    }
-
-    fn update_services(&mut self, spec: &ManifestSpec) {
-        self.services.retain(|row| spec.service(&row.name).is_some());
-        for service in &spec.services {
-            if self.service_named(&service.name).is_some() {
-                continue;
-            }
-            let id = self.next_service_id;
-            self.next_service_id += 1;
-            let row = ServiceRow { id, name: service.name.clone(), partitions: service.partitions };
-            self.services.push(row);
-        }
-        self.retain_partitions();
-    }
-
-    /// Keeps the partitions of services in force and adds those of new services.
-    fn retain_partitions(&mut self) {
-        let mut rows = std::mem::take(&mut self.partitions).into_iter().peekable();
-        for service in &self.services {
-            for index in 0..service.partitions {
-                let id = partition_id(service.id, index);
-                while rows.next_if(|row| row.id < id).is_some() {}
-                let kept = rows.next_if(|row| row.id == id);
-                self.partitions.push(kept.unwrap_or(PartitionRow { id, assignments: Vec::new() }));
-            }
-        }
-    }
-
-    fn depart_lost_hosts(&mut self, spec: &ManifestSpec, offset: LogOffset) {
-        let is_lost = |row: &&MemberRow| spec.lost_hosts.binary_search(&row.info.host).is_ok();
-        let lost: Vec<_> = self.members.iter().filter(is_lost).map(|row| row.id).collect();
-        for node in lost {
-            self.depart(node, DepartReason::Lost, offset);
-        }
-    }
-
     fn claim(&mut self, term: TermNumber, node: NodeId) -> FoldOutcome {
         if term != self.term.number + 1 {
             return dropped("not the next term; another node claimed it first");
@@ -364,7 +297,8 @@
     /// Number of superseded assignments and witness sets that are still kept.
     pub fn open_history(&self) -> usize {
         let assignments = self.partitions.iter().map(|row| row.assignments.len().saturating_sub(1));
-        let sets = self.witnesses.iter().map(|row| row.sets.len().saturating_sub(1));
+        let rows = self.witnesses.iter().filter(|row| epoch_of(row.member) == self.epoch());
+        let sets = rows.map(|row| row.sets.len().saturating_sub(1));
         assignments.sum::<usize>() + sets.sum::<usize>()
     }
 
--- a/crates/core/src/version/fold_state/plan_step.rs
+++ b/crates/core/src/version/fold_state/plan_step.rs
@@ -86,7 +86,10 @@
         }
         referenced.sort_unstable();
         referenced.dedup();
-        self.departed.retain(|row| referenced.binary_search(&row.id).is_ok());
+        // As long as rights of older epochs last, any member may show by its join that some ended.
+        if self.unended_members().next().is_none() {
+            self.departed.retain(|row| referenced.binary_search(&row.id).is_ok());
+        }
         let members = &self.members;
         let departed = &self.departed;
         self.witnesses.retain(|row| {
--- a/crates/core/src/version/log_record.rs
+++ b/crates/core/src/version/log_record.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{FoldState, MemberInfo, PlanRecord};
+use super::{EarlierMember, FoldEpoch, FoldState, MemberInfo, PlanRecord};
 use crate::{LogOffset, ManifestVersion, NodeId, RecordId, TermNumber};
 
 /// A record with the id that its writer gave it.
@@ -64,6 +64,32 @@
     Plan(PlanRecord),
     /// The whole state, from which a starting reader continues.
     Checkpoint(Box<CheckpointBody>),
+    /// A node joins in an epoch of the log; the record's offset becomes its id.
+    EpochJoin(Box<EpochJoin>),
+    /// A node writes a manifest again that a restore of the log lost.
+    RestoredManifest(RestoredManifest),
+}
+
+/// Join of a node in an epoch of the log. [`RecordBody::Join`] is one of epoch 0.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EpochJoin {
+    /// Epoch that the node joins; it has given up all rights of older ones.
+    pub epoch: FoldEpoch,
+    /// Information about the node.
+    pub info: MemberInfo,
+    /// Members of older epochs of which the log does not tell any more.
+    pub earlier: Vec<EarlierMember>,
+}
+
+/// A manifest that was in force before the log came back from an older copy.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RestoredManifest {
+    /// Version that it had.
+    pub version: ManifestVersion,
+    /// Id of its first record.
+    pub record: RecordId,
+    /// TOML text.
+    pub text: Box<str>,
 }
 
 /// A state written to the log.
--- a/crates/core/src/version/member_row.rs
+++ b/crates/core/src/version/member_row.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::WitnessSet;
 use crate::{LogOffset, NodeId};
 
 /// Information that a node gives when it joins.
@@ -69,6 +70,19 @@
     pub info: MemberInfo,
 }
 
+/// A member of an older epoch of the log, as a node of a newer one knows it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EarlierMember {
+    /// Incarnation: the offset of its join record.
+    pub id: NodeId,
+    /// Information from its join record.
+    pub info: MemberInfo,
+    /// Whether its rights have ended.
+    pub ended: bool,
+    /// Witness sets under which it may hold a lease.
+    pub sets: Vec<WitnessSet>,
+}
+
 /// Why a member departed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum DepartReason {
@@ -86,6 +100,9 @@
     },
     /// A manifest declares its host lost for good.
     Lost,
+    /// The log came back from an older copy, and the member is not known to have given up its
+    /// rights.
+    Restored,
 }
 
 impl DepartReason {
@@ -94,6 +111,6 @@
     /// A member whose lease was revoked, or that retired, may still run and grant leases to
     /// others.
     pub const fn process_ended(self) -> bool {
-        !matches!(self, Self::Revoked | Self::Retired)
+        !matches!(self, Self::Revoked | Self::Retired | Self::Restored)
     }
 }
--- a/crates/core/src/version/plan_builder.rs
+++ b/crates/core/src/version/plan_builder.rs
@@ -70,6 +70,9 @@
     pub fn build(&self) -> PlanRecord {
         let mut assignments = Vec::new();
         for service in &self.state.services {
+            if !self.state.accepts_assignments(&service.name) {
+                continue;
+            }
             if let Some(spec) = self.spec.service(&service.name) {
                 self.plan_service(service, spec, &mut assignments);
             }
--- a/crates/core/tests/differential/naive_fold.rs
+++ b/crates/core/tests/differential/naive_fold.rs
@@ -100,7 +100,10 @@
                 }
                 valid
             }
-            RecordBody::Checkpoint(_) => false,
+            // Differential tests have no restores of the log.
+            RecordBody::Checkpoint(_)
+            | RecordBody::EpochJoin(_)
+            | RecordBody::RestoredManifest(_) => false,
         };
         if applied {
             self.revision = offset;
--- a/crates/core/tests/ownership/schedule.rs
+++ b/crates/core/tests/ownership/schedule.rs
@@ -41,7 +41,7 @@
     Publish(u64),
 }
 
-/// Most records that one restore drops; a world starts with about thirty.
+/// Most records that one restore drops; more than the log has when a schedule starts.
 const MAX_LOST_RECORDS: usize = 16;
 
 /// Returns random schedules during which the log is restored up to four times.
@@ -58,6 +58,24 @@
     })
 }
 
+/// Returns schedules in which a restore loses the newest witness set of a holder that is cut off
+/// with two of these witnesses from the log and from all others.
+pub fn steps_with_lost_set() -> impl Strategy<Value = Vec<Step>> {
+    (400u64..1200, 1usize..8).prop_map(|(switch_ms, lost)| {
+        let cut_off = [0, 4, 5];
+        let mut steps: Vec<_> =
+            cut_off.iter().map(|node| Step::PlanWitnesses(*node, vec![1, 2, 3])).collect();
+        steps.extend([Step::PlanAssignment(0, vec![0]), Step::Run(2000)]);
+        steps.extend([Step::PlanWitnesses(0, vec![3, 4, 5]), Step::Run(switch_ms)]);
+        steps.extend(cut_off.iter().map(|node| Step::LogLink(*node, false)));
+        for node in cut_off {
+            steps.extend([1, 2, 3].map(|other| Step::Cut(node, other)));
+        }
+        steps.extend([Step::RestoreLog(lost), Step::Run(4000)]);
+        steps
+    })
+}
+
 /// Returns random schedules. Weights and times suit the protocol's durations: leases of 1.5 s,
 /// takeovers of about 2 s.
 pub fn steps() -> impl Strategy<Value = Vec<Step>> {
--- a/crates/core/tests/ownership/world.rs
+++ b/crates/core/tests/ownership/world.rs
@@ -65,13 +65,19 @@
     /// Partitions that upstreams still run for ended incarnations, with the end of their grant.
     orphaned_runs: Vec<(Duration, u32)>,
     inbox: Vec<Envelope>,
-    /// Failed appends: time of the report, record id, and log length that must be read before.
-    failed_appends: Vec<(Duration, u128, usize)>,
+    /// Failed appends: time of the report, record id, and end of the log that must be read before.
+    failed_appends: Vec<(Duration, u128, u64)>,
     seen_manifest_version: u64,
     /// Whether the process ends with this incarnation.
     ends_process: bool,
 }
 
+impl Node {
+    fn manifest_version(&self) -> u64 {
+        self.machine.manifest().map_or(0, |row| row.version)
+    }
+}
+
 /// Simulated nodes, log and network, with the oracle's records.
 pub struct World {
     now: Duration,
@@ -79,6 +85,8 @@
     rng: XorShift,
     guards: SafetyGuards,
     log: Vec<LogRecord>,
+    /// Number of restores of the log.
+    log_epoch: u64,
     log_up: bool,
     lose_answers: bool,
     nodes: Vec<Node>,
@@ -106,6 +114,7 @@
             rng: XorShift(seed | 1),
             guards,
             log: Vec::new(),
+            log_epoch: 0,
             log_up: true,
             lose_answers: false,
             nodes: Vec::new(),
@@ -193,15 +202,28 @@
         self.append_foreign(RecordBody::Manifest { replaces, text });
     }
 
+    /// Appends a manifest that declares hosts lost.
+    pub fn publish_lost_hosts(&mut self, hosts: &[&str]) {
+        let replaces = self.end_state().manifest_version();
+        let first_line = format!("replaces = {replaces}\nlost_hosts = {hosts:?}");
+        let text = MANIFEST.replace("replaces = 0", &first_line).into();
+        self.append_foreign(RecordBody::Manifest { replaces, text });
+    }
+
     /// State folded from the whole log, which no node may have read yet.
     fn end_state(&self) -> FoldState {
-        let mut state = FoldState::default();
-        for (index, record) in self.log.iter().enumerate() {
-            state.fold(index as u64 + 1, record);
+        let mut state = FoldState::in_epoch(self.log_epoch);
+        for record in &self.log {
+            state.fold(state.next_offset, record);
         }
         state
     }
 
+    /// Time since the start of the history.
+    pub const fn now(&self) -> Duration {
+        self.now
+    }
+
     /// Applies one step of a schedule and checks the invariants.
     pub fn apply(&mut self, step: &Step) -> Result<(), Fault> {
         match step {
@@ -247,7 +269,10 @@
                 self.plan_assignment(*partition, assignment);
             }
             Step::PlanWitnesses(node, set) => self.plan_set(*node, set),
-            Step::RestoreLog(lost) => self.log.truncate(self.log.len().saturating_sub(*lost)),
+            Step::RestoreLog(lost) => {
+                self.log.truncate(self.log.len().saturating_sub(*lost));
+                self.log_epoch += 1;
+            }
             Step::Publish(queue_limit) => self.publish(*queue_limit),
             Step::Drain(node) => {
                 let now = self.local(*node, self.now);
@@ -300,9 +325,9 @@
         Ok(())
     }
 
-    /// Manifest versions of the nodes.
-    pub fn manifest_versions(&self) -> Vec<u64> {
-        self.nodes.iter().map(|node| node.machine.state().manifest_version()).collect()
+    /// Manifest versions of the nodes; `None` for a process that has ended.
+    pub fn manifest_versions(&self) -> Vec<Option<u64>> {
+        self.nodes.iter().map(|node| node.alive.then(|| node.manifest_version())).collect()
     }
 
     /// Describes a partition's assignments and the nodes' life cycles, for failure messages.
--- a/crates/core/tests/ownership/world/oracle.rs
+++ b/crates/core/tests/ownership/world/oracle.rs
@@ -49,7 +49,7 @@
             }
         }
         for node in &mut self.nodes {
-            let version = node.machine.state().manifest_version();
+            let version = node.manifest_version();
             if version < node.seen_manifest_version {
                 return Err("manifest reverted to an earlier version".to_owned());
             }
--- a/crates/core/tests/ownership/world/plans.rs
+++ b/crates/core/tests/ownership/world/plans.rs
@@ -18,7 +18,7 @@
     pub(super) fn plan_assignment(&mut self, partition: u32, assignment: &[usize]) {
         let state = self.end_state();
         let nodes = Self::node_ids(&state, assignment);
-        if !nodes.is_empty() {
+        if !nodes.is_empty() && state.accepts_assignments("registre") {
             self.plan(&state, vec![AssignmentChange { partition, nodes }], Vec::new());
         }
     }
--- a/crates/core/tests/ownership/world/round.rs
+++ b/crates/core/tests/ownership/world/round.rs
@@ -4,7 +4,7 @@
 
 use firspindle_core::connection::{DedupState, Envelope};
 use firspindle_core::process::{LifeCycle, NodeAction};
-use firspindle_core::version::LogRecord;
+use firspindle_core::version::{LogRecord, epoch_of, epoch_offset, offset_in_log};
 
 use super::{Fault, World};
 
@@ -26,15 +26,18 @@
             self.carry_out_actions(index)?;
         }
         if self.nodes[index].log_reachable && self.log_up {
-            let next = self.nodes[index].machine.state().next_offset;
+            self.enter_epoch(index, self.log_epoch, now);
+            let next = offset_in_log(self.nodes[index].machine.state().next_offset);
             for offset in next..=self.log.len() as u64 {
                 let record =
                     self.log[usize::try_from(offset).expect("log offsets fit usize") - 1].clone();
+                let offset = epoch_offset(self.log_epoch, offset);
                 self.nodes[index].machine.handle_record(offset, Some(&record), now);
                 self.carry_out_actions(index)?;
             }
         }
         for envelope in std::mem::take(&mut self.nodes[index].inbox) {
+            self.enter_epoch(index, epoch_of(envelope.next_offset), now);
             self.nodes[index].machine.handle_message(envelope, now);
             self.carry_out_actions(index)?;
         }
@@ -46,12 +49,20 @@
         Ok(())
     }
 
+    /// What the node sent under rights of the older epoch may run until its grant ends.
+    fn enter_epoch(&mut self, index: usize, epoch: u64, now: Instant) {
+        if epoch > self.nodes[index].machine.state().epoch() {
+            self.leave_orphaned_runs(index);
+            self.nodes[index].machine.enter_epoch(epoch, now);
+        }
+    }
+
     pub(super) fn report_failures(&mut self, index: usize, _now: Instant) -> Result<(), Fault> {
         let node = &mut self.nodes[index];
         let next = node.machine.state().next_offset;
         let at = self.now;
         let due: Vec<_> =
-            node.failed_appends.extract_if(.., |row| row.0 <= at && next > row.2 as u64).collect();
+            node.failed_appends.extract_if(.., |row| row.0 <= at && next > row.2).collect();
         for (_, record, _) in due {
             self.nodes[index].machine.append_failed(record);
             self.carry_out_actions(index)?;
@@ -149,6 +160,7 @@
         }
         let at = self.now + Duration::from_millis(200);
         // The failure is reported only after the node read everything that is in the log now.
-        self.nodes[index].failed_appends.push((at, id, self.log.len()));
+        let end = epoch_offset(self.log_epoch, self.log.len() as u64);
+        self.nodes[index].failed_appends.push((at, id, end));
     }
 }
--- a/crates/firspindle/src/process/control_event.rs
+++ b/crates/firspindle/src/process/control_event.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use firspindle_core::connection::{Envelope, SuspectRow};
-use firspindle_core::version::{FoldState, LogRecord};
+use firspindle_core::version::{FoldEpoch, FoldState, LogRecord};
 use firspindle_core::{LogOffset, PartitionId, RecordId};
 use serde::{Deserialize, Serialize};
 
@@ -14,6 +14,8 @@
     Record(LogOffset, Option<Box<LogRecord>>),
     /// State of a checkpoint from which to start.
     Checkpoint(Box<FoldState>),
+    /// Epoch of the log: it came back from an older copy.
+    LogEpoch(FoldEpoch),
     /// Records expired from the log before this node read them.
     RecordsExpired,
     /// A message from another node.
--- a/crates/firspindle/src/process/control_thread.rs
+++ b/crates/firspindle/src/process/control_thread.rs
@@ -15,7 +15,7 @@
 use firspindle_core::connection::{DedupState, UpstreamLimit};
 use firspindle_core::process::{DrainReason, FenceToken, LeaseTiming, NodeAction, NodeMachine};
 use firspindle_core::request::{DedupTable, RouteTable};
-use firspindle_core::version::{FoldState, MemberInfo, UpstreamInfo};
+use firspindle_core::version::{FoldState, MemberInfo, UpstreamInfo, offset_in_log};
 use firspindle_core::{LogOffset, PartitionId};
 use tokio::sync::mpsc::UnboundedSender;
 use uuid::Uuid;
@@ -225,6 +225,7 @@
             ControlEvent::Checkpoint(state) => {
                 self.current_machine().install_snapshot(*state, now);
             }
+            ControlEvent::LogEpoch(epoch) => self.current_machine().enter_epoch(epoch, now),
             ControlEvent::RecordsExpired => self.current_machine().end_at_log_gap(),
             ControlEvent::Peer(envelope) => self.current_machine().handle_message(*envelope, now),
             ControlEvent::Announce(body) => self.handle_announcement(body, now),
@@ -283,7 +284,7 @@
     /// Requests state from the seeds if this node has folded nothing, as it cannot read the log.
     fn fetch_from_seeds(&mut self, now: Instant) {
         let from = self.current_machine().state().next_offset;
-        if now < self.seed_at || from > 1 || now < self.started_at + SEED_INTERVAL {
+        if now < self.seed_at || offset_in_log(from) > 1 || now < self.started_at + SEED_INTERVAL {
             return;
         }
         self.seed_at = now + SEED_INTERVAL;
--- a/crates/firspindle/src/process/control_thread/publish_step.rs
+++ b/crates/firspindle/src/process/control_thread/publish_step.rs
@@ -33,8 +33,9 @@
         }
         if routes_outdated {
             let spec = machine.spec();
-            self.routes =
-                Arc::new(spec.map(|spec| RouteTable::build(state, spec)).unwrap_or_default());
+            let mut routes = spec.map(|spec| RouteTable::build(state, spec)).unwrap_or_default();
+            routes.version = machine.manifest().map_or(0, |row| row.version);
+            self.routes = Arc::new(routes);
             self.routes_revision = Some(state.revision);
             self.resize_upstream();
         }
@@ -66,7 +67,8 @@
         metrics.partitions.set(gauge_value(self.gates.len()));
         metrics.members.set(gauge_value(state.members.len()));
         metrics.offset.set(i64::try_from(state.next_offset).unwrap_or(i64::MAX));
-        metrics.manifest.set(i64::try_from(state.manifest_version()).unwrap_or(i64::MAX));
+        let version = machine.manifest().map_or(0, |row| row.version);
+        metrics.manifest.set(i64::try_from(version).unwrap_or(i64::MAX));
         let member = |row: &firspindle_core::version::MemberRow| MemberStatus {
             node: row.id,
             host: row.info.host.clone(),
@@ -80,10 +82,9 @@
             life: machine.life().name().into(),
             planner: state.term.planner,
             term: state.term.number,
-            manifest_version: state.manifest_version(),
-            manifest_record: state
-                .manifest
-                .as_ref()
+            manifest_version: version,
+            manifest_record: machine
+                .manifest()
                 .map_or_else(String::new, |row| Uuid::from_u128(row.record).to_string())
                 .into(),
             next_offset: state.next_offset,
--- a/crates/firspindle/src/process/log_reader.rs
+++ b/crates/firspindle/src/process/log_reader.rs
@@ -9,9 +9,12 @@
 use std::time::Duration;
 
 use firspindle_core::LogOffset;
-use firspindle_core::version::{CheckpointBody, LogRecord, RecordBody};
+use firspindle_core::version::{
+    CheckpointBody, FoldEpoch, FoldState, LogRecord, RecordBody, epoch_of, epoch_offset,
+    offset_in_log,
+};
 
-use super::{ControlEvent, LogClient, LogError, StoredRecord};
+use super::{ControlEvent, LogBounds, LogClient, LogError, StoredRecord};
 
 /// Time that the log may wait for a new record before it answers a read.
 const READ_WAIT: Duration = Duration::from_secs(5);
@@ -36,30 +39,54 @@
     folded_end: &AtomicU64,
 ) -> Result<(), LogError> {
     let mut next = folded_end.load(Ordering::Acquire);
+    // A read would wait for the next record before its answer names the epoch.
+    let epoch = epoch_of(log.bounds().await?.next);
+    if epoch != epoch_of(next) {
+        next = enter_epoch(tx, epoch, next)?;
+    }
     loop {
         // The control thread may be ahead of this reader, through records or state from peers.
         next = next.max(folded_end.load(Ordering::Acquire));
-        let records = match log.read(next, READ_WAIT).await {
-            Ok(records) => records,
+        let reply = match log.read(offset_in_log(next), READ_WAIT).await {
+            Ok(reply) => reply,
             Err(LogError::Expired) => {
                 next = start_from_checkpoint(log, tx, next).await?;
                 continue;
             }
             Err(error) => return Err(error),
         };
-        for record in records {
-            next = record.offset + 1;
-            send_record(tx, &record);
+        if reply.epoch != epoch_of(next) {
+            next = enter_epoch(tx, reply.epoch, next)?;
+            continue;
+        }
+        for record in reply.records {
+            let offset = epoch_offset(reply.epoch, record.offset);
+            next = offset + 1;
+            send_record(tx, offset, &record);
         }
     }
 }
 
-fn send_record(tx: &Sender<ControlEvent>, stored: &StoredRecord) {
+/// Returns the first offset of the epoch that the log is in, and passes the epoch on.
+fn enter_epoch(
+    tx: &Sender<ControlEvent>,
+    epoch: FoldEpoch,
+    wanted: LogOffset,
+) -> Result<LogOffset, LogError> {
+    if epoch < epoch_of(wanted) {
+        let reason = "it is in an older epoch than this node".into();
+        return Err(LogError::NoAnswer { reason });
+    }
+    let _ = tx.send(ControlEvent::LogEpoch(epoch));
+    Ok(epoch_offset(epoch, 1))
+}
+
+fn send_record(tx: &Sender<ControlEvent>, offset: LogOffset, stored: &StoredRecord) {
     let record = LogRecord::decode(&stored.data).ok().map(Box::new);
     if record.is_none() {
-        log::warn!(offset = stored.offset; "record decoding failed");
+        log::warn!(offset; "record decoding failed");
     }
-    let _ = tx.send(ControlEvent::Record(stored.offset, record));
+    let _ = tx.send(ControlEvent::Record(offset, record));
 }
 
 /// Returns the offset to continue from. If `wanted` has expired, sends the control thread the state
@@ -70,42 +97,59 @@
     wanted: LogOffset,
 ) -> Result<LogOffset, LogError> {
     let bounds = log.bounds().await?;
+    let epoch = epoch_of(bounds.first);
+    if epoch != epoch_of(wanted) {
+        return enter_epoch(tx, epoch, wanted);
+    }
     if wanted >= bounds.first {
+        if wanted > bounds.next {
+            log::error!(wanted, next = bounds.next; "the log ends before offsets that it gave out, in the same epoch");
+        }
+        tokio::time::sleep(RETRY_DELAY).await;
         return Ok(wanted);
     }
     let _ = tx.send(ControlEvent::RecordsExpired);
-    let Some(body) = find_checkpoint(log, bounds.first, bounds.next).await? else {
+    let Some(state) = find_checkpoint(log, bounds).await? else {
         log::error!(first = bounds.first; "log has no usable checkpoint");
         tokio::time::sleep(RETRY_DELAY).await;
         return Ok(wanted);
     };
-    let next = body.next_offset();
+    let next = state.next_offset;
     log::info!(next; "continuing from a checkpoint");
-    let _ = tx.send(ControlEvent::Checkpoint(Box::new(body.state)));
+    let _ = tx.send(ControlEvent::Checkpoint(Box::new(state)));
     Ok(next)
 }
 
-/// Returns the newest checkpoint on the log after which all records are kept, given the first kept
-/// offset and the end of the log.
+/// Returns the newest state of a checkpoint on the log after which all records are kept. One of an
+/// older epoch is continued in that of the bounds.
 pub(super) async fn find_checkpoint(
     log: &LogClient,
-    first: LogOffset,
-    end: LogOffset,
-) -> Result<Option<Box<CheckpointBody>>, LogError> {
-    let mut newest = None;
+    bounds: LogBounds,
+) -> Result<Option<FoldState>, LogError> {
+    let epoch = epoch_of(bounds.next);
+    let (first, end) = (offset_in_log(bounds.first), offset_in_log(bounds.next));
+    let mut newest: Option<Box<CheckpointBody>> = None;
     let mut next = first;
     while next < end {
-        let records = log.read(next, Duration::ZERO).await?;
-        let Some(last) = records.last() else { break };
+        let reply = log.read(next, Duration::ZERO).await?;
+        if reply.epoch != epoch {
+            return Err(LogError::NoAnswer { reason: "its epoch changed".into() });
+        }
+        let Some(last) = reply.records.last() else { break };
         next = last.offset + 1;
-        for stored in &records {
+        for stored in &reply.records {
             let Ok(record) = LogRecord::decode(&stored.data) else { continue };
-            if let RecordBody::Checkpoint(body) = record.body
-                && body.next_offset() >= first
-            {
+            let RecordBody::Checkpoint(body) = record.body else { continue };
+            // A writer that did not know of a restore yet may write after those that did.
+            let newest_epoch = newest.as_ref().map_or(0, |body| body.state.epoch());
+            let kept = offset_in_log(body.next_offset()) >= first;
+            if kept && (newest_epoch..=epoch).contains(&body.state.epoch()) {
                 newest = Some(body);
             }
         }
     }
-    Ok(newest)
+    Ok(newest.map(|body| match body.state.epoch() == epoch {
+        true => body.state,
+        false => body.state.continued_in(epoch),
+    }))
 }
--- a/crates/firspindle/src/process/publish_command.rs
+++ b/crates/firspindle/src/process/publish_command.rs
@@ -2,7 +2,10 @@
 
 use std::time::{Duration, Instant};
 
-use firspindle_core::version::{FoldOutcome, FoldState, LogRecord, ManifestSpec, RecordBody};
+use firspindle_core::version::{
+    FoldOutcome, FoldState, LogRecord, ManifestSpec, RecordBody, epoch_of, epoch_offset,
+    offset_in_log,
+};
 use uuid::Uuid;
 
 use super::{LogClient, LogError};
@@ -75,10 +78,10 @@
     /// Folds the log up to its present end, from a checkpoint if earlier records have expired.
     async fn open(log: &LogClient) -> Result<Self, LogError> {
         let bounds = log.bounds().await?;
-        let mut reader = Self { state: FoldState::default() };
-        if bounds.first > 1 {
-            let found = super::log_reader::find_checkpoint(log, bounds.first, bounds.next).await?;
-            reader.state = found.map_or_else(FoldState::default, |body| body.state);
+        let mut reader = Self { state: FoldState::in_epoch(epoch_of(bounds.next)) };
+        if offset_in_log(bounds.first) > 1 {
+            let found = super::log_reader::find_checkpoint(log, bounds).await?;
+            reader.state = found.unwrap_or(reader.state);
         }
         while reader.state.next_offset < bounds.next {
             reader.find_outcome(log, 0).await?;
@@ -92,12 +95,17 @@
         log: &LogClient,
         id: u128,
     ) -> Result<Option<FoldOutcome>, LogError> {
-        for stored in log.read(self.state.next_offset, READ_WAIT).await? {
+        let reply = log.read(offset_in_log(self.state.next_offset), READ_WAIT).await?;
+        if reply.epoch != self.state.epoch() {
+            return Err(LogError::NoAnswer { reason: "its epoch changed".into() });
+        }
+        for stored in reply.records {
+            let offset = epoch_offset(reply.epoch, stored.offset);
             let Ok(record) = LogRecord::decode(&stored.data) else {
-                self.state.skip(stored.offset);
+                self.state.skip(offset);
                 continue;
             };
-            let outcome = self.state.fold(stored.offset, &record);
+            let outcome = self.state.fold(offset, &record);
             if record.id == id {
                 return Ok(Some(outcome));
             }
--- a/crates/firspindle/tests/failures/log_restores.rs
+++ b/crates/firspindle/tests/failures/log_restores.rs
@@ -91,6 +91,70 @@
     check_restore_under_load(false);
 }
 
+/// The host's right is known only from before the restore, and nothing ends it but its witnesses.
+#[test]
+fn a_host_lost_together_with_the_log_is_replaced() {
+    let mut fleet = start_fleet(FleetSpec::one_service("registre", 5, 3));
+    let generator = start_load(&fleet, "/registre/orders?work_ms=5", SHORT_TIMEOUT);
+    run_for(STEADY_TIME);
+    let lost_at = Instant::now();
+    generator.disable_endpoint(1);
+    fleet.kill_host(1);
+    fleet.restore_log(fleet.log_end() / 2);
+    run_for(RECOVERY_TIME);
+    let rows = stop_and_check(&fleet, generator);
+    let gap = longest_gap(&rows, lost_at, lost_at + RECOVERY_TIME);
+    eprintln!("longest time without service after the restore: {} ms", gap.as_millis());
+    assert!(gap <= LOSS_BOUND, "a key was not served for {gap:?}");
+}
+
+#[test]
+fn a_log_that_is_away_and_then_restored_several_times_leaves_each_key_one_owner() {
+    let fleet = start_fleet(FleetSpec::one_service("registre", 4, 3));
+    let generator = start_load(&fleet, "/registre/orders?work_ms=5", SHORT_TIMEOUT);
+    let mut last_restore = Instant::now();
+    for (lost, pause_ms) in [(4, 300), (9, 900), (14, 1700), (3, 2500)] {
+        let end = fleet.log_end().saturating_sub(lost).max(1);
+        fleet.set_log_faults(r#"{"down": true}"#);
+        run_for(Duration::from_millis(400));
+        fleet.restore_log(end);
+        fleet.set_log_faults("{}");
+        last_restore = Instant::now();
+        run_for(Duration::from_millis(pause_ms));
+    }
+    run_for(RECOVERY_TIME);
+    let rows = stop_and_check(&fleet, generator);
+    let gap = longest_gap(&rows, last_restore, last_restore + RECOVERY_TIME);
+    eprintln!("longest time without service after the last restore: {} ms", gap.as_millis());
+    assert!(gap <= LOSS_BOUND, "a key was not served for {gap:?}");
+}
+
+/// What its host ran may still run, which only another process of the upstream ends.
+#[test]
+fn after_a_restore_an_upstream_without_grant_checks_holds_up_its_own_service_only() {
+    let mut spec = FleetSpec::one_service("registre", 4, 3);
+    spec.nodes[3].service = "archives".to_owned();
+    spec.nodes[3].upstream_args.push("--checks-grants=false".to_owned());
+    let mut fleet = Fleet::start(spec);
+    let archives = "[[service]]\nname = \"archives\"\npartitions = 4\n";
+    let output = fleet.publish(&manifest(0, archives));
+    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+    fleet.wait_until_served(PARTITIONS + 4);
+    let generator = start_load(&fleet, "/registre/orders?work_ms=5", SHORT_TIMEOUT);
+    run_for(STEADY_TIME);
+    let restored_at = Instant::now();
+    fleet.restore_log(fleet.log_end() / 2);
+    run_for(RECOVERY_TIME);
+    let rows = stop_and_check(&fleet, generator);
+    let gap = longest_gap(&rows, restored_at, restored_at + RECOVERY_TIME);
+    assert!(gap <= LOSS_BOUND, "a key was not served for {gap:?}");
+    assert_eq!(fleet.owner("archives", "key"), None, "its earlier right may last");
+    fleet.kill_host(3);
+    fleet.start_node(3);
+    fleet.start_upstream(3);
+    fleet.wait_until_served(PARTITIONS + 4);
+}
+
 #[test]
 fn a_manifest_written_again_after_a_restore_is_in_force_in_time() {
     let mut fleet = start_fleet(FleetSpec::one_service("registre", 4, 3));
