--- a/crates/core/tests/ownership/schedule.rs
+++ b/crates/core/tests/ownership/schedule.rs
@@ -1,6 +1,7 @@
 //! Random schedules of faults, as a proptest strategy.
 
 use proptest::prelude::*;
+use proptest::sample::Index;
 use proptest::strategy::Union;
 
 use crate::world::{NODES, PARTITIONS};
@@ -34,6 +35,45 @@
     PlanWitnesses(usize, Vec<usize>),
     /// Drains a node.
     Drain(usize),
+    /// The log comes back from an older copy, without some of its newest records.
+    RestoreLog(usize),
+    /// An operator writes the next manifest.
+    Publish(u64),
+}
+
+/// Most records that one restore drops; more than the log has when a schedule starts.
+const MAX_LOST_RECORDS: usize = 16;
+
+/// Returns random schedules during which the log is restored up to four times.
+pub fn steps_with_restores() -> impl Strategy<Value = Vec<Step>> {
+    let restore = (1..=MAX_LOST_RECORDS).prop_map(Step::RestoreLog);
+    let publish = any::<u64>().prop_map(Step::Publish);
+    let restores = proptest::collection::vec((any::<Index>(), restore), 1..=4);
+    let publications = proptest::collection::vec((any::<Index>(), publish), 0..4);
+    (steps(), restores, publications).prop_map(|(mut steps, restores, publications)| {
+        for (index, step) in restores.into_iter().chain(publications) {
+            steps.insert(index.index(steps.len() + 1), step);
+        }
+        steps
+    })
+}
+
+/// Returns schedules in which a restore loses the newest witness set of a holder that is cut off
+/// with two of these witnesses from the log and from all others.
+pub fn steps_with_lost_set() -> impl Strategy<Value = Vec<Step>> {
+    (400u64..1200, 1usize..8).prop_map(|(switch_ms, lost)| {
+        let cut_off = [0, 4, 5];
+        let mut steps: Vec<_> =
+            cut_off.iter().map(|node| Step::PlanWitnesses(*node, vec![1, 2, 3])).collect();
+        steps.extend([Step::PlanAssignment(0, vec![0]), Step::Run(2000)]);
+        steps.extend([Step::PlanWitnesses(0, vec![3, 4, 5]), Step::Run(switch_ms)]);
+        steps.extend(cut_off.iter().map(|node| Step::LogLink(*node, false)));
+        for node in cut_off {
+            steps.extend([1, 2, 3].map(|other| Step::Cut(node, other)));
+        }
+        steps.extend([Step::RestoreLog(lost), Step::Run(4000)]);
+        steps
+    })
 }
 
 /// Returns random schedules. Weights and times suit the protocol's durations: leases of 1.5 s,
