test(mesh): restores that lose a plan which few hosts know; two guards of epochs shown to be needed

Copies are up to 15 s old now. After one plan in four the host that appended it is cut off from the others, or these from the store, and a restore comes within 12 s; faults are over 15 s after the last.

--- a/crates/mesh/tests/ownership/main.rs
+++ b/crates/mesh/tests/ownership/main.rs
@@ -174,3 +174,26 @@
 fn without_the_wait_for_the_last_hold_two_upstreams_hold_one_key() {
     assert_violation_found(GrantGuards { hold_end: false, ..GrantGuards::all() });
 }
+
+/// Asserts that two upstreams hold one cell, or one gets it without a higher fence, in some history with
+/// restores.
+fn assert_violation_with_restores(guards: GrantGuards) {
+    let is_unsafe =
+        |row: &Violation| matches!(row, Violation::TwoHolders(_) | Violation::FenceNotAbove(_));
+    let found = (1..=GUARD_HISTORIES).find_map(|seed| {
+        let violations = run_with_restores(seed, guards);
+        violations.into_iter().find(is_unsafe).map(|violation| (seed, violation))
+    });
+    let (seed, violation) = found.expect("a history without the guard breaks a rule");
+    println!("seed {seed}: {violation:?}");
+}
+
+#[test]
+fn without_plans_of_the_epoch_a_restore_breaks_a_rule() {
+    assert_violation_with_restores(GrantGuards { epoch_plan: false, ..GrantGuards::all() });
+}
+
+#[test]
+fn without_the_wait_for_the_earlier_epoch_a_restore_breaks_a_rule() {
+    assert_violation_with_restores(GrantGuards { epoch_wait: false, ..GrantGuards::all() });
+}
--- a/crates/mesh/tests/ownership/world/restores.rs
+++ b/crates/mesh/tests/ownership/world/restores.rs
@@ -14,11 +14,11 @@
 use super::event::{AppendCall, Event};
 use super::{HOSTS, TOPICS, World};
 
-/// Time for which faults begin, in milliseconds. Each is over 9 s later at most.
+/// Time for which faults begin, in milliseconds. Each is over 15 s later at most.
 const FAULTS_MS: u64 = 30_000;
 
 /// Time after which the last fault is over, in milliseconds.
-const REPAIRED_MS: u64 = FAULTS_MS + 9_000;
+const REPAIRED_MS: u64 = FAULTS_MS + 15_000;
 
 /// Time after the last fault within which each cell is held again and the newest manifest is in force, in
 /// milliseconds.
@@ -29,7 +29,7 @@
 
 /// Time between two copies of the store, and for which they are kept, in milliseconds.
 const COPY_INTERVAL_MS: u64 = 100;
-const COPY_KEPT_MS: u64 = 6_000;
+const COPY_KEPT_MS: u64 = 15_000;
 
 /// Time after which a write without an answer counts as failed, in milliseconds.
 const CALL_TIMEOUT_MS: u64 = 900;
@@ -53,6 +53,8 @@
     pub(super) faults_until: u64,
     /// Copies of the store, each with its time in milliseconds, the oldest first.
     copies: VecDeque<(u64, [Vec<TopicRecord>; 3])>,
+    /// Number of restores that are to come.
+    pending: u32,
     /// Version of the manifest that the operator wrote last.
     newest_manifest: u64,
     pub(super) cells: Vec<CellRow>,
@@ -67,7 +69,7 @@
 pub fn run_with_restores(seed: u64, guards: GrantGuards) -> Vec<Violation> {
     let mut world = World::new_restorable(seed, guards);
     let first = world.rng.random_range(3_000..14_000);
-    world.enqueue(0, 0, first, Event::Restore { away: 0 });
+    world.enqueue_restore(first, 0);
     world.run_restorable()
 }
 
@@ -78,6 +80,7 @@
         world.restores = Some(Box::new(RestoreModel {
             faults_until: FAULTS_MS,
             copies: VecDeque::new(),
+            pending: 0,
             newest_manifest: 1,
             cells: vec![CellRow::default(); CELLS],
         }));
@@ -184,6 +187,7 @@
         let copied_at = self.now_ms.saturating_sub(self.rng.random_range(0..COPY_KEPT_MS));
         let model = self.restores.as_mut().expect("the store is restored");
         let copy = model.copies.iter().rev().find(|copy| copy.0 <= copied_at);
+        model.pending -= 1;
         self.topics.clone_from(&copy.unwrap_or(&model.copies[0]).1);
         self.log_epoch += 1;
         let newest = model.newest_manifest;
@@ -197,12 +201,41 @@
             false => self.rng.random_range(4_000..14_000),
         };
         let away = if self.rng.random_bool(0.5) { self.rng.random_range(1..3_000) } else { 0 };
-        if self.now_ms + next < FAULTS_MS {
-            self.enqueue(0, 0, next, Event::Restore { away });
+        if self.model().pending == 0 {
+            self.enqueue_restore(next, away);
         }
         self.lose_host();
     }
 
+    fn enqueue_restore(&mut self, delay: u64, away: u64) {
+        if self.now_ms + delay < FAULTS_MS {
+            self.model().pending += 1;
+            self.enqueue(0, 0, delay, Event::Restore { away });
+        }
+    }
+
+    /// Loses a plan that was just appended, in one of four cases: the host that appended it, which knows
+    /// it, is cut off from the others or these from the store, and the store is restored soon.
+    pub(super) fn lose_plan(&mut self, author: usize) {
+        let may_strike = self.log_epoch > 0 || self.model().pending > 0;
+        if !may_strike || self.now_ms >= FAULTS_MS || !self.rng.random_ratio(1, 4) {
+            return;
+        }
+        let until = self.now_ms + self.rng.random_range(500..15_000);
+        let (isolated, blind) = (self.rng.random_bool(0.5), self.rng.random_bool(0.5));
+        for other in (0..HOSTS).filter(|host| *host != author) {
+            if isolated {
+                self.hosts[author].cut_until[other] = until;
+                self.hosts[other].cut_until[author] = until;
+            }
+            if blind {
+                self.hosts[other].store_cut_until = until;
+            }
+        }
+        let delay = self.rng.random_range(20..12_000);
+        self.enqueue_restore(delay, 0);
+    }
+
     /// Loses a host for good with one in 30 of the restores, and one at most.
     fn lose_host(&mut self) {
         if self.hosts.iter().any(|row| row.lost) || !self.rng.random_ratio(1, 30) {
--- a/crates/mesh/tests/ownership/world/store.rs
+++ b/crates/mesh/tests/ownership/world/store.rs
@@ -64,6 +64,9 @@
         if topic == StateTopic::Hosts {
             self.hosts[host].write_end = Some(LogPosition::new(self.log_epoch, end + 1));
         }
+        if stored.is_some() {
+            self.lose_plan(host);
+        }
         if topic == StateTopic::Plans && answers {
             let end = if done { end + 1 } else { end };
             let end = LogPosition::new(self.log_epoch, end);
