fix(mesh): an upstream that leaves before its node knows it is closed after the drain time

Trace: the node started at 23.960 s, the leave came at 24.102 s, before it had read its host's record or heard a heartbeat; it was acknowledged and dropped, and the record it adopted then said 'ready'.

Now a leave of an unknown upstream is kept for the grace time, and closes the upstream as soon as the node knows it, counted from the leave.

--- a/crates/mesh/src/process/control_state.rs
+++ b/crates/mesh/src/process/control_state.rs
@@ -134,6 +134,8 @@
     last_heartbeat_at: Option<Instant>,
     /// Time after which no request is sent to the draining upstream.
     closes_at: Option<Instant>,
+    /// Ids of upstreams that announced that they leave before this node knew them, and when.
+    early_leaves: Vec<(Box<str>, Instant)>,
     /// Instances of the upstream that announced that they leave.
     leaving: Vec<UpstreamInstance>,
     grants: GrantTable,
@@ -223,6 +225,7 @@
             own_written: None,
             last_heartbeat_at: None,
             closes_at: None,
+            early_leaves: Vec::new(),
             leaving: Vec::new(),
             grants,
             peers: PeerTable::default(),
--- a/crates/mesh/src/process/control_state/record_step.rs
+++ b/crates/mesh/src/process/control_state/record_step.rs
@@ -152,7 +152,7 @@
             StateTopic::Hosts => {
                 self.hosts_known = true;
                 for row in values {
-                    self.apply_host(&row.value);
+                    self.apply_host(&row.value, now);
                 }
                 self.hosts_end = self.hosts_end.max(end);
             }
@@ -192,13 +192,13 @@
         }
     }
 
-    pub(super) fn apply_host(&mut self, value: &[u8]) {
+    pub(super) fn apply_host(&mut self, value: &[u8], now: Instant) {
         let Some(record) = HostRecord::decode(value) else {
             log::warn!("host record decoding failed");
             return;
         };
         if record.host == self.settings.host {
-            self.adopt_own_record(&record);
+            self.adopt_own_record(&record, now);
         }
         self.keep_host(record);
     }
@@ -233,13 +233,14 @@
     /// After a restart, adopts the upstream that the previous process recorded and counts its last
     /// heartbeat as received at the start, so that no cell moves before the next one is due. One that
     /// drains was acknowledged before the start, nobody knows when, so it gets no more requests.
-    pub(super) fn adopt_own_record(&mut self, record: &HostRecord) {
+    pub(super) fn adopt_own_record(&mut self, record: &HostRecord, now: Instant) {
         self.outnumber_incarnation(record.incarnation);
         let recorded = record.upstream.as_ref().filter(|_| record.incarnation < self.incarnation);
         let Some(recorded) = recorded else { return };
         if self.own.upstream.is_none() {
             self.own.upstream = Some(recorded.clone());
             self.last_heartbeat_at = Some(self.started_at);
+            self.apply_early_leave(now);
         }
         let current = self.own.upstream.as_ref().map(|row| &row.instance);
         if recorded.state == UpstreamState::Draining && current == Some(&recorded.instance) {
@@ -334,7 +335,7 @@
         if state.mark.manifest > 0 {
             self.manifest_end = self.manifest_end.max(state.manifest_end);
         }
-        state.hosts.iter().for_each(|record| self.apply_host(record));
+        state.hosts.iter().for_each(|record| self.apply_host(record, now));
         self.hosts_end = self.hosts_end.max(state.hosts_end);
         if let Some(plan) = RangePlan::decode(&state.plan) {
             let origin = RecordOrigin::Peer { end: state.mark.plan_position };
--- a/crates/mesh/src/process/control_state/relay_step.rs
+++ b/crates/mesh/src/process/control_state/relay_step.rs
@@ -240,7 +240,7 @@
     pub(super) fn apply_report(&mut self, report: &RelayReport, now: Instant) {
         for record in &report.records {
             if record.host == self.settings.host {
-                self.adopt_own_record(record);
+                self.adopt_own_record(record, now);
             }
             self.keep_host(record.clone());
         }
--- a/crates/mesh/src/process/control_state/upstream_step.rs
+++ b/crates/mesh/src/process/control_state/upstream_step.rs
@@ -105,6 +105,7 @@
             slots: report.slots,
             state,
         });
+        self.apply_early_leave(now);
     }
 
     pub(super) fn is_sharded(&self, service: &str) -> bool {
@@ -116,8 +117,22 @@
     pub fn handle_leave(&mut self, id: &str, now: Instant) {
         log::info!(id; "upstream leave requested");
         let known = self.own.upstream.as_ref().map(|upstream| &upstream.instance);
-        if let Some(instance) = known.filter(|known| &*known.id == id).cloned() {
-            self.close_upstream(instance, Some(now));
+        match known {
+            Some(known) if &*known.id == id => self.close_upstream(known.clone(), Some(now)),
+            Some(_) => {}
+            None => self.early_leaves.push((id.into(), now)),
+        }
+    }
+
+    /// Closes the upstream if it announced that it leaves before this node knew it.
+    pub(super) fn apply_early_leave(&mut self, now: Instant) {
+        let Some(upstream) = &self.own.upstream else { return };
+        let instance = upstream.instance.clone();
+        let limit = self.settings.bounds.grace;
+        self.early_leaves.retain(|row| now < row.1 + limit);
+        if let Some(index) = self.early_leaves.iter().position(|row| row.0 == instance.id) {
+            let (_, left_at) = self.early_leaves.remove(index);
+            self.close_upstream(instance, Some(left_at));
         }
     }
 
--- a/crates/mesh/tests/own_record.rs
+++ b/crates/mesh/tests/own_record.rs
@@ -93,6 +93,24 @@
     assert_closed(&state, now);
 }
 
+/// The leave is acknowledged before the node that has just started knows the upstream.
+#[test]
+fn an_upstream_that_left_before_its_node_knew_it_is_closed_after_the_drain_time() {
+    let start = Instant::now();
+    for by_record in [true, false] {
+        let mut state = restarted(start);
+        let left_at = start + Duration::from_millis(140);
+        state.handle_leave("u0", left_at);
+        let known_at = start + Duration::from_millis(300);
+        if by_record {
+            let ready = hosts(UpstreamState::Ready);
+            state.handle_snapshot(StateTopic::Hosts, &ready, known_at, known_at);
+        }
+        state.handle_report(&report(), known_at);
+        assert_closed(&state, left_at + settings().bounds.drain);
+    }
+}
+
 /// Guards against an upstream that is left alone for good because its heartbeats once failed.
 #[test]
 fn an_upstream_that_was_silent_is_used_again_when_its_node_starts_again() {
