--- a/crates/core/src/process/grant_table.rs
+++ b/crates/core/src/process/grant_table.rs
@@ -14,15 +14,17 @@
 //!    in a row that it does not hold the cell, let the last hold expire, or is known to be dead.
 
 mod cell_state;
+mod ended_fence;
 mod instance_step;
 
 use std::time::Instant;
 
-use serde::{Deserialize, Serialize};
-
-use cell_state::{CellState, HandoverRow, RevokedGrant};
+use cell_state::{CellState, HandoverRow};
+use ended_fence::add_ended;
 use instance_step::is_superseded;
 
+pub use ended_fence::EndedFence;
+
 use super::{GrantGuards, GrantPermit, GrantTiming};
 use crate::connection::{GrantReply, GrantRow, UpstreamReport};
 use crate::version::{
@@ -38,19 +40,6 @@
 /// have crossed the last grant on the network.
 const MIN_ABSENT_REPORTS: u32 = 2;
 
-/// A fence that has ended on a run of cells, as reported to the node of their next holder.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct EndedFence {
-    /// First cell.
-    pub first: CellIndex,
-    /// Last cell.
-    pub last: CellIndex,
-    /// Fence that has ended.
-    pub fence: PlanVersion,
-    /// Handover token from the earlier holder; empty if there is none.
-    pub handover: Box<str>,
-}
-
 /// Cells that one node grants to its local upstream, and fences that still have to end.
 #[derive(Debug, Clone)]
 pub struct GrantTable {
@@ -390,21 +379,3 @@
     }
     usize::from(first) / CELL_KEYS..usize::from(last) / CELL_KEYS + 1
 }
-
-fn add_ended(rows: &mut Vec<EndedFence>, index: CellIndex, revoked_grant: &RevokedGrant) {
-    match rows.last_mut() {
-        Some(row)
-            if row.last + 1 == index
-                && row.fence == revoked_grant.fence
-                && row.handover == revoked_grant.handover =>
-        {
-            row.last = index;
-        }
-        _ => rows.push(EndedFence {
-            first: index,
-            last: index,
-            fence: revoked_grant.fence,
-            handover: revoked_grant.handover.clone(),
-        }),
-    }
-}
--- a/crates/mesh/tests/fleet/main.rs
+++ b/crates/mesh/tests/fleet/main.rs
@@ -6,6 +6,7 @@
 
 #[path = "../ownership/codec.rs"]
 mod codec;
+mod event;
 mod model;
 #[path = "../ownership/node_settings.rs"]
 mod node_settings;
--- a/crates/mesh/tests/fleet/model.rs
+++ b/crates/mesh/tests/fleet/model.rs
@@ -5,7 +5,6 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use firspindle_core::connection::DemandReport;
 use firspindle_core::process::{GrantGuards, RangeCandidate, ServiceCandidates, plan_ranges};
 use firspindle_core::version::{
@@ -17,6 +16,7 @@
 use firspindle_mesh::version::PeerState;
 
 use crate::codec::{SERVICE, TestCodec};
+use crate::event::{Event, Scheduled};
 use crate::node_settings::node_settings;
 use crate::upstream::Upstream;
 
@@ -55,45 +55,6 @@
     traffic: Traffic,
 }
 
-#[derive(Debug)]
-enum Event {
-    Datagram(Bytes),
-    Heartbeat,
-    Round,
-    Tick,
-    Read,
-    State(Box<PeerState>),
-}
-
-/// An event that is due at a time.
-#[derive(Debug)]
-struct Scheduled {
-    due: u64,
-    order: u64,
-    host: usize,
-    event: Event,
-}
-
-impl PartialEq for Scheduled {
-    fn eq(&self, other: &Self) -> bool {
-        (self.due, self.order) == (other.due, other.order)
-    }
-}
-
-impl Eq for Scheduled {}
-
-impl PartialOrd for Scheduled {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Scheduled {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (self.due, self.order).cmp(&(other.due, other.order))
-    }
-}
-
 /// A fleet whose hosts are spread over data centres by their number.
 pub struct FleetModel {
     epoch: Instant,
