fix(mesh): an empty log of plans counts as a first start only if it was read right after the start

Keys were held by two upstreams: of the search with restores, cell 0 under one fence at 9.6 s. Trace: the store was restored at 6.1 s to a copy from before the first plan; host 1 started again at 6.4 s, heard nobody, and planned alone as if the system started for the first time, while host 0 still held its keys under the lost plan. Now the empty log has to be read within 2.2 s after the start: no plan is written before 2.5 s, and all processes of a system start within 0.3 s.

The world gave 'bootstrap' to processes that start again too; the platform's page has it only when the whole system starts for the first time, so the world does the same now.

--- a/crates/mesh/src/process/control_state.rs
+++ b/crates/mesh/src/process/control_state.rs
@@ -109,8 +109,8 @@
     planned_end: LogPosition,
     /// When a plan of another node was last applied.
     other_plan_at: Instant,
-    /// Epoch in which this node first read the plans.
-    first_epoch: Option<LogEpoch>,
+    /// Epoch in which this node saw, soon after its start, that there was no plan yet.
+    unplanned_epoch: Option<LogEpoch>,
     /// When this node learned of the store's epoch; `None` if it knows of no restore.
     epoch_entered_at: Option<Instant>,
     /// Until when it may renew grants by what it knew of the earlier epoch.
@@ -212,7 +212,7 @@
             planned_at: now,
             planned_end: LogPosition::default(),
             other_plan_at: now.checked_sub(OTHER_PLAN_DELAY).unwrap_or(now),
-            first_epoch: None,
+            unplanned_epoch: None,
             epoch_entered_at: None,
             earlier_permit_until: None,
             refenced_at: None,
--- a/crates/mesh/src/process/control_state/record_step.rs
+++ b/crates/mesh/src/process/control_state/record_step.rs
@@ -18,6 +18,10 @@
 /// nodes arrive within one round trip, and one fetch answers both.
 const FETCH_DELAY: Duration = Duration::from_millis(30);
 
+/// Time after the start of a system's first processes within which no plan is written: the delay of the
+/// first plan, less the time within which all processes start.
+const UNPLANNED_LIMIT: Duration = Duration::from_millis(2_200);
+
 /// Time for each host over which the hosts' records are written again after a restore of the store.
 const WRITE_SPREAD: Duration = Duration::from_millis(4);
 
@@ -164,7 +168,10 @@
                     }
                 }
                 self.plan_known = true;
-                self.first_epoch.get_or_insert(end.epoch);
+                let in_time = now < self.started_at + UNPLANNED_LIMIT;
+                if in_time && end.offset == 0 {
+                    self.unplanned_epoch = Some(end.epoch);
+                }
                 self.confirmation.advance(end);
                 self.confirmation.confirm(log_end, at);
             }
@@ -255,7 +262,7 @@
         let is_next = plan.version == self.plan.version + 1;
         let is_first = self.settings.bootstrap
             && self.plan.version == 0
-            && self.first_epoch == Some(plan.epoch())
+            && self.unplanned_epoch == Some(plan.epoch())
             && plan.version == plan_version_at(LogPosition::new(plan.epoch(), 0));
         let contiguous = self.plan_known && (is_next || is_first);
         log::info!(
--- a/crates/mesh/tests/ownership/world.rs
+++ b/crates/mesh/tests/ownership/world.rs
@@ -42,6 +42,9 @@
 /// relay elsewhere; relays only. A data centre has two relays.
 const LAYOUTS: [Layout; 3] = [[0, 0, 0, 0], [0, 0, 0, 1], [0, 1, 0, 1]];
 
+/// Time within which all processes start for the first time, in milliseconds.
+const FIRST_STARTS_MS: u64 = 300;
+
 /// Simulated length of a history with random faults, in milliseconds.
 const HISTORY_MS: u64 = 40_000;
 
@@ -328,7 +331,9 @@
         if self.hosts[host].state.is_some() || self.hosts[host].lost {
             return;
         }
-        let (layout, bootstrap) = (self.layout, self.bootstrap);
+        // Only processes that start with the system find that it starts for the first time.
+        let bootstrap = self.bootstrap && self.now_ms <= FIRST_STARTS_MS;
+        let layout = self.layout;
         let row = &mut self.hosts[host];
         row.incarnation = self.now_ms.max(row.incarnation) + 1;
         row.known = [false; 3];
