fix(core): a floor of a new epoch drops no witness sets of members of older ones

Hash-divided services: two nodes could run a partition at once after a restore of the log. Cause: the floor, the offset that all members acknowledged, also compacted the sets of members of older epochs, whose offsets are all below it; so all but a lost member's newest set were forgotten, and its right counted as ended while it could still act under an older one.

--- a/crates/core/src/version/fold_state/plan_step.rs
+++ b/crates/core/src/version/fold_state/plan_step.rs
@@ -1,7 +1,7 @@
 //! Folds plans, and drops assignments, witness sets and departed members no longer needed.
 
 use super::{FoldOutcome, FoldState};
-use crate::version::{AssignmentRow, PlanRecord, WitnessRow, WitnessSet};
+use crate::version::{AssignmentRow, PlanRecord, WitnessRow, WitnessSet, epoch_of};
 use crate::{LogOffset, NodeId};
 
 impl FoldState {
@@ -67,7 +67,9 @@
         for row in &mut self.partitions {
             row.compact(self.floor, &unquiesced);
         }
-        for row in &mut self.witnesses {
+        // The floor tells nothing of members of older epochs: none of them acknowledged it.
+        let epoch = self.epoch();
+        for row in self.witnesses.iter_mut().filter(|row| epoch_of(row.member) == epoch) {
             row.compact(self.floor);
         }
         self.drop_unreferenced();
--- a/crates/core/tests/ownership/restores.rs
+++ b/crates/core/tests/ownership/restores.rs
@@ -23,6 +23,12 @@
 /// Number of histories after which every partition must be served again.
 const RECOVERY_HISTORIES: u32 = 150;
 
+/// Number of histories in which a holder is cut off before it leaves a set.
+const LEFT_SET_SEEDS: u64 = 40;
+
+/// Most records that a restore drops after a witness set was replaced.
+const MAX_LOST: usize = 16;
+
 /// Time within which each partition must be served at some moment: the simulated network loses
 /// messages, so a lease may lapse briefly.
 const OBSERVATION_TIME: Duration = Duration::from_secs(1);
@@ -77,6 +83,52 @@
     assert_eq!(served(&world), PARTITIONS as usize);
 }
 
+/// A set that a host left long before is back on the log, without the record that it left.
+fn assert_replaced_with_first_set(first_set: &[usize]) {
+    for lost in 1..=MAX_LOST {
+        let mut world = World::start(5, SafetyGuards::all()).expect("no invariant breaks");
+        let steps = [
+            Step::PlanWitnesses(0, first_set.to_vec()),
+            Step::Run(4000),
+            Step::Kill(0),
+            Step::RestoreLog(lost),
+        ];
+        for step in &steps {
+            world.apply(step).expect("no invariant breaks");
+        }
+        world.run(RECOVERY_TIME).expect("no invariant breaks");
+        let unserved: Vec<_> = (0..PARTITIONS).filter(|id| !world.is_served(*id)).collect();
+        assert!(unserved.is_empty(), "{lost} records lost: {unserved:?} not served");
+    }
+}
+
+#[test]
+fn a_lost_host_whose_first_set_had_two_witnesses_is_replaced_after_a_restore() {
+    assert_replaced_with_first_set(&[0, 1]);
+}
+
+/// The holder is cut off with two witnesses of the set that it has, before it learns of the newer
+/// set, whose witnesses all join the next epoch.
+#[test]
+fn a_witness_set_that_a_cut_off_holder_has_not_left_still_counts_after_a_restore() {
+    for seed in 0..LEFT_SET_SEEDS {
+        let mut world = World::start(seed, SafetyGuards::all()).expect("no invariant breaks");
+        let cut_off = [0, 4, 5];
+        let mut steps = vec![Step::PlanWitnesses(0, vec![3, 4, 5])];
+        steps.extend([4, 5].map(|node| Step::PlanWitnesses(node, vec![1, 2, 3])));
+        steps.extend([Step::PlanAssignment(0, vec![0]), Step::Run(3000)]);
+        steps.extend(cut_off.map(|node| Step::LogLink(node, false)));
+        for node in cut_off {
+            steps.extend([1, 2, 3].map(|other| Step::Cut(node, other)));
+        }
+        steps.extend([Step::PlanWitnesses(0, vec![1, 2, 3]), Step::Publish(7)]);
+        steps.extend([Step::RestoreLog(1), Step::Run(6000)]);
+        for step in &steps {
+            world.apply(step).unwrap_or_else(|fault| panic!("seed {seed}: {fault:?}"));
+        }
+    }
+}
+
 /// Checks that some history breaks an invariant when a guard is disabled.
 fn assert_fault_without(steps: impl Strategy<Value = Vec<Step>>, guards: SafetyGuards) {
     let cases = env_number("GUARD_CASES", GUARD_HISTORIES);
