fix(core): a lost host's witness sets of two members count as ended once one of them joined

Hash-divided services: after a restore, no partition was assigned in 6.0 s while a host was lost with the log. Now a set is ended once those of it that have not joined are no majority, as leases count it already.

--- a/crates/core/src/version/fold_state/epoch_step.rs
+++ b/crates/core/src/version/fold_state/epoch_step.rs
@@ -217,15 +217,21 @@
         }
     }
 
-    /// Whether no witness set of an earlier member can grant any more: a majority of each joined
-    /// this epoch.
+    /// Whether no witness set of an earlier member can grant any more: those of each that have not
+    /// joined this epoch are no majority. Of two witnesses one suffices.
+    ///
+    /// Any majority that let the member switch to a newer set has a witness that joined, and this
+    /// one's join names the newer set.
     fn has_lost_witnesses(&self, member: NodeId) -> bool {
         let joined = |node: &&NodeId| {
             let reason = self.departed(**node).map(|row| row.reason);
             matches!(reason, Some(DepartReason::Replaced { .. }))
         };
         self.witness_row(member).is_some_and(|row| {
-            row.sets.iter().all(|set| set.nodes.iter().filter(joined).count() >= set.majority())
+            row.sets.iter().all(|set| {
+                let unjoined = set.nodes.len() - set.nodes.iter().filter(joined).count();
+                unjoined < set.majority()
+            })
         })
     }
 
