--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
 # Plays this case. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 here="$(cd "$(dirname "$0")" && pwd)"
-exec bash "$here/../play.sh" cold "$here"
+exec bash "$here/../play.sh" crash "$here"
--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -4,7 +4,7 @@
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -58,6 +58,11 @@
         STARTED.lock().expect("no panic").retain(|row| *row != id);
     }
 
+    /// How the process has ended, if it has.
+    pub fn status(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().ok().flatten()
+    }
+
     pub fn has_ended(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(Some(_)))
     }
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -14,6 +14,7 @@
 mod case_crash;
 mod case_extra;
 mod case_foreign;
+mod case_length;
 mod case_owner;
 mod case_slow;
 
@@ -41,6 +42,7 @@
         "slow" => case_slow::play(&directory),
         "crash" => case_crash::play(&directory),
         "foreign" => case_foreign::play(&directory),
+        "length" => case_length::play(&directory),
         "owner" => case_owner::play(&directory),
         "cold" => case_cold::play(&directory),
         other => panic!("no case {other}"),
