--- a/review/standin/case_owner.rs
+++ b/review/standin/case_owner.rs
@@ -38,11 +38,14 @@
 
     let since_ms = now_ms();
     let id = targets[0].1.clone();
+    let ups = fleet.events_of("up");
+    let Some(up) = ups.iter().find(|event| event.target == id) else { return 2 };
+    let born = up.word("born");
     if trouble {
         for number in 1..=REPORTS {
             let path = format!("/instances/{id}");
             let body = format!(
-                "{{\"service\":\"registre\",\"slots\":9,\"state\":\"draining\",\"sequence\":{}}}",
+                "{{\"born\":{born},\"service\":\"registre\",\"slots\":9,\"state\":\"draining\",\"sequence\":{}}}",
                 1_000_000 + number
             );
             let headers = [("Host", "control"), ("Content-Type", "application/json")];
--- a/review/standin/case_slow.rs
+++ b/review/standin/case_slow.rs
@@ -1,6 +1,8 @@
 //! Case `slow`: clients read downloads slowly while the machine that took them is stopped by a SIGTERM.
 
 use std::io::{BufReader, Read, Write};
+use std::net::TcpStream;
+use std::os::fd::AsRawFd;
 use std::time::{Duration, Instant};
 
 use crate::fleet::{Fleet, HostSpec, Record, Terms, desired_state, has_trouble, signal};
@@ -13,6 +15,19 @@
 /// Time for which a slow client reads nothing, after the head of the answer.
 const PAUSE: Duration = Duration::from_millis(2_000);
 
+/// Receive buffer of a client in bytes, which the system doubles: links have small windows.
+const WINDOW: i32 = 32 * 1024;
+
+unsafe extern "C" {
+    fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
+}
+
+/// Bounds the receive buffer of a connection (SOL_SOCKET, SO_RCVBUF).
+fn bound_window(stream: &TcpStream) {
+    // SAFETY: the descriptor is open, and the value is as long as stated.
+    unsafe { setsockopt(stream.as_raw_fd(), 1, 8, &WINDOW, 4) };
+}
+
 /// How a client's request ended.
 struct End {
     whole: bool,
@@ -91,7 +106,8 @@
 ) -> Result<Vec<u8>, (usize, std::io::Error)> {
     let none = |error| (0, error);
     let mut stream = connect(host.traffic, Duration::from_secs(7)).map_err(none)?;
-    let path = format!("/pack/w20/s{BODY}/{index}");
+    bound_window(&stream);
+    let path = format!("/pack/w400/s{BODY}/{index}");
     let headers = [("Host", "shop.example"), ("X-Request-Id", id), ("X-Deadline-Ms", "6000")];
     stream.write_all(head_text("GET", &path, &headers, 0).as_bytes()).map_err(none)?;
     let mut reader = BufReader::with_capacity(1_024, stream);
--- a/review/standin/target.rs
+++ b/review/standin/target.rs
@@ -31,6 +31,8 @@
 
 struct Target {
     id: String,
+    /// Unix time of the start in ms.
+    born: u64,
     service: String,
     address: SocketAddr,
     control: SocketAddr,
@@ -84,6 +86,7 @@
     };
     let target = Arc::new(Target {
         id: word("id"),
+        born: now_ms() as u64,
         service: word("service"),
         address: word("address").parse().expect("an address"),
         control: word("control").parse().expect("an address"),
@@ -101,7 +104,7 @@
     });
     let listen: SocketAddr = word("listen").parse().expect("an address");
     let listener = TcpListener::bind(listen).expect("the port is free");
-    event(&target.id, "up");
+    event(&target.id, &format!("up born={}", target.born));
     let reporter = target.clone();
     std::thread::spawn(move || reporter.report());
     for stream in listener.incoming().flatten() {
@@ -272,9 +275,9 @@
         let freed: Vec<String> =
             freed_rows.iter().map(|row| format!("[{},{},\"{}\"]", row.0, row.1, row.2)).collect();
         let body = format!(
-            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"z-a\",\"version\":\"v1\",\"slots\":9,\
+            "{{\"born\":{},\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"z-a\",\"version\":\"v1\",\"slots\":9,\
              \"state\":\"ready\",\"coldRemainingS\":{:.3},\"sequence\":{sequence},\"holds\":[{}],\"freed\":[{}]}}",
-            self.service, self.address, self.cold_left().as_secs_f64(), held.join(","), freed.join(",")
+            self.born, self.service, self.address, self.cold_left().as_secs_f64(), held.join(","), freed.join(",")
         );
         let path = format!("/instances/{}", self.id);
         let sent_at = Instant::now();
