--- a/review/standin/case_extra.rs
+++ b/review/standin/case_extra.rs
@@ -73,6 +73,8 @@
     std::thread::sleep(Duration::from_millis(300));
     let answers = fleet.events_of("end");
     let followed = answers.iter().filter(|event| event.word("additional") == "true").count();
+    let both = |event: &&Event| event.word("additional") == "true" && event.word("status") == "500";
+    let followed_failures = answers.iter().filter(both).count();
     let failed = answers.iter().filter(|event| event.word("status") == "500").count();
     let mut by_request: HashMap<&str, Vec<&Event>> = HashMap::new();
     for event in &answers {
@@ -108,7 +110,7 @@
     let statuses = |status: u16| got.iter().filter(|row| row.status == status).count();
     record.line(&format!(
         "{} requests, answered 200: {}, 500: {}, 502: {}, 503: {}; {} runs, {failed} failed, {followed} answers \
-         followed by an additional response; {mixed} clients got a success that is no answer of a run",
+         followed by an additional response, {followed_failures} of them 500s; {mixed} clients got a success that is no answer of a run",
         got.len(), statuses(200), statuses(500), statuses(502), statuses(503), answers.len()
     ));
     if statuses(200) == 0 || failed == 0 {
