feat(mesh): logs and metrics that tell a late manifest's causes apart

A failed fetch of a peer's state left one line without cause, time or number of fetches in flight; nothing said how long a node knew that it was behind, or how long datagrams waited for the control thread. Now a fetch says why it failed and how long it took, 'peer has a newer manifest' is logged once for each version with the age of the last read that counts, 'manifest in force' gives behind_ms, and metrics count datagrams, their wait, the backlog of the control thread and fetches by outcome. No decision changes.

--- a/crates/mesh/src/connection.rs
+++ b/crates/mesh/src/connection.rs
@@ -23,6 +23,6 @@
 pub use outbound_body::OutboundBody;
 pub use paced_transfer::PacedTransfer;
 pub use proxy_body::{ProxyBody, ProxyResponse, StreamedBody};
-pub use state_fetch::{STATE_PATH, fetch_state, fetch_upstream_id, parse_known_state};
+pub use state_fetch::{FetchError, STATE_PATH, fetch_state, fetch_upstream_id, parse_known_state};
 pub use upload_body::UploadBody;
 pub use upstream_limiter::{UpstreamLimiter, UpstreamPermit};
--- a/crates/mesh/src/connection/connection_pool.rs
+++ b/crates/mesh/src/connection/connection_pool.rs
@@ -14,6 +14,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
+use snafu::Snafu;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpSocket;
 use tokio::time::Instant;
@@ -51,13 +52,16 @@
 type RequestSender = SendRequest<OutboundBody>;
 
 /// Why there is no response.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
 pub enum SendError {
     /// The connection was refused: nothing listens at the address.
+    #[snafu(display("connection refused"))]
     Refused,
     /// The request was not sent.
+    #[snafu(display("not sent"))]
     NotSent,
     /// The connection broke after the request was handed to it, so the request may have arrived.
+    #[snafu(display("connection broken"))]
     Broken,
 }
 
--- a/crates/mesh/src/connection/state_fetch.rs
+++ b/crates/mesh/src/connection/state_fetch.rs
@@ -6,8 +6,9 @@
 use firspindle_core::version::LogPosition;
 use http::{HeaderName, Request};
 use http_body_util::{BodyExt, Limited};
+use snafu::{OptionExt, ResultExt, Snafu};
 
-use super::{ConnectionPool, OutboundBody};
+use super::{ConnectionPool, OutboundBody, SendError};
 use crate::version::{KnownState, PeerState, StateNews, StateSnapshot};
 
 /// Path under which a node serves its state, on the address for requests of other nodes.
@@ -20,6 +21,38 @@
 /// Time limit for a request of the control thread.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Why the state of a peer was not fetched.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
+pub enum FetchError {
+    /// The peer did not answer within [`FETCH_TIMEOUT`].
+    #[snafu(display("no answer in time"))]
+    TimedOut,
+    /// The connection failed.
+    #[snafu(display("no response: {source}"))]
+    NoResponse {
+        /// Whether the request was sent.
+        source: SendError,
+    },
+    /// The answer broke off, or is larger than [`MAX_STATE_BYTES`].
+    #[snafu(display("the answer broke off or is too large"))]
+    Incomplete,
+    /// The answer is not a state.
+    #[snafu(display("the answer cannot be decoded"))]
+    Malformed,
+}
+
+impl FetchError {
+    /// Returns the name of the cause for metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::TimedOut => "timed-out",
+            Self::NoResponse { .. } => "no-response",
+            Self::Incomplete => "incomplete",
+            Self::Malformed => "malformed",
+        }
+    }
+}
+
 /// Returns the path under which a peer answers with what is newer than a known state.
 fn news_path(known: KnownState) -> String {
     let evacuations = known.evacuations.map(|end| format!("&evacuations={end}"));
@@ -42,25 +75,31 @@
 }
 
 /// Fetches the state of the peer at an address, the whole of it unless an earlier one is known, and
-/// the number of bytes that it took; `None` if that fails or it is larger than [`MAX_STATE_BYTES`].
+/// the number of bytes that it took.
+///
+/// # Errors
+///
+/// [`FetchError`] says what failed.
 pub async fn fetch_state(
     address: SocketAddr,
     known: Option<KnownState>,
-) -> Option<(PeerState, usize)> {
+) -> Result<(PeerState, usize), FetchError> {
     let path = known.map_or_else(|| STATE_PATH.to_owned(), news_path);
-    let request = Request::get(path).body(OutboundBody::default()).ok()?;
     let fetch = async {
+        let request = Request::get(path).body(OutboundBody::default());
+        let request = request.ok().context(MalformedSnafu)?;
         let pool = ConnectionPool::default();
-        let (response, _connection, _) = pool.send(address, request, Duration::ZERO).await.ok()?;
-        let body = Limited::new(response.into_body(), MAX_STATE_BYTES).collect().await.ok()?;
-        let bytes = body.to_bytes();
+        let sent = pool.send(address, request, Duration::ZERO).await;
+        let (response, _connection, _) = sent.context(NoResponseSnafu)?;
+        let body = Limited::new(response.into_body(), MAX_STATE_BYTES).collect().await;
+        let bytes = body.ok().context(IncompleteSnafu)?.to_bytes();
         let state = match known {
-            Some(_) => PeerState::News(StateNews::decode(&bytes)?),
-            None => PeerState::Whole(StateSnapshot::decode(&bytes)?),
+            Some(_) => StateNews::decode(&bytes).map(PeerState::News),
+            None => StateSnapshot::decode(&bytes).map(PeerState::Whole),
         };
-        Some((state, bytes.len()))
+        Ok((state.context(MalformedSnafu)?, bytes.len()))
     };
-    tokio::time::timeout(FETCH_TIMEOUT, fetch).await.ok()?
+    tokio::time::timeout(FETCH_TIMEOUT, fetch).await.unwrap_or(Err(FetchError::TimedOut))
 }
 
 /// Fetches the id of the upstream at an address by a health check; `None` if the check fails or its
--- a/crates/mesh/src/process.rs
+++ b/crates/mesh/src/process.rs
@@ -4,6 +4,7 @@
 mod asked_table;
 mod change_log;
 mod control_event;
+mod control_metrics;
 mod control_state;
 mod control_thread;
 mod evacuation_metrics;
@@ -17,6 +18,7 @@
 mod upstream_metrics;
 
 pub use control_event::ControlEvent;
+pub use control_metrics::{ControlMetrics, DatagramOutcome};
 pub use control_state::{ControlAction, ControlState, EvacuationFaults, PeerPlace};
 pub use evacuation_metrics::EvacuationMetrics;
 pub use mesh_metrics::{MeshMetrics, PeerTraffic};
--- a/crates/mesh/src/process/control_event.rs
+++ b/crates/mesh/src/process/control_event.rs
@@ -35,8 +35,8 @@
     EpochSeen(LogEpoch),
     /// A call to the store for this topic failed.
     StoreFailed(StateTopic),
-    /// A datagram from another node.
-    Datagram(Bytes),
+    /// A datagram from another node, and when it was received.
+    Datagram(Bytes, Instant),
     /// State fetched from another node.
     PeerState(PeerState),
     /// An append of this node's plan finished: the end of the plans, if the store answered with it,
--- a/crates/mesh/src/process/control_state.rs
+++ b/crates/mesh/src/process/control_state.rs
@@ -171,6 +171,12 @@
     first_start: bool,
     /// Whether this node's last call to the store failed.
     store_failed: bool,
+    /// Datagrams that could not be decoded.
+    malformed_datagrams: i64,
+    /// Since when a peer is known to have a newer manifest, and its version.
+    newer_manifest: Option<(Instant, u64)>,
+    /// How long a peer was known to have the manifest that came into force last.
+    manifest_lag: Option<Duration>,
     /// Since when a peer is known to have applied more records than this node.
     behind_since: Option<Instant>,
     /// Whether changes that a peer sent did not fit this node's plan.
@@ -256,6 +262,9 @@
             reaches_store: false,
             first_start: false,
             store_failed: false,
+            malformed_datagrams: 0,
+            newer_manifest: None,
+            manifest_lag: None,
             behind_since: None,
             needs_whole_state: false,
             ranges: Arc::default(),
--- a/crates/mesh/src/process/control_state/gossip_step.rs
+++ b/crates/mesh/src/process/control_state/gossip_step.rs
@@ -47,6 +47,7 @@
     /// asks for one, reported ended fences, or a suspect that is new to this node.
     pub fn handle_datagram(&mut self, bytes: &[u8], now: Instant) -> Option<Box<str>> {
         let Some(message) = GossipMessage::decode(bytes) else {
+            self.malformed_datagrams += 1;
             log::warn!(length = bytes.len(); "datagram decoding failed");
             return None;
         };
@@ -75,11 +76,34 @@
         if message.mark.is_ahead_of(&self.mark()) {
             self.behind_since.get_or_insert(now);
         }
+        self.note_newer_manifest(&message, now);
         let news = self.merge_suspects(&message.suspects, now);
         let replies = news || message.report.wants_reply || !message.ended.is_empty();
         replies.then_some(message.sender.host)
     }
 
+    /// Notes that a peer has a newer manifest, once for each version.
+    fn note_newer_manifest(&mut self, message: &GossipMessage, now: Instant) {
+        let (known, there) = (self.mark().manifest, message.mark.manifest);
+        if there <= known || self.newer_manifest.is_some_and(|(_, version)| version >= there) {
+            return;
+        }
+        let since = self.newer_manifest.map_or(now, |(since, _)| since);
+        self.newer_manifest = Some((since, there));
+        let known_at = self.manifests_known_at;
+        log::info!(
+            version = there, in_force = known, host = &*message.sender.host,
+            behind_ms = now.saturating_duration_since(since).as_millis(),
+            read_ms:? = known_at.map(|at| now.saturating_duration_since(at).as_millis());
+            "peer has a newer manifest"
+        );
+    }
+
+    /// Returns how many datagrams could not be decoded.
+    pub const fn malformed_datagrams(&self) -> i64 {
+        self.malformed_datagrams
+    }
+
     /// Applies a peer's echo of a timestamp of this node. The peer sent the echo after this node
     /// sent the timestamp, so dating what it says back to then never makes it look newer than it
     /// is.
--- a/crates/mesh/src/process/control_state/record_step.rs
+++ b/crates/mesh/src/process/control_state/record_step.rs
@@ -192,10 +192,12 @@
                 let newer =
                     self.manifest.as_ref().is_none_or(|known| known.version < manifest.version);
                 if newer {
+                    self.note_manifest(manifest.version, now);
                     log::info!(
                         version = manifest.version, origin = origin.name(),
                         position:% = origin.position(),
-                        age_ms:? = origin.age(now).map(|age| age.as_millis());
+                        age_ms:? = origin.age(now).map(|age| age.as_millis()),
+                        behind_ms:? = self.manifest_lag.map(|lag| lag.as_millis());
                         "manifest in force"
                     );
                     if !manifest.unknown_kinds.is_empty() {
@@ -212,6 +214,19 @@
         }
     }
 
+    /// Notes that a manifest comes into force, and how long a peer was known to have it or an earlier
+    /// one that this node lacked.
+    fn note_manifest(&mut self, version: u64, now: Instant) {
+        let since = self.newer_manifest.map(|(since, _)| since);
+        self.manifest_lag = since.map(|since| now.saturating_duration_since(since));
+        self.newer_manifest = self.newer_manifest.filter(|(_, newest)| *newest > version);
+    }
+
+    /// Takes how long a peer was known to have the manifest that came into force last.
+    pub fn take_manifest_lag(&mut self) -> Option<Duration> {
+        self.manifest_lag.take()
+    }
+
     pub(super) fn apply_host(&mut self, value: &[u8], now: Instant) {
         let Some(record) = HostRecord::decode(value) else {
             log::warn!("host record decoding failed");
--- a/crates/mesh/src/process/control_thread.rs
+++ b/crates/mesh/src/process/control_thread.rs
@@ -21,7 +21,7 @@
 use super::control_state::{ControlAction, ControlState, GOSSIP_TICKS, PeerPlace, TICK_INTERVAL};
 use super::gossip_socket::read_datagrams;
 use super::store_watch::{ReadSchedule, UnansweredAt, watch_topic};
-use super::{ControlEvent, MeshSettings, PeerTraffic};
+use super::{ControlEvent, DatagramOutcome, MeshSettings, PeerTraffic};
 use crate::request::SharedState;
 use crate::version::PeerState;
 
@@ -88,6 +88,8 @@
     write_pending: Rc<Cell<bool>>,
     /// The last finished write.
     write_result: Rc<Cell<Option<HostWrite>>>,
+    /// Fetches of the state of peers that have not ended.
+    fetches_in_flight: Rc<Cell<usize>>,
     notices: Vec<CrashNotice>,
     /// Which records the others were told of last.
     told_mark: StateMark,
@@ -131,6 +133,7 @@
         shared: parts.shared,
         write_pending: Rc::default(),
         write_result: Rc::default(),
+        fetches_in_flight: Rc::default(),
         notices: Vec::new(),
         told_mark: StateMark::default(),
         ticks: 0,
@@ -148,7 +151,11 @@
         loop {
             tokio::select! {
                 event = rx.recv() => match event {
-                    Some(event) => self.handle_event(event),
+                    Some(event) => {
+                        let waiting = i64::try_from(rx.len()).unwrap_or(i64::MAX);
+                        self.shared.metrics.control.backlog.set(waiting);
+                        self.handle_event(event);
+                    }
                     None => return,
                 },
                 _ = ticks.tick() => self.tick(),
@@ -206,7 +213,9 @@
             }
             ControlEvent::EpochSeen(epoch) => self.state.enter_epoch(epoch, now),
             ControlEvent::StoreFailed(_) => self.state.note_store_answer(false),
-            ControlEvent::Datagram(bytes) => {
+            ControlEvent::Datagram(bytes, received_at) => {
+                self.shared.metrics.control.note_datagram_wait(received_at.elapsed());
+                self.shared.metrics.control.count_datagram(DatagramOutcome::Received);
                 if let Some(host) = self.state.handle_datagram(&bytes, now) {
                     self.publish();
                     let actions = self.state.datagrams(&[host], now);
@@ -249,6 +258,13 @@
         self.update_schedules();
     }
 
+    /// Notes how long a peer was known to have the manifest that has just come into force.
+    fn note_manifest_lag(&mut self) {
+        if let Some(lag) = self.state.take_manifest_lag() {
+            self.shared.metrics.control.note_manifest_lag(lag);
+        }
+    }
+
     /// Tells others at once of plans and manifests that this node has just applied; returns whether
     /// there were any.
     fn tell_news(&mut self) -> bool {
@@ -257,6 +273,7 @@
             return false;
         }
         self.told_mark = mark;
+        self.note_manifest_lag();
         let now = self.clock.now();
         let hosts = self.state.new_plan_hosts(now);
         let actions = self.state.datagrams(&hosts, now);
@@ -289,6 +306,7 @@
         self.update_schedules();
         self.state.set_load(self.shared.load(), self.shared.demand());
         self.finish_notices();
+        self.shared.metrics.control.malformed.set(self.state.malformed_datagrams());
         self.shared.metrics.restores.set(self.state.restores().cast_signed());
         self.shared.metrics.unknown_kinds.set(self.state.unknown_kinds());
         let faults = self.state.evacuation_faults();
@@ -303,7 +321,7 @@
             );
             log::info!(
                 own_data_centre = &*own, other_data_centres = &*other,
-                calls = &*metrics.store_calls_text();
+                calls = &*metrics.store_calls_text(), control = &*metrics.control.text();
                 "traffic of the control thread"
             );
         }
@@ -363,6 +381,7 @@
                     let counter = self.shared.metrics.peer_bytes(PeerTraffic::Datagram, place);
                     counter.inc_by(bytes.len() as u64);
                     if let Err(error) = self.socket.try_send_to(&bytes, address) {
+                        self.shared.metrics.control.count_datagram(DatagramOutcome::Unsent);
                         log::debug!(address:%, error:%; "sending a datagram failed");
                     }
                 }
--- a/crates/mesh/src/process/control_thread/call_step.rs
+++ b/crates/mesh/src/process/control_thread/call_step.rs
@@ -1,6 +1,7 @@
 //! Calls of the control thread to the store, to peers and to the upstream, each a task of its own.
 
 use std::net::SocketAddr;
+use std::time::Instant;
 
 use firspindle_core::version::{HostRecord, RangePlan};
 use firspindle_edge::{PlatformCodec, StateStore, StateTopic, StoreError};
@@ -9,6 +10,7 @@
 use crate::connection::{fetch_state, fetch_upstream_id};
 use crate::process::control_state::{PeerPlace, TICK_INTERVAL};
 use crate::process::{ControlEvent, PeerTraffic};
+use crate::request::elapsed_ms;
 
 impl<C: PlatformCodec, S: StateStore> ControlThread<C, S> {
     pub(super) fn spawn_probe(&self, path: &str) {
@@ -22,14 +24,28 @@
     pub(super) fn spawn_fetch(&self, address: SocketAddr, place: PeerPlace) {
         let (tx, shared) = (self.tx.clone(), self.shared.clone());
         let known = self.state.known_state();
+        let in_flight = self.fetches_in_flight.clone();
+        in_flight.set(in_flight.get() + 1);
         tokio::task::spawn_local(async move {
+            let began = Instant::now();
             match fetch_state(address, known).await {
-                Some((state, bytes)) => {
+                Ok((state, bytes)) => {
+                    shared.metrics.control.count_fetch("fetched");
                     shared.metrics.peer_bytes(PeerTraffic::State, place).inc_by(bytes as u64);
                     let _ = tx.send(ControlEvent::PeerState(state));
                 }
-                None => log::info!(address:%; "fetching the state of a peer failed"),
+                Err(error) => {
+                    shared.metrics.control.count_fetch(error.as_str());
+                    let took_ms = elapsed_ms(began);
+                    log::info!(
+                        address:%, error:%, took_ms, in_flight = in_flight.get(),
+                        manifest = known.map(|known| known.manifest),
+                        plan = known.map(|known| known.plan);
+                        "fetching the state of a peer failed"
+                    );
+                }
             }
+            in_flight.set(in_flight.get() - 1);
         });
     }
 
--- a/crates/mesh/src/process/gossip_socket.rs
+++ b/crates/mesh/src/process/gossip_socket.rs
@@ -1,6 +1,7 @@
 //! Receives the datagrams of other nodes.
 
 use std::rc::Rc;
+use std::time::Instant;
 
 use bytes::Bytes;
 use tokio::net::UdpSocket;
@@ -18,7 +19,7 @@
         match socket.recv_from(&mut buffer).await {
             Ok((length, _)) => {
                 let bytes = Bytes::copy_from_slice(&buffer[..length]);
-                let _ = tx.send(ControlEvent::Datagram(bytes));
+                let _ = tx.send(ControlEvent::Datagram(bytes, Instant::now()));
             }
             // An ICMP error for an earlier send, such as a peer's closed port, is reported here.
             Err(error) => log::debug!(error:%; "receiving a datagram failed"),
--- a/crates/mesh/src/process/mesh_metrics.rs
+++ b/crates/mesh/src/process/mesh_metrics.rs
@@ -6,7 +6,7 @@
     Registry, TextEncoder,
 };
 
-use super::{EvacuationMetrics, PeerPlace, SlotMetrics, UpstreamMetrics};
+use super::{ControlMetrics, EvacuationMetrics, PeerPlace, SlotMetrics, UpstreamMetrics};
 
 /// Upper bounds of the latency buckets in seconds, around the latency objectives of the services.
 const LATENCY_BUCKETS_S: [f64; 12] =
@@ -50,6 +50,8 @@
     pub restores: IntGauge,
     /// Routes of the manifest in force whose kind is not known.
     pub unknown_kinds: IntGauge,
+    /// Control thread: datagrams, fetches of the state of peers, delays.
+    pub control: ControlMetrics,
     /// Evacuations and refusals by place.
     pub evacuations: EvacuationMetrics,
     /// Requests sent to the upstream.
@@ -113,6 +115,7 @@
                 &["service"],
             ),
             timer_lag,
+            control: ControlMetrics::register(&registry),
             evacuations: EvacuationMetrics::new(&registry),
             restores: gauge(
                 "firspindle_store_restores",
--- a/crates/mesh/src/request.rs
+++ b/crates/mesh/src/request.rs
@@ -37,3 +37,4 @@
 pub(crate) use request_body::RequestBody;
 pub(crate) use request_progress::{RequestProgress, RequestStage};
 pub(crate) use routed_request::RoutedRequest;
+pub(crate) use traffic_context::elapsed_ms;
--- a/crates/mesh/src/request/traffic_context.rs
+++ b/crates/mesh/src/request/traffic_context.rs
@@ -299,6 +299,6 @@
 const BUDGET_SHARE: f64 = 0.3;
 
 /// Milliseconds since `since`, for logs.
-pub(super) fn elapsed_ms(since: Instant) -> u64 {
+pub(crate) fn elapsed_ms(since: Instant) -> u64 {
     u64::try_from(since.elapsed().as_millis()).unwrap_or(u64::MAX)
 }
