--- a/crates/mesh/tests/manifests/main.rs
+++ b/crates/mesh/tests/manifests/main.rs
@@ -10,6 +10,7 @@
 #[path = "../ownership/node_settings.rs"]
 mod node_settings;
 mod reads;
+mod steps;
 
 use model::{FleetModel, StoreLink};
 
--- a/crates/mesh/tests/manifests/model.rs
+++ b/crates/mesh/tests/manifests/model.rs
@@ -51,6 +51,8 @@
     pub state: ControlState<TestCodec>,
     pub tasks: [ReadTask; READ_TOPICS.len()],
     link: StoreLink,
+    /// Whether the node's next read of the manifests gets no answer.
+    pub loses_read: bool,
     frozen_until: u64,
     /// Since when the node runs and the store serves it.
     served_since: u64,
@@ -108,6 +110,8 @@
     pub store_epoch: u64,
     /// Pairs of hosts of which the first does not reach the second.
     pub cuts: BTreeSet<(usize, usize)>,
+    /// Whether peers answer requests for their state.
+    pub serves_state: bool,
     /// Since when all hosts reach one another.
     joined_since: u64,
     pub lateness: Lateness,
@@ -138,6 +142,7 @@
                 state,
                 tasks: [ReadTask::following(); READ_TOPICS.len()],
                 link: StoreLink::Open,
+                loses_read: false,
                 frozen_until: 0,
                 served_since: 0,
                 touched_since: 0,
@@ -156,6 +161,7 @@
             records: vec![topic_record("manifest", vec![b'1'], 0)],
             store_epoch: 0,
             cuts: BTreeSet::new(),
+            serves_state: true,
             joined_since: 0,
             lateness: Lateness::default(),
             calls: 0,
@@ -295,7 +301,7 @@
 
     fn fetch(&mut self, host: usize, peer: usize) {
         let cut = self.cuts.contains(&(host, peer)) || self.cuts.contains(&(peer, host));
-        if cut || self.now_ms < self.nodes[peer].frozen_until {
+        if cut || !self.serves_state || self.now_ms < self.nodes[peer].frozen_until {
             return;
         }
         let snapshot = self.nodes[peer].state.view(self.now()).snapshot;
--- a/crates/mesh/tests/manifests/reads.rs
+++ b/crates/mesh/tests/manifests/reads.rs
@@ -120,6 +120,11 @@
     /// Answers a read that has arrived at the store; one that began earlier because there is a record.
     fn answer_read(&mut self, host: usize, index: usize, woken: bool) {
         let link = match (self.link(host), READ_TOPICS[index]) {
+            (StoreLink::Open, StateTopic::Manifests)
+                if std::mem::take(&mut self.nodes[host].loses_read) =>
+            {
+                StoreLink::Cut
+            }
             (StoreLink::ManifestsRefused, StateTopic::Manifests)
             | (StoreLink::PlansRefused, StateTopic::Plans) => StoreLink::Refused,
             (StoreLink::ManifestsRefused | StoreLink::PlansRefused, _) => StoreLink::Open,
