fix(mesh): one lost answer of the store is not taken for an outage

What callers saw: 404 on a route that a manifest had added, at single nodes of a large site, for up to half a minute. Cause: a node that relays tell of manifests shares the probes of a store that does not answer with all other hosts, and paused for that long after a single failed call: 0.9 s x hosts / 8, 33 s at 295 hosts, 94 s at 840. Nothing but its own last call decided that the store was away. Meanwhile only a fetch from a relay could bring the manifest.

--- a/crates/core/src/process.rs
+++ b/crates/core/src/process.rs
@@ -31,6 +31,7 @@
 mod relay_choice;
 mod revocation_table;
 mod safety_guards;
+mod store_backoff;
 mod witness_table;
 
 pub use evacuation_table::{EvacuationTable, LearnedAt};
@@ -58,4 +59,5 @@
 };
 pub use revocation_table::{RevocationCheck, RevocationTable};
 pub use safety_guards::SafetyGuards;
+pub use store_backoff::StoreBackoff;
 pub use witness_table::WitnessTable;
--- a/crates/mesh/src/process/control_state.rs
+++ b/crates/mesh/src/process/control_state.rs
@@ -22,7 +22,7 @@
 use bytes::Bytes;
 use firspindle_core::connection::{DemandReport, UpstreamLoad};
 use firspindle_core::process::{
-    EvacuationTable, GrantGuards, GrantTable, GrantTiming, PlanConfirmation,
+    EvacuationTable, GrantGuards, GrantTable, GrantTiming, PlanConfirmation, StoreBackoff,
 };
 use firspindle_core::request::SuspectTracker;
 use firspindle_core::version::{
@@ -169,8 +169,8 @@
     reaches_store: bool,
     /// Whether the store had no record of this host when it started.
     first_start: bool,
-    /// Whether this node's last call to the store failed.
-    store_failed: bool,
+    /// Whether the store answers this node's calls, and when to repeat one that failed.
+    store_backoff: StoreBackoff,
     /// Datagrams that could not be decoded.
     malformed_datagrams: i64,
     /// Since when a peer is known to have a newer manifest, and its version.
@@ -261,7 +261,7 @@
             leading_since: None,
             reaches_store: false,
             first_start: false,
-            store_failed: false,
+            store_backoff: StoreBackoff::default(),
             malformed_datagrams: 0,
             newer_manifest: None,
             manifest_lag: None,
--- a/crates/mesh/src/process/control_state/read_step.rs
+++ b/crates/mesh/src/process/control_state/read_step.rs
@@ -81,7 +81,7 @@
         let start = self.read_start(topic, now);
         // While the store does not answer, one topic is enough to notice its return, if it is read.
         let probed = plan_interval < IDLE_INTERVAL;
-        let paused = self.store_failed && topic != StateTopic::Plans && probed;
+        let paused = self.store_backoff.is_failing() && topic != StateTopic::Plans && probed;
         ReadSchedule { from, wait: wait.min(limit), interval, start, paused }
     }
 
@@ -125,8 +125,7 @@
         let spacing = TAKEOVER_SPACING * u32::try_from(position).unwrap_or(u32::MAX);
         match known_at {
             Some(at) if now < at + PEER_CONFIRM_AGE + spacing => IDLE_INTERVAL,
-            _ if self.store_failed => self.shared_interval(),
-            _ => Duration::ZERO,
+            _ => self.store_backoff.pause(self.shared_interval()),
         }
     }
 
--- a/crates/mesh/src/process/control_state/record_step.rs
+++ b/crates/mesh/src/process/control_state/record_step.rs
@@ -35,7 +35,7 @@
         at: Instant,
         now: Instant,
     ) {
-        self.note_store_answer(true);
+        self.note_store_answer(true, now);
         self.enter_epoch(state.end.epoch, now);
         if state.end.epoch < self.epoch() {
             return;
@@ -62,7 +62,7 @@
         at: Instant,
         now: Instant,
     ) {
-        self.note_store_answer(true);
+        self.note_store_answer(true, now);
         self.enter_epoch(batch.end.epoch, now);
         if from.epoch != self.epoch() || batch.end.epoch != from.epoch {
             return;
@@ -130,8 +130,8 @@
     }
 
     /// Notes whether the store answered a call of this node.
-    pub fn note_store_answer(&mut self, answers: bool) {
-        self.store_failed = !answers;
+    pub fn note_store_answer(&mut self, answers: bool, now: Instant) {
+        self.store_backoff.note_answer(answers, now);
         if answers != self.reaches_store {
             log::info!(answers; "store reachability changed");
         }
--- a/crates/mesh/src/process/control_thread.rs
+++ b/crates/mesh/src/process/control_thread.rs
@@ -212,7 +212,7 @@
                 self.tell_news();
             }
             ControlEvent::EpochSeen(epoch) => self.state.enter_epoch(epoch, now),
-            ControlEvent::StoreFailed(_) => self.state.note_store_answer(false),
+            ControlEvent::StoreFailed(_) => self.state.note_store_answer(false, now),
             ControlEvent::Datagram(bytes, received_at) => {
                 self.shared.metrics.control.note_datagram_wait(received_at.elapsed());
                 self.shared.metrics.control.count_datagram(DatagramOutcome::Received);
--- a/crates/mesh/tests/fleet/model.rs
+++ b/crates/mesh/tests/fleet/model.rs
@@ -288,7 +288,7 @@
             let values = self.plan_log.last().cloned().into_iter().collect();
             state.handle_snapshot(StateTopic::Plans, &TopicSnapshot { values, end }, now, now);
         } else if due {
-            state.note_store_answer(false);
+            state.note_store_answer(false, now);
         }
         self.enqueue(host, READ_MS, Event::Read);
         self.tell(host);
--- a/crates/mesh/tests/manifests/reads.rs
+++ b/crates/mesh/tests/manifests/reads.rs
@@ -182,7 +182,7 @@
             task.unanswered_at = at_end;
         }
         if answer != Answer::Records {
-            node.state.note_store_answer(false);
+            node.state.note_store_answer(false, now);
             return false;
         }
         if call.newest {
--- a/crates/mesh/tests/ownership/world.rs
+++ b/crates/mesh/tests/ownership/world.rs
@@ -283,7 +283,7 @@
                     .state
                     .as_mut()
                     .expect("the node is running")
-                    .note_store_answer(false);
+                    .note_store_answer(false, now);
             }
             Event::Datagram(bytes) => {
                 let state = self.hosts[host].state.as_mut().expect("the node is running");
