fix(mesh): a fetch that fails is noticed, and the store is read instead

What callers saw: 404 on a route that a manifest had added, at nodes that knew from their relays that there was one; the record of the incident has three failed fetches in 1.5 s. Cause: a failed fetch left a log line and nothing else. The node went on to fetch, each 100 ms beside those that still waited, from peers drawn by the clock, also from one that had just failed; it turned to the store only as if it had heard nothing. Why this works: a failure is an event. A node has two fetches open at most, the second 0.25 s after the first and from another peer, asks those that failed last, and 0.3 s after it knew that it was behind, or at the first failure, it reads the store, for plans as for manifests, less and less often if the store does not have the records either.

--- a/crates/mesh/src/process/control_event.rs
+++ b/crates/mesh/src/process/control_event.rs
@@ -1,5 +1,6 @@
 //! Events that the control thread handles.
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -39,6 +40,8 @@
     Datagram(Bytes, Instant),
     /// State fetched from another node.
     PeerState(PeerState),
+    /// The state of the node at this address could not be fetched.
+    FetchFailed(SocketAddr),
     /// An append of this node's plan finished: the end of the plans, if the store answered with it,
     /// and the plan and the time at which the call began, if it was appended.
     PlanAppended(Option<LogPosition>, Option<(Box<RangePlan>, Instant)>),
--- a/crates/mesh/src/process/control_state.rs
+++ b/crates/mesh/src/process/control_state.rs
@@ -33,6 +33,8 @@
 use super::MeshSettings;
 use super::asked_table::AskedTable;
 use super::change_log::ChangeLog;
+use super::fetch_table::FetchTable;
+use super::heard_mark::HeardMark;
 use super::peer_table::PeerTable;
 use super::store_watch::{ReadSchedule, ReadStart};
 use crate::version::{ColdReport, RangeView, StateSnapshot};
@@ -173,8 +175,9 @@
     store_backoff: StoreBackoff,
     /// Datagrams that could not be decoded.
     malformed_datagrams: i64,
-    /// Since when a peer is known to have a newer manifest, and its version.
-    newer_manifest: Option<(Instant, u64)>,
+    /// What peers have applied that this node lacks.
+    heard: HeardMark,
+    fetches: FetchTable,
     /// How long a peer was known to have the manifest that came into force last.
     manifest_lag: Option<Duration>,
     /// Since when a peer is known to have applied more records than this node.
@@ -263,7 +266,8 @@
             first_start: false,
             store_backoff: StoreBackoff::default(),
             malformed_datagrams: 0,
-            newer_manifest: None,
+            heard: HeardMark::default(),
+            fetches: FetchTable::default(),
             manifest_lag: None,
             behind_since: None,
             needs_whole_state: false,
--- a/crates/mesh/src/process/control_state/gossip_step.rs
+++ b/crates/mesh/src/process/control_state/gossip_step.rs
@@ -1,5 +1,6 @@
 //! Datagrams to and from other nodes: records, echoes, ended fences and suspects.
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use firspindle_core::connection::{
@@ -76,25 +77,23 @@
         if message.mark.is_ahead_of(&self.mark()) {
             self.behind_since.get_or_insert(now);
         }
-        self.note_newer_manifest(&message, now);
+        self.note_peer_mark(&message, now);
         let news = self.merge_suspects(&message.suspects, now);
         let replies = news || message.report.wants_reply || !message.ended.is_empty();
         replies.then_some(message.sender.host)
     }
 
-    /// Notes that a peer has a newer manifest, once for each version.
-    fn note_newer_manifest(&mut self, message: &GossipMessage, now: Instant) {
-        let (known, there) = (self.mark().manifest, message.mark.manifest);
-        if there <= known || self.newer_manifest.is_some_and(|(_, version)| version >= there) {
+    /// Notes what a peer has applied, and logs its manifest if it is the newest that was heard of.
+    fn note_peer_mark(&mut self, message: &GossipMessage, now: Instant) {
+        let known = self.mark();
+        if !self.heard.note(&message.mark, &known, now) {
             return;
         }
-        let since = self.newer_manifest.map_or(now, |(since, _)| since);
-        self.newer_manifest = Some((since, there));
-        let known_at = self.manifests_known_at;
+        let age_ms = |at: Instant| now.saturating_duration_since(at).as_millis();
         log::info!(
-            version = there, in_force = known, host = &*message.sender.host,
-            behind_ms = now.saturating_duration_since(since).as_millis(),
-            read_ms:? = known_at.map(|at| now.saturating_duration_since(at).as_millis());
+            version = message.mark.manifest, in_force = known.manifest,
+            host = &*message.sender.host, behind_ms:? = self.heard.manifests_since().map(age_ms),
+            read_ms:? = self.manifests_known_at.map(age_ms);
             "peer has a newer manifest"
         );
     }
@@ -227,21 +226,37 @@
         }
     }
 
+    /// Returns a fetch of the state of a peer that is ahead, if one is due: from one that is not being
+    /// asked, and of these one that has not failed lately if there is one.
     pub(super) fn fetch_step(&mut self, now: Instant) -> Option<ControlAction> {
         let since = self.behind_since?;
-        if now < since + FETCH_DELAY {
+        if now < since + FETCH_DELAY || !self.fetches.may_begin(now) {
             return None;
         }
         let mark = self.mark();
         let ahead =
             |row: &&PeerRow| now < row.received_at + PEER_TIMEOUT && row.mark.is_ahead_of(&mark);
+        let records: Vec<_> =
+            self.peers.rows().iter().filter(ahead).filter_map(|row| self.host(&row.host)).collect();
+        if records.is_empty() {
+            self.behind_since = None;
+            return None;
+        }
+        let idle: Vec<_> =
+            records.into_iter().filter(|row| !self.fetches.is_open(row.forward)).collect();
+        let sound: Vec<_> =
+            idle.iter().copied().filter(|row| !self.fetches.has_failed(row.forward)).collect();
+        let choices = if sound.is_empty() { idle } else { sound };
         // Incarnations differ between nodes, so their fetches spread over the peers that are ahead.
-        let count = self.peers.rows().iter().filter(ahead).count().max(1) as u64;
+        let count = choices.len().max(1) as u64;
         let choice = usize::try_from((self.incarnation + self.stamp_ms(now)) % count).unwrap_or(0);
-        let peer = self.peers.rows().iter().filter(ahead).nth(choice);
-        let record = peer.and_then(|peer| self.host(&peer.host));
-        let fetch = record.map(|row| ControlAction::FetchState(row.forward, self.place_of(row)));
-        self.behind_since = fetch.as_ref().map(|_| now);
-        fetch
+        let (address, place) = choices.get(choice).map(|row| (row.forward, self.place_of(row)))?;
+        self.fetches.begin(address, now);
+        Some(ControlAction::FetchState(address, place))
+    }
+
+    /// Notes that the state of the peer at an address could not be fetched.
+    pub fn fetch_failed(&mut self, address: SocketAddr, now: Instant) {
+        self.fetches.note_failure(address, now);
     }
 }
--- a/crates/mesh/src/process/control_state/read_step.rs
+++ b/crates/mesh/src/process/control_state/read_step.rs
@@ -55,6 +55,12 @@
 /// Greatest age of what others read, plans or manifests, below which a node relies on them.
 const PEER_CONFIRM_AGE: Duration = Duration::from_millis(1_600);
 
+/// Time that peers have to send records that this node knows that they have, before it reads the store.
+const PEER_FETCH_TIME: Duration = Duration::from_millis(300);
+
+/// Least time between two such reads.
+const BEHIND_READ_INTERVAL: Duration = Duration::from_millis(300);
+
 /// Time between the hosts, by name, that read for themselves once nobody else does, so that some hear
 /// of the reads of others and need none.
 const TAKEOVER_SPACING: Duration = Duration::from_millis(3);
@@ -74,7 +80,8 @@
             // A plan that was applied a moment ago is about to be confirmed.
             true => {
                 let known_at = confirmed_at.max(self.plan_applied_at);
-                self.told_interval(known_at, PEER_CONFIRM_AGE, now)
+                let interval = self.told_interval(known_at, PEER_CONFIRM_AGE, now);
+                interval.min(self.behind_interval(self.heard.plans_since(), now))
             }
             false => CONFIRM_INTERVAL,
         };
@@ -82,6 +89,8 @@
             StateTopic::Manifests if told => {
                 let interval =
                     self.told_interval(self.manifests_known_at, self.manifest_age_limit(), now);
+                let behind = self.behind_interval(self.heard.manifests_since(), now);
+                let interval = interval.min(behind);
                 (self.manifest_end(), Duration::ZERO, interval)
             }
             StateTopic::Manifests => (self.manifest_end(), self.manifest_wait(now), Duration::ZERO),
@@ -140,6 +149,19 @@
         }
     }
 
+    /// Returns the time between reads of a topic of which a peer is known to have records since a time that
+    /// this node lacks. The node turns to the store if peers do not send them, and less and less often if
+    /// the store does not have them either.
+    fn behind_interval(&self, since: Option<Instant>, now: Instant) -> Duration {
+        let Some(since) = since else { return IDLE_INTERVAL };
+        let behind = now.saturating_duration_since(since);
+        if behind < PEER_FETCH_TIME && !self.fetches.failed_since(since) {
+            return IDLE_INTERVAL;
+        }
+        let pause = self.store_backoff.pause(self.shared_interval());
+        (behind / 2).max(BEHIND_READ_INTERVAL).max(pause).min(IDLE_INTERVAL)
+    }
+
     /// Returns the time by which this node reads for itself later than the first host by name.
     fn takeover_delay(&self) -> Duration {
         let position = self.hosts.partition_point(|row| row.host < self.settings.host);
--- a/crates/mesh/src/process/control_state/record_step.rs
+++ b/crates/mesh/src/process/control_state/record_step.rs
@@ -192,7 +192,8 @@
                 let newer =
                     self.manifest.as_ref().is_none_or(|known| known.version < manifest.version);
                 if newer {
-                    self.note_manifest(manifest.version, now);
+                    let since = self.heard.manifests_since();
+                    self.manifest_lag = since.map(|since| now.saturating_duration_since(since));
                     log::info!(
                         version = manifest.version, origin = origin.name(),
                         position:% = origin.position(),
@@ -214,14 +215,6 @@
         }
     }
 
-    /// Notes that a manifest comes into force, and how long a peer was known to have it or an earlier
-    /// one that this node lacked.
-    fn note_manifest(&mut self, version: u64, now: Instant) {
-        let since = self.newer_manifest.map(|(since, _)| since);
-        self.manifest_lag = since.map(|since| now.saturating_duration_since(since));
-        self.newer_manifest = self.newer_manifest.filter(|(_, newest)| *newest > version);
-    }
-
     /// Takes how long a peer was known to have the manifest that came into force last.
     pub fn take_manifest_lag(&mut self) -> Option<Duration> {
         self.manifest_lag.take()
@@ -314,6 +307,7 @@
     }
 
     pub(super) fn refresh_snapshot(&mut self) {
+        self.heard.settle(&self.mark());
         self.snapshot = Arc::new(StateSnapshot {
             mark: self.mark(),
             manifest_end: self.manifest_end(),
@@ -341,6 +335,7 @@
     /// fit this node's plan are left out, and the whole state is fetched next.
     pub fn handle_peer_news(&mut self, news: &StateNews, now: Instant) {
         self.behind_since = None;
+        self.fetches.note_answer();
         self.enter_epoch(news.mark.plan_position.epoch, now);
         if let Some(manifest) = &news.manifest {
             let origin = RecordOrigin::Peer { end: news.manifest_end };
@@ -366,6 +361,7 @@
     /// Applies the parts of a peer's state that are newer than this node's.
     pub fn handle_peer_state(&mut self, state: &StateSnapshot, now: Instant) {
         self.behind_since = None;
+        self.fetches.note_answer();
         self.needs_whole_state = false;
         self.enter_epoch(state.mark.plan_position.epoch, now);
         if state.mark.manifest > self.mark().manifest {
--- a/crates/mesh/src/process/control_thread.rs
+++ b/crates/mesh/src/process/control_thread.rs
@@ -242,6 +242,10 @@
                     self.execute(actions);
                 }
             }
+            ControlEvent::FetchFailed(address) => {
+                self.state.fetch_failed(address, now);
+                self.step();
+            }
             ControlEvent::PlanAppended(end, stored) => {
                 if let (Some(end), Some((plan, at))) = (end, stored) {
                     self.state.plan_stored(*plan, end, at, now);
--- a/crates/mesh/src/process/control_thread/call_step.rs
+++ b/crates/mesh/src/process/control_thread/call_step.rs
@@ -43,6 +43,7 @@
                         plan = known.map(|known| known.plan);
                         "fetching the state of a peer failed"
                     );
+                    let _ = tx.send(ControlEvent::FetchFailed(address));
                 }
             }
             in_flight.set(in_flight.get() - 1);
--- a/crates/mesh/tests/manifests/model.rs
+++ b/crates/mesh/tests/manifests/model.rs
@@ -3,6 +3,7 @@
 
 use std::cmp::Reverse;
 use std::collections::{BTreeSet, BinaryHeap, HashMap};
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -20,6 +21,9 @@
 /// Delay of a message between hosts or to the store, in milliseconds.
 pub const DELAY_MS: u64 = 3;
 
+/// Time limit for a fetch of the state of a peer, in milliseconds.
+const FETCH_TIMEOUT_MS: u64 = 800;
+
 /// Time between two rounds of datagrams of a node, in milliseconds.
 const ROUND_MS: u64 = 300;
 
@@ -51,6 +55,8 @@
     pub state: ControlState<TestCodec>,
     pub tasks: [ReadTask; READ_TOPICS.len()],
     link: StoreLink,
+    /// Fetches of the state of peers that have not ended.
+    open_fetches: u64,
     /// Whether the node's next read of the manifests gets no answer.
     pub loses_read: bool,
     frozen_until: u64,
@@ -69,6 +75,7 @@
     Tick,
     Answered(usize, u64, Answer),
     Fetched(Box<PeerState>),
+    FetchFailed(SocketAddr),
 }
 
 /// Longest times for which a host in touch lacked a manifest that the store had, in milliseconds.
@@ -110,6 +117,8 @@
     pub store_epoch: u64,
     /// Pairs of hosts of which the first does not reach the second.
     pub cuts: BTreeSet<(usize, usize)>,
+    /// Most fetches that a node had open at once.
+    pub most_fetches: u64,
     /// Whether peers answer requests for their state.
     pub serves_state: bool,
     /// Since when all hosts reach one another.
@@ -142,6 +151,7 @@
                 state,
                 tasks: [ReadTask::following(); READ_TOPICS.len()],
                 link: StoreLink::Open,
+                open_fetches: 0,
                 loses_read: false,
                 frozen_until: 0,
                 served_since: 0,
@@ -161,6 +171,7 @@
             records: vec![topic_record("manifest", vec![b'1'], 0)],
             store_epoch: 0,
             cuts: BTreeSet::new(),
+            most_fetches: 0,
             serves_state: true,
             joined_since: 0,
             lateness: Lateness::default(),
@@ -238,7 +249,13 @@
                 }
                 self.step_read(host, task);
             }
+            Event::FetchFailed(address) => {
+                self.nodes[host].open_fetches -= 1;
+                self.nodes[host].state.fetch_failed(address, now);
+                self.step(host);
+            }
             Event::Fetched(state) => {
+                self.nodes[host].open_fetches -= 1;
                 let node = &mut self.nodes[host].state;
                 match *state {
                     PeerState::Whole(snapshot) => node.handle_peer_state(&snapshot, now),
@@ -300,8 +317,12 @@
     }
 
     fn fetch(&mut self, host: usize, peer: usize) {
+        self.nodes[host].open_fetches += 1;
+        self.most_fetches = self.most_fetches.max(self.nodes[host].open_fetches);
         let cut = self.cuts.contains(&(host, peer)) || self.cuts.contains(&(peer, host));
         if cut || !self.serves_state || self.now_ms < self.nodes[peer].frozen_until {
+            let address = settings(peer, self.nodes.len(), self.centres).listen.forward;
+            self.enqueue(host, FETCH_TIMEOUT_MS, Event::FetchFailed(address));
             return;
         }
         let snapshot = self.nodes[peer].state.view(self.now()).snapshot;
--- a/crates/mesh/tests/manifests/steps.rs
+++ b/crates/mesh/tests/manifests/steps.rs
@@ -37,6 +37,19 @@
     }
 }
 
+/// Guards against fetches from peers that do not answer, each of which is repeated while it waits.
+#[test]
+fn a_node_that_is_behind_asks_two_peers_at_most() {
+    for site in &SITES {
+        let mut fleet = FleetModel::new(site.hosts, site.centres);
+        fleet.run(WARM_UP);
+        fleet.serves_state = false;
+        fleet.write_manifest();
+        fleet.run(1_000);
+        assert!(fleet.most_fetches <= 2, "{} hosts: {} fetches", site.hosts, fleet.most_fetches);
+    }
+}
+
 #[test]
 fn manifests_are_in_time_while_no_peer_serves_its_state() {
     assert_in_time(FailedSteps { readers: false, fetches: true, reads: false });
