fix(mesh): an answer that came early shows the store at the beginning of the call

Cause: an empty answer to a read that asked the store to wait was dated by its arrival, unless the wait was over. Relays pass the age on, and nodes rely on it not to read for themselves. Why this works: only an answer after the whole wait is known to show its end.

--- a/crates/mesh/src/process.rs
+++ b/crates/mesh/src/process.rs
@@ -27,5 +27,5 @@
 pub use mesh_node::{NodeError, run_mesh_node};
 pub use mesh_settings::{MeshBounds, MeshListen, MeshSettings};
 pub use slot_metrics::SlotMetrics;
-pub use store_watch::{ReadSchedule, ReadStart};
+pub use store_watch::{ReadSchedule, ReadStart, shown_at};
 pub use upstream_metrics::UpstreamMetrics;
--- a/crates/mesh/src/process/store_watch.rs
+++ b/crates/mesh/src/process/store_watch.rs
@@ -81,8 +81,8 @@
             match read {
                 Ok(batch) => {
                     let replaced = batch.end.epoch != from.epoch;
-                    // A store that waited for records had none until the end of the wait.
-                    let at = if batch.records.is_empty() { clock.now().min(at + wait) } else { at };
+                    let waited = if batch.records.is_empty() { wait } else { Duration::ZERO };
+                    let at = shown_at(at, waited, clock.now());
                     let _ = tx.send(ControlEvent::Records(topic, from, batch, at));
                     if replaced {
                         tokio::time::sleep(RETRY_DELAY).await;
@@ -151,6 +151,13 @@
     }
 }
 
+/// Returns the latest time that an answer certainly shows the store at, for a call that began at `began`, asked
+/// the store to wait for records, and ended without any. One that waited to the end had none until
+/// then; an answer that came earlier was given at an unknown time after the beginning.
+pub fn shown_at(began: Instant, wait: Duration, ended: Instant) -> Instant {
+    if ended >= began + wait { began + wait } else { began }
+}
+
 /// Time between checks whether the schedule has changed.
 const SCHEDULE_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
