fix(mesh): a route is refused for good only while no newer manifest can have it

What callers saw: 404, which no client repeats, on a route that a manifest had added. Cause: a node answered 404 whatever it knew of its own age: just started, cut off from the store, told by a peer that there is a newer manifest, or with a control thread that is late. The code before had no condition there. Why this works: the view says until when a manifest that the node lacks can only have been acknowledged less than apply_s ago: the age of the last read that counts, and nothing while a peer is ahead. It is a deadline, so a view that is not published any more ends it too. This holds at every node for every way in which a manifest may be late; what remains are requests that the older manifest routes elsewhere.

--- a/crates/mesh/src/process/control_state/view_step.rs
+++ b/crates/mesh/src/process/control_state/view_step.rs
@@ -26,6 +26,7 @@
         let known = self.manifest.is_some() && !self.hosts.is_empty();
         MeshView {
             manifest: self.manifest.clone(),
+            manifest_current_until: self.manifest_current_until(),
             ranges: self.ranges.clone(),
             peers,
             upstream,
@@ -37,6 +38,11 @@
         }
     }
 
+    fn manifest_current_until(&self) -> Option<Instant> {
+        let known_at = self.manifests_known_at.filter(|_| self.heard.manifests_since().is_none());
+        known_at.map(|at| at + self.settings.bounds.apply)
+    }
+
     fn peer_view(&self, record: &HostRecord, now: Instant) -> PeerView {
         let own = record.host == self.settings.host;
         let reported = self.newest_load(&record.host).filter(|_| !own);
--- a/crates/mesh/src/request/route_step.rs
+++ b/crates/mesh/src/request/route_step.rs
@@ -21,6 +21,9 @@
 /// `Retry-After` before a manifest is known and while the node restarts.
 const STARTUP_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// `Retry-After` while there may be a manifest that this node should have: the time in which it reads one.
+const MANIFEST_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// A request may wait for an owner for the route's latency objective divided by this.
 const OWNER_WAIT_DIVISOR: u32 = 2;
 
@@ -54,7 +57,8 @@
         let status = StatusCode::SERVICE_UNAVAILABLE;
         return Err(local_response(status, "the node is about to end", Some(STARTUP_RETRY_AFTER)));
     }
-    let manifest = context.shared.view.load().manifest.clone();
+    let view = context.shared.view.load_full();
+    let manifest = view.manifest.clone();
     let Some(manifest) = manifest else {
         record.outcome = "no-manifest";
         let status = StatusCode::SERVICE_UNAVAILABLE;
@@ -66,6 +70,12 @@
     record.progress.identify(&record.id);
     let host = requested_host(&request);
     let Some(route) = manifest.find(&host, request.uri().path()) else {
+        if view.may_lack_routes(context.clock.now()) {
+            record.outcome = "old-manifest";
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            let response = local_response(status, "no route yet", Some(MANIFEST_RETRY_AFTER));
+            return Err(response);
+        }
         record.outcome = "no-route";
         return Err(local_response(StatusCode::NOT_FOUND, "no route", None));
     };
--- a/crates/mesh/src/version/mesh_view.rs
+++ b/crates/mesh/src/version/mesh_view.rs
@@ -92,6 +92,9 @@
 pub struct MeshView {
     /// Manifest in force.
     pub manifest: Option<Arc<RouteManifest>>,
+    /// Until when a newer manifest than that can only have been acknowledged so recently that it need not
+    /// be in force yet; `None` while that is not known, or a peer is known to have a newer one.
+    pub manifest_current_until: Option<Instant>,
     /// Owners of the sharded services' cells, sorted by service.
     pub ranges: Arc<Vec<RangeView>>,
     /// All known nodes, including this one, sorted by host.
@@ -111,6 +114,11 @@
 }
 
 impl MeshView {
+    /// Whether a route that is not in the manifest may be in a newer one that should be in force.
+    pub fn may_lack_routes(&self, now: Instant) -> bool {
+        self.manifest_current_until.is_none_or(|until| now >= until)
+    }
+
     /// Returns the owners of a service's cells; `None` if it is not sharded.
     pub fn ranges_of(&self, service: &str) -> Option<&RangeView> {
         let index = self.ranges.binary_search_by(|row| (*row.service).cmp(service)).ok()?;
