fix(mesh): a report has a bound on its length before anything is allocated

Cause: the administration server took bodies without a limit, with room for the stated length set aside first: 10^15 bytes end the process, bytes without end fill its memory. Why this works: a body ends at 256 KiB, for every path of that server; a heartbeat is some kilobytes.

--- a/crates/mesh/src/process/admin_server.rs
+++ b/crates/mesh/src/process/admin_server.rs
@@ -13,6 +13,7 @@
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
 use xitca_web::body::ResponseBody;
+use xitca_web::handler::body::Limit;
 use xitca_web::handler::handler_service;
 use xitca_web::http::WebResponse;
 use xitca_web::{App, WebContext};
@@ -20,6 +21,9 @@
 use super::ControlEvent;
 use crate::request::SharedState;
 
+/// Longest body of a request, in bytes: a heartbeat that frees some thousand ranges of keys.
+const MAX_BODY_BYTES: usize = 256 * 1024;
+
 /// Decodes the report that a heartbeat carries, from the upstream's id in the path and from the
 /// body.
 pub(crate) type ReportDecoder =
@@ -61,7 +65,7 @@
 
 async fn answer(
     ctx: &WebContext<'_, AdminState>,
-    body: Vec<u8>,
+    (body, _): (Vec<u8>, Limit<MAX_BODY_BYTES>),
 ) -> Result<WebResponse, Infallible> {
     let state = ctx.state();
     let path = ctx.req().uri().path().to_owned();
