fix(platform): a report counts only if it is whole and of the host's upstream

Cause: whoever reached the heartbeat address was believed. A report without holds counted as one that holds nothing and ended fences, one under another id as a new life of the upstream, and numbers as large as 1e300 as its start or its sequence, after which the upstream's own reports were late for ever. Why this works: a report is refused unless it has each field of each report, with the address of the host's upstream, holds and freed together, and numbers that can be. One without keys, of a service that is sharded, changes nothing. Tests changed: the test upstreams name their address, as the platform's do; the decoder gets it. What remains: another writer that knows the upstream's address, id and every field.

--- a/crates/core/src/connection/upstream_report.rs
+++ b/crates/core/src/connection/upstream_report.rs
@@ -43,6 +43,8 @@
     pub cold_remaining: Duration,
     /// Sequence number of the heartbeat within the instance; it rises with each one.
     pub sequence: u64,
+    /// Whether it lists keys. Of a service that is sharded, one that does not is no upstream's.
+    pub lists_keys: bool,
     /// Keys that the upstream holds.
     pub holds: Vec<HeldRow>,
     /// Keys that the upstream released since its last acknowledged heartbeat.
--- a/crates/core/tests/instances.rs
+++ b/crates/core/tests/instances.rs
@@ -19,6 +19,7 @@
         state: UpstreamState::Ready,
         cold_remaining: Duration::ZERO,
         sequence,
+        lists_keys: true,
         holds: Vec::new(),
         freed: Vec::new(),
     }
--- a/crates/core/tests/settled_versions.rs
+++ b/crates/core/tests/settled_versions.rs
@@ -48,6 +48,7 @@
         state: UpstreamState::Ready,
         cold_remaining: Duration::ZERO,
         sequence: 1,
+        lists_keys: true,
         holds: Vec::new(),
         freed: Vec::new(),
     };
--- a/crates/edge/src/platform_codec.rs
+++ b/crates/edge/src/platform_codec.rs
@@ -3,6 +3,8 @@
 //! An upstream sends heartbeats to the node on its host. What a heartbeat carries is decoded into an
 //! [`UpstreamReport`]; the response to the heartbeat carries a [`GrantReply`].
 
+use std::net::SocketAddr;
+
 use bytes::Bytes;
 use firspindle_core::connection::{GrantReply, UpstreamReport};
 use firspindle_core::version::RouteManifest;
@@ -78,8 +80,13 @@
     ///
     /// # Errors
     ///
-    /// If the id or the body is not valid.
-    fn decode_report(&self, id: &str, body: &[u8]) -> Result<UpstreamReport, DecodeError>;
+    /// If the id or the body is not valid, or not of the upstream at that address.
+    fn decode_report(
+        &self,
+        id: &str,
+        body: &[u8],
+        upstream: SocketAddr,
+    ) -> Result<UpstreamReport, DecodeError>;
 
     /// Encodes the body of the response to a heartbeat. Without a `reply`, the response renews no
     /// grants.
--- a/crates/mesh/src/process/control_state/upstream_step.rs
+++ b/crates/mesh/src/process/control_state/upstream_step.rs
@@ -21,6 +21,10 @@
     /// Handles the report that a heartbeat of the upstream carries, and returns the body of the
     /// response to the heartbeat.
     pub fn handle_report(&mut self, report: &UpstreamReport, now: Instant) -> Bytes {
+        if self.is_sharded(&report.service) && !report.lists_keys {
+            log::warn!(life = &*report.instance.id; "heartbeat without keys ignored");
+            return self.codec.encode_reply(None);
+        }
         let leaving = self.leaving.contains(&report.instance);
         let permit = self.grant_permit(now);
         let reply = self.grants.apply_report(report, permit, now);
--- a/crates/mesh/src/process/mesh_node.rs
+++ b/crates/mesh/src/process/mesh_node.rs
@@ -85,11 +85,11 @@
     let shared = Arc::new(SharedState::default());
     let clock = BootClock::default();
     let (tx, rx) = unbounded_channel();
-    let report_codec = codec.clone();
+    let (report_codec, upstream) = (codec.clone(), settings.upstream);
     let state = AdminState {
         shared: shared.clone(),
         tx: tx.clone(),
-        decode: Arc::new(move |id, body| report_codec.decode_report(id, body)),
+        decode: Arc::new(move |id, body| report_codec.decode_report(id, body, upstream)),
         report_path: codec.report_path(),
     };
     serve_admin(admin.into(), state).context(StartSnafu)?;
--- a/crates/mesh/tests/cold_keys.rs
+++ b/crates/mesh/tests/cold_keys.rs
@@ -78,6 +78,7 @@
         state: UpstreamState::Ready,
         cold_remaining,
         sequence,
+        lists_keys: true,
         holds: Vec::new(),
         freed: Vec::new(),
     }
--- a/crates/mesh/tests/evacuated_upstream.rs
+++ b/crates/mesh/tests/evacuated_upstream.rs
@@ -36,6 +36,7 @@
             state: UpstreamState::Ready,
             cold_remaining: Duration::ZERO,
             sequence: 9,
+            lists_keys: true,
             holds: Vec::new(),
             freed: Vec::new(),
         };
--- a/crates/mesh/tests/own_record.rs
+++ b/crates/mesh/tests/own_record.rs
@@ -56,6 +56,7 @@
         state: UpstreamState::Ready,
         cold_remaining: Duration::ZERO,
         sequence: 9,
+        lists_keys: true,
         holds: Vec::new(),
         freed: Vec::new(),
     }
--- a/crates/mesh/tests/ownership/codec.rs
+++ b/crates/mesh/tests/ownership/codec.rs
@@ -1,5 +1,6 @@
 //! A platform codec for tests that hands replies over without encoding them.
 
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -78,7 +79,12 @@
         Ok(RouteManifest::new(version, Vec::new(), vec![service], limits))
     }
 
-    fn decode_report(&self, _id: &str, _body: &[u8]) -> Result<UpstreamReport, DecodeError> {
+    fn decode_report(
+        &self,
+        _id: &str,
+        _body: &[u8],
+        _upstream: SocketAddr,
+    ) -> Result<UpstreamReport, DecodeError> {
         Err(DecodeError::new("body", "not used"))
     }
 
--- a/crates/mesh/tests/ownership/plans.rs
+++ b/crates/mesh/tests/ownership/plans.rs
@@ -63,6 +63,7 @@
         state: UpstreamState::Ready,
         cold_remaining: Duration::ZERO,
         sequence: 1,
+        lists_keys: true,
         holds: Vec::new(),
         freed: Vec::new(),
     };
--- a/crates/mesh/tests/ownership/upstream.rs
+++ b/crates/mesh/tests/ownership/upstream.rs
@@ -71,6 +71,7 @@
             state: UpstreamState::Ready,
             cold_remaining: std::time::Duration::ZERO,
             sequence: self.sequence,
+            lists_keys: true,
             holds,
             freed: freed.collect(),
         }
