fix(mesh): an answer counts only for the request that it names

Cause: an answer with another request's id was refused, one without any id was believed if it was a refusal or a failure. Why this works: upstreams repeat the id in each of their answers, so one without it belongs to no request.

--- a/crates/mesh/src/connection/proxy_body.rs
+++ b/crates/mesh/src/connection/proxy_body.rs
@@ -56,11 +56,11 @@
 }
 
 impl StreamedBody {
-    /// Streams a body until a deadline.
-    pub fn new(inner: Incoming, connection: PooledConnection, deadline: Instant) -> Self {
+    /// Streams a body until a deadline. A `connection` is used again once the body has ended.
+    pub fn new(inner: Incoming, connection: Option<PooledConnection>, deadline: Instant) -> Self {
         let mut body = Self {
             inner,
-            connection: Some(connection),
+            connection,
             deadline,
             sleep: None,
             in_flight: None,
--- a/crates/mesh/src/request/forward_step.rs
+++ b/crates/mesh/src/request/forward_step.rs
@@ -86,7 +86,8 @@
     let told = take_notice(&mut head.headers);
     let answered = verdict == RequestVerdict::Ran;
     context.notices.borrow_mut().note(&peer.host, told, answered, started, Instant::now());
-    let body = StreamedBody::new(body, connection, request.deadline.into()).count_with(received);
+    let body =
+        StreamedBody::new(body, Some(connection), request.deadline.into()).count_with(received);
     // The owner does not run a request whose body it did not get whole.
     if let Some(fault) = fault.filter(|_| verdict != RequestVerdict::Ran) {
         drain(body);
--- a/crates/mesh/src/request/reserve_step.rs
+++ b/crates/mesh/src/request/reserve_step.rs
@@ -81,7 +81,7 @@
     let (head, body) = response.into_parts();
     let room = parse_room(&head.headers);
     let verdict = head.headers.get(VERDICT_HEADER).and_then(|value| value.to_str().ok());
-    drain(StreamedBody::new(body, connection, request.deadline.into()));
+    drain(StreamedBody::new(body, Some(connection), request.deadline.into()));
     match verdict.map(RequestVerdict::parse) {
         _ if room.is_some() => Ok(room),
         None if head.status == StatusCode::BAD_REQUEST => Ok(None),
--- a/crates/mesh/src/request/send_step.rs
+++ b/crates/mesh/src/request/send_step.rs
@@ -79,6 +79,7 @@
     let stream_response = |response: OutboundResponse| {
         let (mut head, body) = response.into_parts();
         strip_hop_by_hop_headers(&mut head.headers);
+        let connection = Some(connection);
         let body = StreamedBody::new(body, connection, request.deadline.into());
         http::Response::from_parts(head, ProxyBody::Streamed(body))
     };
@@ -148,9 +149,11 @@
     let names = &context.headers;
     let headers: &HeaderMap = response.headers();
     let status = response.status();
-    let echoed = echoed_id(context, response);
-    if echoed.is_some_and(|id| id != &*request.id) {
-        return ResponseCheck::Invalid("the answer is another request's");
+    // Bytes that belong to no request may be an earlier refusal, which would promise too much.
+    match echoed_id(context, response) {
+        Some(id) if id == &*request.id => {}
+        Some(_) => return ResponseCheck::Invalid("the answer is another request's"),
+        None => return ResponseCheck::Invalid("the answer names no request"),
     }
     // A request that the wrong owner refused has arrived at an upstream too, so a retry counts
     // against the budget.
@@ -160,7 +163,7 @@
     if headers.contains_key(http::header::CONTENT_ENCODING) {
         return ResponseCheck::Invalid("the answer is encoded");
     }
-    if status.is_success() && (echoed.is_none() || !headers.contains_key(&names.signature)) {
+    if status.is_success() && !headers.contains_key(&names.signature) {
         return ResponseCheck::Invalid("the answer is not signed");
     }
     if status.is_informational() || status.is_redirection() {
