fix(mesh): a request is not sent again on the connection of its failure

Cause: an upstream's own failure left its connection in the pool. The request was sent again under the same id, mostly on that connection, and a late second copy of the first answer, with that id, passed for the answer of the second run. Why this works: only a success, after which no caller's attempt is sent again, leaves a connection for others; refusals and invalid answers already closed theirs. Elsewhere: answers between nodes and of the store come from processes that write none twice.

--- a/crates/mesh/src/request/send_step.rs
+++ b/crates/mesh/src/request/send_step.rs
@@ -79,7 +79,9 @@
     let stream_response = |response: OutboundResponse| {
         let (mut head, body) = response.into_parts();
         strip_hop_by_hop_headers(&mut head.headers);
-        let connection = Some(connection);
+        // After a failure the request may be sent again under its id, by which a late copy of this answer
+        // could not be told from the next one on the connection.
+        let connection = head.status.is_success().then_some(connection);
         let body = StreamedBody::new(body, connection, request.deadline.into());
         http::Response::from_parts(head, ProxyBody::Streamed(body))
     };
