fix(mesh): a late report of an upstream changes nothing

Cause: state, slots and cold time of a report were taken whether or not the grant table found it late. Evidence: the new test: a warm report with an earlier sequence replaced a cold one, slots 90 instead of 9; it failed before (cold time 0 instead of 5 s). Why this works: one place, GrantTable::is_newest, says whether a report is newer, for keys and for everything else; a late one is no sign of life either.

--- a/crates/core/src/process/grant_table.rs
+++ b/crates/core/src/process/grant_table.rs
@@ -202,6 +202,16 @@
         }
     }
 
+    /// Whether a report is the newest of the current instance, or of one that follows it: what it says
+    /// replaces what is known. A late or repeated one says nothing new.
+    pub fn is_newest(&self, report: &UpstreamReport) -> bool {
+        let current = self.instance.as_ref();
+        let same = current == Some(&report.instance);
+        let ended = self.ended_instances.contains(&report.instance)
+            || current.is_some_and(|instance| is_superseded(&report.instance, instance));
+        !ended && (!same || report.sequence > self.last_sequence)
+    }
+
     /// Applies the report of a heartbeat and returns what the upstream is to hold. Returns `None`
     /// for a repeated or late heartbeat, and once `permit` has ended.
     pub fn apply_report(
@@ -210,17 +220,10 @@
         permit: GrantPermit,
         now: Instant,
     ) -> Option<GrantReply> {
-        if self.ended_instances.contains(&report.instance) {
+        if !self.is_newest(report) {
             return None;
         }
         if self.instance.as_ref() != Some(&report.instance) {
-            if self
-                .instance
-                .as_ref()
-                .is_some_and(|instance| is_superseded(&report.instance, instance))
-            {
-                return None;
-            }
             self.change_instance(report.instance.clone(), now);
         }
         if report.sequence <= self.last_sequence {
--- a/crates/mesh/src/process/control_state/upstream_step.rs
+++ b/crates/mesh/src/process/control_state/upstream_step.rs
@@ -27,9 +27,15 @@
         }
         let leaving = self.leaving.contains(&report.instance);
         let permit = self.grant_permit(now);
+        let newest = self.grants.is_newest(report);
         let reply = self.grants.apply_report(report, permit, now);
-        if self.grants.instance() == Some(&report.instance) {
+        if newest {
             self.update_upstream(report, leaving, now);
+        } else {
+            log::info!(
+                life = &*report.instance.id, sequence = report.sequence;
+                "late heartbeat ignored"
+            );
         }
         if report.service != self.settings.service {
             log::warn!(
--- a/crates/mesh/tests/cold_keys.rs
+++ b/crates/mesh/tests/cold_keys.rs
@@ -170,3 +170,24 @@
     assert_eq!(plans.len(), 1);
     assert!(plans[0][1] > CELLS * 2 / 5, "{plans:?}");
 }
+
+/// Guards against a report that arrives late and makes a cold upstream count as warm, or a draining one as
+/// ready.
+#[test]
+fn a_late_report_changes_nothing() {
+    let mut play = Play::new(COLD_VERSION);
+    let cold = Duration::from_secs(5);
+    let now = play.start + Duration::from_millis(100);
+    play.state.handle_report(&report(cold, 5), now);
+    let late = UpstreamReport { slots: 90, ..report(Duration::ZERO, 4) };
+    play.state.handle_report(&late, now + Duration::from_millis(10));
+    let upstream = play.state.view(now).upstream.expect("it is known");
+    assert_eq!(upstream.cold_report.map(|row| (row.at, row.remaining)), Some((now, cold)));
+    assert_eq!(upstream.slots, 9);
+
+    let draining = UpstreamReport { state: UpstreamState::Draining, ..report(cold, 7) };
+    play.state.handle_report(&draining, now);
+    play.state.handle_report(&report(Duration::ZERO, 6), now);
+    let upstream = play.state.view(now).upstream.expect("it is known");
+    assert_eq!(upstream.state, UpstreamState::Draining);
+}
