fix(mesh): a caller that reads slowly is not cut off

Cause: TCP_USER_TIMEOUT of 1.5 s on accepted connections. The system applies it also to a peer that acknowledges everything while its window is closed, so whoever reads nothing for 1.5 s was reset. Why this works: on connections that a node accepted, from callers and from other nodes, the limit is 30 s, beyond the deadline that ends each answer; a caller that closes is noticed by its close, as before. On connections that a node opens the limit stays 1.5 s, since only it shows a silent one in time.

--- a/crates/mesh/src/connection/connection_pool.rs
+++ b/crates/mesh/src/connection/connection_pool.rs
@@ -171,7 +171,7 @@
             }
             Ok(Err(_)) | Err(_) => return Err(SendError::NotSent),
         };
-        set_socket_options(&stream);
+        set_client_options(&stream);
         let (sender, driver) =
             Builder::new().handshake(TokioIo::new(stream)).await.map_err(|_| SendError::NotSent)?;
         tokio::task::spawn_local(async move {
@@ -234,8 +234,25 @@
     seconds?.trim().parse::<u32>().ok().map(|seconds| Duration::from_secs(seconds.into()))
 }
 
-/// Limits the time for which a connection may be silent, and disables Nagle's algorithm.
-pub(super) fn set_socket_options(stream: &tokio::net::TcpStream) {
+/// Time for which what was sent to a client of this node may stay unread. The system counts a client that
+/// acknowledges everything but reads nothing like one that is gone, so this is longer than any answer's
+/// deadline, which ends it before.
+const UNREAD_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Limits the time for which a connection that this node opened may be silent.
+fn set_client_options(stream: &tokio::net::TcpStream) {
+    set_socket_options(stream, UNACKED_TIMEOUT);
+}
+
+/// Limits the time for which a connection that this node accepted may be silent. While nothing is on its way
+/// to the client, its silence is noticed as soon as that of a connection that this node opened.
+pub(super) fn set_server_options(stream: &tokio::net::TcpStream) {
+    set_socket_options(stream, UNREAD_TIMEOUT);
+}
+
+/// Limits the time for which sent bytes stay unacknowledged, and that between probes of an idle connection,
+/// and disables Nagle's algorithm.
+fn set_socket_options(stream: &tokio::net::TcpStream, unacked: Duration) {
     let socket = SockRef::from(stream);
     let probes = TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
@@ -243,7 +260,7 @@
         .with_retries(KEEPALIVE_PROBES);
     let result = stream
         .set_nodelay(true)
-        .and_then(|()| socket.set_tcp_user_timeout(Some(UNACKED_TIMEOUT)))
+        .and_then(|()| socket.set_tcp_user_timeout(Some(unacked)))
         .and_then(|()| socket.set_tcp_keepalive(&probes));
     if let Err(error) = result {
         log::warn!(error:%; "socket options not set");
--- a/crates/mesh/src/connection/http_server.rs
+++ b/crates/mesh/src/connection/http_server.rs
@@ -13,7 +13,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::TcpListener;
 
-use super::connection_pool::set_socket_options;
+use super::connection_pool::set_server_options;
 use crate::request::{TrafficContext, handle_caller_request, handle_peer_request};
 
 /// Time after which an idle connection is closed. Callers' own idle limits are seconds to tens of
@@ -45,7 +45,7 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                set_socket_options(&stream);
+                set_server_options(&stream);
                 let context = context.clone();
                 tokio::task::spawn_local(serve_stream(stream, kind, context));
             }
