style(mesh): a node that stays behind changes its pause in steps

The time between reads of a node that is behind grew with each look at it, and each change is a log line: ten a second for as long as nobody has the records. It now doubles.

--- a/crates/mesh/src/process/control_state/read_step.rs
+++ b/crates/mesh/src/process/control_state/read_step.rs
@@ -68,6 +68,15 @@
 /// Time in which all hosts do so, however many there are.
 const TAKEOVER_TIME: Duration = Duration::from_millis(300);
 
+/// Returns the time between reads of a node that has been behind for a time: it doubles while that does.
+fn behind_pause(behind: Duration) -> Duration {
+    let mut pause = BEHIND_READ_INTERVAL;
+    while pause * 2 < behind && pause < IDLE_INTERVAL {
+        pause *= 2;
+    }
+    pause
+}
+
 impl<C: PlatformCodec> ControlState<C> {
     /// Returns how a topic is to be read at present. The readers, the first of the relays, read often;
     /// the others are told of new records and read often only if nobody tells them.
@@ -159,7 +168,7 @@
             return IDLE_INTERVAL;
         }
         let pause = self.store_backoff.pause(self.shared_interval());
-        (behind / 2).max(BEHIND_READ_INTERVAL).max(pause).min(IDLE_INTERVAL)
+        behind_pause(behind).max(pause).min(IDLE_INTERVAL)
     }
 
     /// Returns the time by which this node reads for itself later than the first host by name.
