fix(mesh): a request that crashes upstreams in the middle of its answer is refused

Cause: the head of an answer ended the watch for a crash and cleared the request for good: earlier crashes, and later ones. Why this works: an answer is watched to its end. A whole one clears the request of the crashes until then, one that breaks off as the upstream's process dies counts as a crash. A crash that is cleared stays so at all nodes, by its instance, and later ones count anew.

--- a/crates/core/src/request/suspect_tracker.rs
+++ b/crates/core/src/request/suspect_tracker.rs
@@ -2,7 +2,8 @@
 //!
 //! A request is identified by its fingerprint and a crash by the upstream's instance, so that a
 //! crash counts once however often it is reported. From the second crash on, the request is refused
-//! for a time that doubles with each further crash. A response from an upstream clears the request.
+//! for a time that doubles with each further crash. A whole response from an upstream clears the request
+//! of the crashes until then; later ones count anew.
 
 use std::time::{Duration, Instant};
 
@@ -39,17 +40,19 @@
     pub crashes: Vec<u64>,
     /// Milliseconds until the suspicion ends.
     pub left_ms: u64,
-    /// Whether an upstream has answered the request, which shows that it does not cause crashes.
+    /// Whether an upstream has answered the request since, which shows that it did not cause these crashes.
     pub cleared: bool,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct TrackedRow {
     fingerprint: u128,
+    /// Crashes that count, sorted.
     crashes: Vec<u64>,
+    /// Crashes of which an answer has cleared the request, sorted.
+    cleared: Vec<u64>,
     until: Instant,
     resend_until: Instant,
-    cleared: bool,
 }
 
 /// Suspected requests of one node, sorted by fingerprint.
@@ -64,6 +67,16 @@
     BASE_SUSPICION * 2_u32.pow(doublings)
 }
 
+/// Adds crashes to sorted ones, [`MAX_CRASHES`] at most; returns whether there are more.
+fn add_crashes(known: &mut Vec<u64>, crashes: &[u64]) -> bool {
+    let before = known.len();
+    known.extend(crashes);
+    known.sort_unstable();
+    known.dedup();
+    known.truncate(MAX_CRASHES);
+    known.len() > before
+}
+
 impl SuspectTracker {
     /// Whether no request is suspected, so that requests need not be hashed.
     pub fn is_empty(&self) -> bool {
@@ -92,10 +105,11 @@
             return false;
         };
         let row = &mut self.rows[index];
-        if row.cleared {
+        let crashes = std::mem::take(&mut row.crashes);
+        if crashes.is_empty() {
             return false;
         }
-        row.cleared = true;
+        add_crashes(&mut row.cleared, &crashes);
         row.resend_until = now + RESEND_TIME;
         true
     }
@@ -110,23 +124,24 @@
                 let row = TrackedRow {
                     fingerprint: hint.fingerprint,
                     crashes: Vec::new(),
+                    cleared: Vec::new(),
                     until,
                     resend_until: now,
-                    cleared: false,
                 };
                 self.rows.insert(index, row);
                 index
             }
         };
         let row = &mut self.rows[index];
-        let known = row.crashes.len();
-        row.crashes.extend(&hint.crashes);
-        row.crashes.sort_unstable();
-        row.crashes.dedup();
-        row.crashes.truncate(MAX_CRASHES);
         row.until = row.until.max(until);
-        let changed = row.crashes.len() > known || (hint.cleared && !row.cleared);
-        row.cleared |= hint.cleared;
+        let changed = if hint.cleared {
+            row.crashes.retain(|crash| !hint.crashes.contains(crash));
+            add_crashes(&mut row.cleared, &hint.crashes)
+        } else {
+            let counts = |crash: &&u64| row.cleared.binary_search(crash).is_err();
+            let counting: Vec<u64> = hint.crashes.iter().filter(counts).copied().collect();
+            add_crashes(&mut row.crashes, &counting)
+        };
         if changed {
             row.resend_until = now + RESEND_TIME;
         }
@@ -135,13 +150,13 @@
 
     /// Whether a request is suspected, even if it is not refused yet.
     pub fn suspects(&self, fingerprint: u128) -> bool {
-        self.row(fingerprint).is_some_and(|row| !row.cleared)
+        self.row(fingerprint).is_some_and(|row| !row.crashes.is_empty())
     }
 
     /// Returns the time for which the request is still refused, or `None` if it is not refused.
     pub fn refusal(&self, fingerprint: u128, now: Instant) -> Option<Duration> {
         let row = self.row(fingerprint)?;
-        let refused = !row.cleared && row.crashes.len() >= CRASH_LIMIT && now < row.until;
+        let refused = row.crashes.len() >= CRASH_LIMIT && now < row.until;
         refused.then(|| row.until - now)
     }
 
@@ -153,15 +168,17 @@
         };
         let mut rows: Vec<_> = self.rows.iter().filter(due).collect();
         rows.sort_by_key(|row| std::cmp::Reverse(row.resend_until));
-        rows.truncate(MAX_HINTS);
-        let hint = |row: &TrackedRow| SuspectHint {
-            fingerprint: row.fingerprint,
-            crashes: row.crashes.clone(),
-            left_ms: u64::try_from((row.until.saturating_duration_since(now)).as_millis())
-                .unwrap_or(u64::MAX),
-            cleared: row.cleared,
-        };
-        rows.into_iter().map(hint).collect()
+        let hints = rows.into_iter().flat_map(|row| {
+            let left = row.until.saturating_duration_since(now).as_millis();
+            let left_ms = u64::try_from(left).unwrap_or(u64::MAX);
+            [(&row.crashes, false), (&row.cleared, true)].map(|(crashes, cleared)| SuspectHint {
+                fingerprint: row.fingerprint,
+                crashes: crashes.clone(),
+                left_ms,
+                cleared,
+            })
+        });
+        hints.filter(|hint| !hint.crashes.is_empty()).take(MAX_HINTS).collect()
     }
 
     /// Removes suspicions that ended so long ago that their crashes need not be kept.
@@ -174,6 +191,6 @@
     /// Whether a node that sent `other` already knows everything in this hint.
     pub fn is_known_by(&self, other: &Self) -> bool {
         let named = |instance: &u64| other.crashes.binary_search(instance).is_ok();
-        self.fingerprint == other.fingerprint && (other.cleared || self.crashes.iter().all(named))
+        self.fingerprint == other.fingerprint && self.crashes.iter().all(named)
     }
 }
--- a/crates/core/tests/ranges/suspects.rs
+++ b/crates/core/tests/ranges/suspects.rs
@@ -31,10 +31,12 @@
         }
         for fingerprint in 0..3 {
             let rows = || reported.iter().filter(|row| row.0 == fingerprint);
+            let cleared = |instance| rows().any(|row| row.1 == instance && row.2);
             let mut instances: Vec<_> = rows().map(|row| row.1).collect();
             instances.sort_unstable();
             instances.dedup();
-            let refused = instances.len() >= 2 && !rows().any(|row| row.2);
+            instances.retain(|instance| !cleared(*instance));
+            let refused = instances.len() >= 2;
             prop_assert_eq!(one.refusal(fingerprint, now).is_some(), refused);
             prop_assert_eq!(other.refusal(fingerprint, now).is_some(), refused);
         }
@@ -75,6 +77,24 @@
     assert_eq!(other.refusal(1, now), None);
 }
 
+/// An answer of before says nothing of crashes since.
+#[test]
+fn crashes_after_an_answer_count() {
+    let now = Instant::now();
+    let (mut tracker, mut other) = (SuspectTracker::default(), SuspectTracker::default());
+    tracker.note_crash(1, 1, now);
+    assert!(tracker.clear(1, now));
+    tracker.note_crash(1, 2, now);
+    assert_eq!(tracker.refusal(1, now), None, "the first is cleared");
+    let newest = tracker.note_crash(1, 3, now);
+    assert_eq!(tracker.refusal(1, now), Some(MINUTE));
+    for row in tracker.hints(now) {
+        other.merge(&row, now);
+    }
+    assert_eq!(other.refusal(1, now), Some(MINUTE));
+    assert!(other.hints(now).iter().any(|row| newest.is_known_by(row)));
+}
+
 #[test]
 fn datagrams_carry_the_newest_and_stay_small() {
     let start = Instant::now();
--- a/crates/mesh/src/connection/proxy_body.rs
+++ b/crates/mesh/src/connection/proxy_body.rs
@@ -12,7 +12,7 @@
 
 use super::connection_pool::PooledConnection;
 use super::{LinkPacer, LinkReservation, PacedTransfer};
-use crate::request::InFlightGuard;
+use crate::request::{AnswerWatch, InFlightGuard};
 
 /// A response to a caller or another node.
 pub type ProxyResponse = Response<ProxyBody>;
@@ -51,6 +51,8 @@
     in_flight: Option<InFlightGuard>,
     /// Counts the bytes that arrive from another node.
     counter: Option<IntCounter>,
+    /// Told how an answer of the upstream ends.
+    watch: Option<Box<AnswerWatch>>,
     /// Set where the body leaves over the host's link.
     transfer: Option<PacedTransfer>,
 }
@@ -65,6 +67,7 @@
             sleep: None,
             in_flight: None,
             counter: None,
+            watch: None,
             transfer: None,
         };
         if body.inner.is_end_stream() {
@@ -80,7 +83,20 @@
         self
     }
 
+    /// Tells a watch how the body ends, unless it is dropped before.
+    #[must_use]
+    pub(crate) fn watch_with(mut self, watch: Option<AnswerWatch>) -> Self {
+        self.watch = watch.map(Box::new);
+        if self.inner.is_end_stream() {
+            self.finish();
+        }
+        self
+    }
+
     fn finish(&mut self) {
+        if let Some(watch) = self.watch.take() {
+            watch.complete();
+        }
         if let Some(connection) = self.connection.take() {
             connection.finish();
         }
@@ -108,6 +124,9 @@
             }
             Poll::Ready(Some(Err(error))) => {
                 self.connection = None;
+                if let Some(watch) = self.watch.take() {
+                    watch.broken();
+                }
                 Poll::Ready(Some(Err(BodyError::Broken(error))))
             }
             Poll::Ready(None) => {
@@ -162,7 +181,7 @@
     /// In memory, with the guard of its request.
     Buffered(Option<Bytes>, Option<InFlightGuard>),
     /// Streamed from another connection.
-    Streamed(StreamedBody),
+    Streamed(Box<StreamedBody>),
 }
 
 impl ProxyBody {
--- a/crates/mesh/src/request.rs
+++ b/crates/mesh/src/request.rs
@@ -32,6 +32,7 @@
 pub use traffic_context::{InFlightGuard, TrafficContext};
 
 pub(crate) use cold_step::{check_after_breaks, sync_upstream};
+pub(crate) use crash_step::AnswerWatch;
 pub(crate) use demand_meter::{DemandMeter, METER_INTERVAL};
 pub(crate) use notice_step::check_limit;
 pub(crate) use request_body::RequestBody;
--- a/crates/mesh/src/request/crash_step.rs
+++ b/crates/mesh/src/request/crash_step.rs
@@ -5,14 +5,17 @@
 //! id, and responds only once they have acknowledged it or a time limit has passed, so that a
 //! retry, by the entry node or by the caller at another node, does not overtake the report.
 
+use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use firspindle_core::request::request_fingerprint;
 use firspindle_edge::upstream_died;
+use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{AttemptOutcome, NotRunReason, RoutedRequest, TrafficContext};
+use super::{AttemptOutcome, NotRunReason, RoutedRequest, SharedState, TrafficContext};
 use crate::process::ControlEvent;
 use crate::version::UpstreamView;
 
@@ -47,14 +50,50 @@
     Some(AttemptOutcome::NotRun { reason: NotRunReason::CrashesUpstreams, retry_after: Some(left) })
 }
 
-/// Clears the suspicion of a request that an upstream has answered.
-pub(super) fn clear_suspect(context: &TrafficContext, request: &RoutedRequest) {
-    let suspects = context.shared.view.load().suspects.clone();
-    if suspects.is_empty() {
-        return;
+/// Watches an answer of the upstream until its end. A whole one clears the request; one that breaks off as
+/// the upstream crashes counts as a crash, like a connection that breaks before an answer.
+pub(crate) struct AnswerWatch {
+    shared: Arc<SharedState>,
+    control_tx: UnboundedSender<ControlEvent>,
+    request: Box<str>,
+    fingerprint: u128,
+    upstream: SocketAddr,
+    instance: Box<str>,
+}
+
+impl AnswerWatch {
+    /// Watches the answer to a request; `None` if the request has no fingerprint.
+    pub(super) fn new(
+        context: &TrafficContext,
+        request: &RoutedRequest,
+        upstream: &UpstreamView,
+    ) -> Option<Self> {
+        Some(Self {
+            shared: context.shared.clone(),
+            control_tx: context.control_tx.clone(),
+            request: request.id.clone(),
+            fingerprint: fingerprint_of(request)?,
+            upstream: context.settings.upstream,
+            instance: upstream.instance.id.clone(),
+        })
+    }
+
+    /// Notes that the answer is whole.
+    pub(crate) fn complete(self) {
+        if self.shared.view.load().suspects.suspects(self.fingerprint) {
+            let _ = self.control_tx.send(ControlEvent::SuspectAnswered(self.fingerprint));
+        }
     }
-    if let Some(fingerprint) = fingerprint_of(request).filter(|it| suspects.suspects(*it)) {
-        let _ = context.control_tx.send(ControlEvent::SuspectAnswered(fingerprint));
+
+    /// Notes that the answer broke off.
+    pub(crate) fn broken(self) {
+        tokio::task::spawn_local(async move {
+            if upstream_died(self.upstream, CRASH_PROBE_LIMIT).await {
+                let _ = self.control_tx.send(ControlEvent::UpstreamRefused);
+                let life = &*self.instance;
+                tell_crash(&self.control_tx, &self.request, self.fingerprint, life).await;
+            }
+        });
     }
 }
 
@@ -69,13 +108,23 @@
     {
         return;
     }
-    let life = &*upstream.instance.id;
-    log::warn!(request = &*request.id, life; "request was in flight when the upstream crashed");
-    let (ack, acknowledged) = oneshot::channel();
     let Some(fingerprint) = fingerprint_of(request) else { return };
-    let event = ControlEvent::Crash { fingerprint, instance: xxh3_64(life.as_bytes()), ack };
     let _ = context.control_tx.send(ControlEvent::UpstreamRefused);
-    if context.control_tx.send(event).is_ok() {
+    tell_crash(&context.control_tx, &request.id, fingerprint, &upstream.instance.id).await;
+}
+
+/// Reports to all nodes that an instance of the upstream crashed while it ran a request, and waits until
+/// they know.
+async fn tell_crash(
+    control_tx: &UnboundedSender<ControlEvent>,
+    request: &str,
+    fingerprint: u128,
+    life: &str,
+) {
+    log::warn!(request, life; "request was in flight when the upstream crashed");
+    let (ack, acknowledged) = oneshot::channel();
+    let event = ControlEvent::Crash { fingerprint, instance: xxh3_64(life.as_bytes()), ack };
+    if control_tx.send(event).is_ok() {
         let _ = acknowledged.await;
     }
 }
--- a/crates/mesh/src/request/forward_step.rs
+++ b/crates/mesh/src/request/forward_step.rs
@@ -99,7 +99,7 @@
             head.headers.remove(OWNER_TIME_HEADER);
             AttemptOutcome::Answered(Box::new(http::Response::from_parts(
                 head,
-                ProxyBody::Streamed(body),
+                ProxyBody::Streamed(Box::new(body)),
             )))
         }
         RequestVerdict::NotRun => {
@@ -142,6 +142,6 @@
 /// Reads the short body of a response that is not passed on, so that its connection can be reused.
 pub(super) fn drain(body: StreamedBody) {
     tokio::task::spawn_local(async move {
-        let _ = http_body_util::BodyExt::collect(ProxyBody::Streamed(body)).await;
+        let _ = http_body_util::BodyExt::collect(ProxyBody::Streamed(Box::new(body))).await;
     });
 }
--- a/crates/mesh/src/request/send_step.rs
+++ b/crates/mesh/src/request/send_step.rs
@@ -9,7 +9,7 @@
 use hyper::body::Body;
 
 use super::cold_step::note_break;
-use super::crash_step::{clear_suspect, report_crash};
+use super::crash_step::{AnswerWatch, report_crash};
 use super::notice_step::{AnswerHead, note_answer};
 use super::owner_step::HANDOVER_RETRY_AFTER;
 use super::response_step::strip_hop_by_hop_headers;
@@ -83,7 +83,8 @@
         // could not be told from the next one on the connection.
         let connection = head.status.is_success().then_some(connection);
         let body = StreamedBody::new(body, connection, request.deadline.into());
-        http::Response::from_parts(head, ProxyBody::Streamed(body))
+        let body = body.watch_with(AnswerWatch::new(context, request, upstream));
+        http::Response::from_parts(head, ProxyBody::Streamed(Box::new(body)))
     };
     match check {
         ResponseCheck::Valid => {
@@ -91,7 +92,6 @@
             if request.kind == RequestKind::Download {
                 context.link.count_length(response.body().size_hint().lower());
             }
-            clear_suspect(context, request);
             AttemptOutcome::Answered(Box::new(stream_response(response)))
         }
         ResponseCheck::Refused => {
