--- a/crates/mesh/src/process/control_event.rs
+++ b/crates/mesh/src/process/control_event.rs
@@ -11,8 +11,8 @@
 
 use crate::version::PeerState;
 
-/// An event for the control thread, which handles it before any datagram. The time of a store call is when it began, because the answer
-/// shows the store's state at some moment not before that.
+/// An event for the control thread, which handles it before any datagram. The time of a store call is
+/// when it began, because the answer shows the store's state at some moment not before that.
 #[derive(Debug)]
 pub enum ControlEvent {
     /// Report that a heartbeat of the upstream carried; answered with the body of the HTTP
