--- a/crates/core/src/connection/gossip_message.rs
+++ b/crates/core/src/connection/gossip_message.rs
@@ -187,6 +187,27 @@
 }
 
 impl GossipMessage {
+    /// Returns a datagram that says who sends it, and nothing else.
+    pub fn new(sender: HostRecord, stamp_ms: u64) -> Self {
+        Self {
+            sender,
+            stamp_ms,
+            echo: None,
+            ends: [0; 3],
+            reaches_store: false,
+            settled_version: 0,
+            load: UpstreamLoad::default(),
+            demand: None,
+            ended: Vec::new(),
+            acknowledged: Vec::new(),
+            suspects: Vec::new(),
+            report: RelayReport::default(),
+            mark: StateMark::default(),
+            heard_incarnation: 0,
+            manifest_age_ms: None,
+        }
+    }
+
     /// Encodes the datagram. Fields that earlier versions do not know follow the others, so that
     /// nodes of both versions understand each other.
     pub fn encode(&self) -> Vec<u8> {
--- a/crates/mesh/src/process/control_state/gossip_step.rs
+++ b/crates/mesh/src/process/control_state/gossip_step.rs
@@ -3,9 +3,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use firspindle_core::connection::{
-    AttestationRow, EchoRow, EndedFenceList, GossipMessage, RelayReport,
-};
+use firspindle_core::connection::{AttestationRow, EchoRow, EndedFenceList, GossipMessage};
 use firspindle_core::process::EndedFence;
 use firspindle_core::version::LogPosition;
 use firspindle_edge::PlatformCodec;
@@ -215,8 +213,6 @@
             attests,
         });
         GossipMessage {
-            sender: self.own.clone(),
-            stamp_ms,
             echo,
             ends: [plan_end, self.hosts_end.offset, self.manifest_end().offset],
             reaches_store: self.reaches_store(),
@@ -226,10 +222,10 @@
             ended,
             acknowledged,
             suspects: self.suspects.hints(now),
-            report: RelayReport::default(),
             mark: self.mark(),
             manifest_age_ms: self.manifests_known_at.map(|at| relay_step::age_ms(at, now)),
             heard_incarnation: self.peers.get(host).map_or(0, |peer| peer.incarnation),
+            ..GossipMessage::new(self.own.clone(), stamp_ms)
         }
     }
 
--- a/crates/mesh/src/process/control_thread.rs
+++ b/crates/mesh/src/process/control_thread.rs
@@ -1,23 +1,22 @@
 //! The thread that owns the control state, feeds it with events and carries out its actions.
 
 mod call_step;
+mod crash_step;
 
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
 
 use firspindle_core::connection::StateMark;
 use firspindle_core::process::GrantGuards;
-use firspindle_core::request::SuspectHint;
 use firspindle_core::version::{HostRecord, LogPosition};
 use firspindle_edge::{BootClock, PlatformCodec, StateStore, StateTopic};
 use http::HeaderName;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
-use tokio::sync::oneshot;
 
+use self::crash_step::{CrashNotice, sleep_until};
 use super::control_state::{ControlAction, ControlState, GOSSIP_TICKS, PeerPlace, TICK_INTERVAL};
 use super::datagram_inbox::{DatagramInbox, WaitingDatagram};
 use super::store_watch::{ReadSchedule, UnansweredAt, watch_topic};
@@ -28,25 +27,9 @@
 /// Ticks between two log lines with the bytes exchanged with other nodes: 10 s.
 const TRAFFIC_LOG_TICKS: u32 = 100;
 
-/// Time within which the other nodes are to acknowledge a crash. Acknowledgements take one round
-/// trip.
-const CRASH_NOTICE_TIMEOUT: Duration = Duration::from_millis(250);
-
 /// Datagrams after which the thread's other tasks get a turn.
 const DATAGRAMS_BETWEEN_YIELDS: u32 = 8;
 
-/// Time for which crashes are gathered before the other nodes are notified of all of them.
-const CRASH_GATHER_TIME: Duration = Duration::from_millis(10);
-
-/// A crash that was announced to the other nodes, and the request that waits for their
-/// acknowledgements.
-struct CrashNotice {
-    hint: SuspectHint,
-    /// When the wait ends, even without all acknowledgements.
-    until: Instant,
-    ack: oneshot::Sender<()>,
-}
-
 /// Everything that the thread is started with.
 pub(crate) struct ControlParts<C, S> {
     pub(crate) settings: MeshSettings,
@@ -153,14 +136,6 @@
     Ok(())
 }
 
-/// Completes at a time, or never without one.
-async fn sleep_until(at: Option<tokio::time::Instant>) {
-    match at {
-        Some(at) => tokio::time::sleep_until(at).await,
-        None => std::future::pending().await,
-    }
-}
-
 impl<C: PlatformCodec, S: StateStore> ControlThread<C, S> {
     async fn run(&mut self, mut rx: UnboundedReceiver<ControlEvent>, mut inbox: DatagramInbox) {
         let mut ticks = tokio::time::interval(TICK_INTERVAL);
@@ -384,36 +359,6 @@
         self.execute(actions);
     }
 
-    /// Notes a request that was in flight when an upstream crashed. The other nodes are notified a little
-    /// later, as an upstream mostly runs several.
-    fn note_crash(&mut self, fingerprint: u128, instance: u64, ack: oneshot::Sender<()>) {
-        let now = self.clock.now();
-        let hint = self.state.note_crash(fingerprint, instance, now);
-        self.publish();
-        self.notices.push(CrashNotice { hint, until: now + CRASH_NOTICE_TIMEOUT, ack });
-        self.crashes_due_at.get_or_insert(tokio::time::Instant::now() + CRASH_GATHER_TIME);
-    }
-
-    /// Notifies all other nodes of the crashes that were noted.
-    fn send_crashes(&mut self) {
-        self.crashes_due_at = None;
-        let now = self.clock.now();
-        let actions = self.state.questions(&self.state.other_hosts(), now);
-        self.execute(actions);
-        self.finish_notices();
-    }
-
-    /// Signals the waiters of crashes that all nodes have acknowledged or whose time is up.
-    fn finish_notices(&mut self) {
-        let now = self.clock.now();
-        let state = &self.state;
-        let done =
-            |row: &mut CrashNotice| now >= row.until || state.all_acknowledged(&row.hint, now);
-        for row in self.notices.extract_if(.., done) {
-            let _ = row.ack.send(());
-        }
-    }
-
     /// Sends ended fences to their next holders at once, not only with the next round of datagrams.
     fn send_ended_fences(&mut self) {
         let now = self.clock.now();
--- /dev/null
+++ b/crates/mesh/src/process/control_thread/crash_step.rs
@@ -0,0 +1,70 @@
+//! Tells the other nodes of requests that were in flight when an upstream crashed.
+
+use std::time::{Duration, Instant};
+
+use firspindle_core::request::SuspectHint;
+use firspindle_edge::{PlatformCodec, StateStore};
+use tokio::sync::oneshot;
+
+use super::ControlThread;
+
+/// Time within which the other nodes are to acknowledge a crash. Acknowledgements take one round
+/// trip.
+const CRASH_NOTICE_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Time for which crashes are gathered before the other nodes are notified of all of them.
+const CRASH_GATHER_TIME: Duration = Duration::from_millis(10);
+
+/// A crash that was announced to the other nodes, and the request that waits for their
+/// acknowledgements.
+pub(super) struct CrashNotice {
+    hint: SuspectHint,
+    /// When the wait ends, even without all acknowledgements.
+    until: Instant,
+    ack: oneshot::Sender<()>,
+}
+
+/// Completes at a time, or never without one.
+pub(super) async fn sleep_until(at: Option<tokio::time::Instant>) {
+    match at {
+        Some(at) => tokio::time::sleep_until(at).await,
+        None => std::future::pending().await,
+    }
+}
+
+impl<C: PlatformCodec, S: StateStore> ControlThread<C, S> {
+    /// Notes a request that was in flight when an upstream crashed. The other nodes are notified a little
+    /// later, as an upstream mostly runs several.
+    pub(super) fn note_crash(
+        &mut self,
+        fingerprint: u128,
+        instance: u64,
+        ack: oneshot::Sender<()>,
+    ) {
+        let now = self.clock.now();
+        let hint = self.state.note_crash(fingerprint, instance, now);
+        self.publish();
+        self.notices.push(CrashNotice { hint, until: now + CRASH_NOTICE_TIMEOUT, ack });
+        self.crashes_due_at.get_or_insert(tokio::time::Instant::now() + CRASH_GATHER_TIME);
+    }
+
+    /// Notifies all other nodes of the crashes that were noted.
+    pub(super) fn send_crashes(&mut self) {
+        self.crashes_due_at = None;
+        let now = self.clock.now();
+        let actions = self.state.questions(&self.state.other_hosts(), now);
+        self.execute(actions);
+        self.finish_notices();
+    }
+
+    /// Signals the waiters of crashes that all nodes have acknowledged or whose time is up.
+    pub(super) fn finish_notices(&mut self) {
+        let now = self.clock.now();
+        let state = &self.state;
+        let done =
+            |row: &mut CrashNotice| now >= row.until || state.all_acknowledged(&row.hint, now);
+        for row in self.notices.extract_if(.., done) {
+            let _ = row.ack.send(());
+        }
+    }
+}
--- a/crates/mesh/tests/cold_keys.rs
+++ b/crates/mesh/tests/cold_keys.rs
@@ -9,9 +9,7 @@
 
 use bytes::Bytes;
 use codec::{COLD_VERSION, SERVICE, TestCodec};
-use firspindle_core::connection::{
-    GossipMessage, RelayReport, StateMark, UpstreamLoad, UpstreamReport,
-};
+use firspindle_core::connection::{GossipMessage, UpstreamLoad, UpstreamReport};
 use firspindle_core::process::GrantGuards;
 use firspindle_core::version::{
     CELLS, HostRecord, LogPosition, UpstreamInstance, UpstreamRecord, UpstreamState,
@@ -50,23 +48,9 @@
 }
 
 fn datagram(host: u8, cold_ms: u32) -> Vec<u8> {
-    let message = GossipMessage {
-        sender: record(host),
-        stamp_ms: 1,
-        echo: None,
-        ends: [0; 3],
-        reaches_store: true,
-        settled_version: 0,
-        load: UpstreamLoad { slots: 9, cold_ms, ..UpstreamLoad::default() },
-        demand: None,
-        ended: Vec::new(),
-        acknowledged: Vec::new(),
-        suspects: Vec::new(),
-        report: RelayReport::default(),
-        mark: StateMark::default(),
-        heard_incarnation: 0,
-        manifest_age_ms: None,
-    };
+    let load = UpstreamLoad { slots: 9, cold_ms, ..UpstreamLoad::default() };
+    let message =
+        GossipMessage { reaches_store: true, load, ..GossipMessage::new(record(host), 1) };
     message.encode()
 }
 
--- a/crates/mesh/tests/manifests/main.rs
+++ b/crates/mesh/tests/manifests/main.rs
@@ -6,6 +6,7 @@
 mod evacuations;
 mod faults;
 mod hosts;
+mod lateness;
 mod model;
 #[path = "../ownership/node_settings.rs"]
 mod node_settings;
@@ -150,7 +151,7 @@
     let seeds = std::env::var("MANIFEST_SEEDS").unwrap_or_else(|_| "0..12".into());
     let (first, end) = seeds.split_once("..").expect("a range of seeds");
     let [first, end]: [u64; 2] = [first, end].map(|text| text.parse().expect("a seed"));
-    let mut worst = model::Lateness::default();
+    let mut worst = lateness::Lateness::default();
     for seed in first..end {
         let fleet = faults::run_history(seed, SITES[0].hosts, SITES[0].centres);
         let late = fleet.lateness;
--- a/crates/mesh/tests/manifests/model.rs
+++ b/crates/mesh/tests/manifests/model.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use firspindle_core::connection::{GossipMessage, StateMark};
+use firspindle_core::connection::StateMark;
 use firspindle_core::process::GrantGuards;
 use firspindle_core::version::LogPosition;
 use firspindle_edge::{StateTopic, TopicRecord, TopicSnapshot};
@@ -16,6 +16,7 @@
 
 use crate::codec::TestCodec;
 use crate::hosts::{host_of, host_records, settings, topic_record};
+use crate::lateness::Lateness;
 use crate::reads::{Answer, ReadTask};
 
 /// Delay of a message between hosts or to the store, in milliseconds.
@@ -30,9 +31,6 @@
 /// Time between two ticks of a node, in milliseconds.
 const TICK_MS: u64 = 100;
 
-/// Time without a fault after which a host counts as in touch, in milliseconds.
-const CONTACT_MS: u64 = 3_000;
-
 /// Topics that are read.
 pub const READ_TOPICS: [StateTopic; 3] =
     [StateTopic::Manifests, StateTopic::Plans, StateTopic::Hosts];
@@ -54,19 +52,19 @@
 pub struct Node {
     pub state: ControlState<TestCodec>,
     pub tasks: [ReadTask; READ_TOPICS.len()],
-    link: StoreLink,
+    pub link: StoreLink,
     /// Fetches of the state of peers that have not ended.
     open_fetches: u64,
     /// Whether the node's next read of the manifests gets no answer.
     pub loses_read: bool,
     frozen_until: u64,
     /// Since when the node runs and the store serves it.
-    served_since: u64,
+    pub served_since: u64,
     /// Since when the node runs and has a path to the store.
-    touched_since: u64,
+    pub touched_since: u64,
     told_mark: StateMark,
     /// Version of the manifest in force.
-    version: u64,
+    pub version: u64,
 }
 
 pub enum Event {
@@ -78,28 +76,6 @@
     FetchFailed(SocketAddr),
 }
 
-/// Longest times for which a host in touch lacked a manifest that the store had, in milliseconds.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub struct Lateness {
-    /// Of hosts that the store served.
-    pub served: u64,
-    /// Of hosts that the store turned away or had done so recently.
-    pub refused: u64,
-    /// Greatest age of the plan's confirmation at a host that the store served.
-    pub plan_age: u64,
-}
-
-impl Lateness {
-    /// Returns the longer of each of the times.
-    pub fn max(self, other: Self) -> Self {
-        Self {
-            served: self.served.max(other.served),
-            refused: self.refused.max(other.refused),
-            plan_age: self.plan_age.max(other.plan_age),
-        }
-    }
-}
-
 /// A fleet whose hosts are spread over data centres by their number.
 pub struct FleetModel {
     epoch: Instant,
@@ -122,7 +98,7 @@
     /// Whether peers answer requests for their state.
     pub serves_state: bool,
     /// Since when all hosts reach one another.
-    joined_since: u64,
+    pub joined_since: u64,
     pub lateness: Lateness,
     /// Calls to the store.
     pub calls: u64,
@@ -333,46 +309,6 @@
         self.enqueue(host, 2 * DELAY_MS, Event::Fetched(Box::new(state)));
     }
 
-    /// Notes how late the node is with a manifest, if its host is in touch.
-    fn check(&mut self, host: usize) {
-        let now = self.now_ms;
-        self.note_links(host);
-        if !self.cuts.is_empty() {
-            self.joined_since = now;
-        }
-        let node = &self.nodes[host];
-        let missing = usize::try_from(node.version).expect("a small number");
-        let Some(written) = self.written.get(missing) else { return };
-        let late = now - written;
-        if now >= node.served_since + CONTACT_MS {
-            self.lateness.served = self.lateness.served.max(late);
-        } else if now >= node.touched_since + CONTACT_MS {
-            // Others can pass it on for as long as one of them is served and reaches this one.
-            let served_since = self.nodes.iter().map(|row| row.served_since).min().unwrap_or(now);
-            let since = served_since.max(self.joined_since);
-            self.lateness.refused = self.lateness.refused.max(late.min(now.saturating_sub(since)));
-        }
-    }
-
-    fn note_plan_age(&mut self, sender: usize, bytes: &[u8]) {
-        let message = GossipMessage::decode(bytes).expect("datagrams arrive as they were sent");
-        let age = message.echo.and_then(|echo| echo.age_ms).unwrap_or(0);
-        if self.now_ms >= self.nodes[sender].served_since + CONTACT_MS {
-            self.lateness.plan_age = self.lateness.plan_age.max(age);
-        }
-    }
-
-    fn note_links(&mut self, host: usize) {
-        let now = self.now_ms;
-        let node = &mut self.nodes[host];
-        if node.link != StoreLink::Open {
-            node.served_since = node.served_since.max(now);
-        }
-        if node.link == StoreLink::Cut {
-            node.touched_since = node.touched_since.max(now);
-        }
-    }
-
     /// Changes how the store treats a host.
     pub fn set_link(&mut self, host: usize, link: StoreLink) {
         self.note_links(host);
--- a/crates/mesh/tests/ownership/suspects.rs
+++ b/crates/mesh/tests/ownership/suspects.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use firspindle_core::connection::{GossipMessage, RelayReport, StateMark, UpstreamLoad};
+use firspindle_core::connection::GossipMessage;
 use firspindle_core::process::GrantGuards;
 use firspindle_core::version::HostRecord;
 use firspindle_mesh::process::{ControlAction, ControlState};
@@ -34,24 +34,7 @@
         service: settings.service,
         upstream: None,
     };
-    let message = GossipMessage {
-        sender,
-        stamp_ms: 0,
-        echo: None,
-        ends: [0; 3],
-        reaches_store: false,
-        settled_version: 0,
-        load: UpstreamLoad::default(),
-        demand: None,
-        ended: Vec::new(),
-        acknowledged: Vec::new(),
-        suspects: Vec::new(),
-        report: RelayReport::default(),
-        mark: StateMark::default(),
-        heard_incarnation: 0,
-        manifest_age_ms: None,
-    };
-    message.encode()
+    GossipMessage::new(sender, 0).encode()
 }
 
 struct NodeTrio {
