test: an order whose answer is on its way counts as running

The upstream stand-in notes a run before it answers, and the test sent the order again as soon as it saw the note. The answer is allowed: 409 says that the id is running. The test now asks again until the order is answered, within the same time, and checks status, verdict and the number of runs as before.

--- a/crates/firspindle/tests/failures/requests.rs
+++ b/crates/firspindle/tests/failures/requests.rs
@@ -189,7 +189,11 @@
         wait_until("the order ends", SETTLE_TIMEOUT, || {
             (count_runs(&fleet, &id) == 1).then_some(())
         });
-        let again = place_order(&fleet, host, "/registre/orders?work_ms=1500", &id);
+        // The upstream notes the run before it answers; until then the order is running.
+        let again = wait_until("the order is answered", SETTLE_TIMEOUT, || {
+            let again = place_order(&fleet, host, "/registre/orders?work_ms=1500", &id);
+            ((again.status, again.verdict()) != (409, "may-have-run")).then_some(again)
+        });
         assert_eq!((again.status, again.verdict()), (200, "ran"), "host {host}");
         assert_eq!(count_runs(&fleet, &id), 1);
     }
