fix(mesh): a refused connection ends only the instance that it was meant for

Cause: a connection that broke after its upstream had been replaced ended the instance that was known by then, a living one, whose keys then moved; a refused connection did the same. Why this works: the event names the instance that the request was meant for, and is ignored if another has registered since; that one, if it is dead, refuses the next connection.

--- a/crates/mesh/src/process/control_event.rs
+++ b/crates/mesh/src/process/control_event.rs
@@ -23,8 +23,8 @@
     Leave(Box<str>, oneshot::Sender<()>),
     /// An answer of this instance of the upstream said so long ago that it leaves.
     UpstreamLeaving(UpstreamInstance, Duration),
-    /// The upstream's address refused a connection.
-    UpstreamRefused,
+    /// The upstream's address refused a connection that was meant for this instance.
+    UpstreamRefused(UpstreamInstance),
     /// Upstream id in the response of the upstream's address to a health check; `None` without a
     /// usable response.
     UpstreamProbed(Option<Box<str>>),
--- a/crates/mesh/src/process/control_state/upstream_step.rs
+++ b/crates/mesh/src/process/control_state/upstream_step.rs
@@ -185,10 +185,11 @@
         self.closes_at = Some(self.closes_at.map_or(closes_at, |at| at.min(closes_at)));
     }
 
-    /// Notes that nothing listens at the upstream's address, so its instance has ended.
-    pub fn upstream_refused(&mut self) {
+    /// Notes that nothing listens at the upstream's address, so this instance of it has ended. It says
+    /// nothing of one that has registered since.
+    pub fn upstream_refused(&mut self, instance: &UpstreamInstance) {
         let Some(upstream) = &mut self.own.upstream else { return };
-        if upstream.state != UpstreamState::Gone {
+        if upstream.instance == *instance && upstream.state != UpstreamState::Gone {
             log::info!(life = &*upstream.instance.id; "upstream refused a connection");
             upstream.state = UpstreamState::Gone;
             self.grants.end_instance();
--- a/crates/mesh/src/process/control_thread.rs
+++ b/crates/mesh/src/process/control_thread.rs
@@ -182,8 +182,8 @@
                 self.state.answer_said_leaving(instance, now.checked_sub(time).unwrap_or(now));
                 self.publish_and_step();
             }
-            ControlEvent::UpstreamRefused => {
-                self.state.upstream_refused();
+            ControlEvent::UpstreamRefused(instance) => {
+                self.state.upstream_refused(&instance);
                 self.publish();
                 self.step();
             }
--- a/crates/mesh/src/request/crash_step.rs
+++ b/crates/mesh/src/request/crash_step.rs
@@ -10,6 +10,7 @@
 use std::time::{Duration, Instant};
 
 use firspindle_core::request::request_fingerprint;
+use firspindle_core::version::UpstreamInstance;
 use firspindle_edge::upstream_died;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
@@ -58,7 +59,7 @@
     request: Box<str>,
     fingerprint: u128,
     upstream: SocketAddr,
-    instance: Box<str>,
+    instance: UpstreamInstance,
 }
 
 impl AnswerWatch {
@@ -74,7 +75,7 @@
             request: request.id.clone(),
             fingerprint: fingerprint_of(request)?,
             upstream: context.settings.upstream,
-            instance: upstream.instance.id.clone(),
+            instance: upstream.instance.clone(),
         })
     }
 
@@ -89,9 +90,9 @@
     pub(crate) fn broken(self) {
         tokio::task::spawn_local(async move {
             if upstream_died(self.upstream, CRASH_PROBE_LIMIT).await {
-                let _ = self.control_tx.send(ControlEvent::UpstreamRefused);
-                let life = &*self.instance;
-                tell_crash(&self.control_tx, &self.request, self.fingerprint, life).await;
+                let life = self.instance.id.clone();
+                let _ = self.control_tx.send(ControlEvent::UpstreamRefused(self.instance));
+                tell_crash(&self.control_tx, &self.request, self.fingerprint, &life).await;
             }
         });
     }
@@ -109,7 +110,8 @@
         return;
     }
     let Some(fingerprint) = fingerprint_of(request) else { return };
-    let _ = context.control_tx.send(ControlEvent::UpstreamRefused);
+    let refused = ControlEvent::UpstreamRefused(upstream.instance.clone());
+    let _ = context.control_tx.send(refused);
     tell_crash(&context.control_tx, &request.id, fingerprint, &upstream.instance.id).await;
 }
 
--- a/crates/mesh/src/request/send_step.rs
+++ b/crates/mesh/src/request/send_step.rs
@@ -49,7 +49,8 @@
         Ok(Ok(sent)) => sent,
         Ok(Err(SendError::Refused)) => {
             context.limiter.distrust(ColdCause::RefusedConnection);
-            let _ = context.control_tx.send(ControlEvent::UpstreamRefused);
+            let _ =
+                context.control_tx.send(ControlEvent::UpstreamRefused(upstream.instance.clone()));
             let reason = NotRunReason::Unreachable;
             return AttemptOutcome::NotRun { reason, retry_after: Some(HANDOVER_RETRY_AFTER) };
         }
--- a/crates/mesh/tests/own_record.rs
+++ b/crates/mesh/tests/own_record.rs
@@ -122,3 +122,21 @@
     let upstream = state.view(now).upstream.expect("the upstream is known");
     assert_eq!((upstream.state, upstream.closes_at), (UpstreamState::Ready, None));
 }
+
+/// Guards against a living upstream that counts as dead because a connection to the one before it broke.
+#[test]
+fn a_refused_connection_ends_only_the_instance_that_it_was_meant_for() {
+    let now = Instant::now();
+    let mut state = restarted(now);
+    state.handle_report(&report(), now);
+    let next = UpstreamInstance { id: "u1".into(), born_ms: 9 };
+    state.handle_report(&UpstreamReport { instance: next.clone(), ..report() }, now);
+    let known = |state: &ControlState<TestCodec>| {
+        let upstream = state.view(now).upstream.expect("the upstream is known");
+        (upstream.instance, upstream.state)
+    };
+    state.upstream_refused(&instance());
+    assert_eq!(known(&state), (next.clone(), UpstreamState::Ready));
+    state.upstream_refused(&next);
+    assert_eq!(known(&state), (next, UpstreamState::Gone));
+}
