fix(core): what a node remembers of earlier lives of its upstream is bounded

What callers saw: nothing; the lists grew for as long as a node ran (read by the reviewer). Cause: ended fences of a cell, ended instances and instances that left were only added to. Why this works: 64 instances are remembered, heartbeats of which are seconds late at most, and 16 ended fences of a cell; the end of a forgotten one is waited for, which is safe.

--- a/crates/core/src/process/grant_table/cell_state.rs
+++ b/crates/core/src/process/grant_table/cell_state.rs
@@ -33,6 +33,9 @@
     pub(super) token: Box<str>,
 }
 
+/// Most ended fences that a cell remembers. The end of one that was forgotten is waited for.
+const MAX_ENDED_FENCES: usize = 16;
+
 #[derive(Debug, Clone, Default)]
 pub(super) struct CellState {
     /// Fence under which the plan assigns the cell to this node's upstream; 0 if it does not.
@@ -65,6 +68,8 @@
         self.earlier_grants.retain(|row| row.fence != fence);
         if !self.ended.contains(&fence) {
             self.ended.push(fence);
+            let surplus = self.ended.len().saturating_sub(MAX_ENDED_FENCES);
+            self.ended.drain(..surplus);
         }
     }
 
--- a/crates/core/src/process/grant_table/instance_step.rs
+++ b/crates/core/src/process/grant_table/instance_step.rs
@@ -6,6 +6,9 @@
 use super::cell_state::RevokedGrant;
 use crate::version::{HolderRow, UpstreamInstance};
 
+/// Most ended instances that are remembered. A heartbeat is seconds late at most, an instance lives longer.
+const MAX_ENDED_INSTANCES: usize = 64;
+
 impl GrantTable {
     /// Makes `instance` the current one. The holds of the former instance have ended if it is
     /// superseded by the new one ([`is_superseded`]).
@@ -15,6 +18,8 @@
         let refused = self.refused_instance.take().filter(|refused| *refused != instance);
         self.ended_instances.extend(refused);
         self.ended_instances.extend(self.instance.replace(instance));
+        let surplus = self.ended_instances.len().saturating_sub(MAX_ENDED_INSTANCES);
+        self.ended_instances.drain(..surplus);
         self.last_sequence = 0;
         self.address_confirmed = false;
         self.revoke_cells(address_confirmed);
--- a/crates/core/tests/instances.rs
+++ b/crates/core/tests/instances.rs
@@ -93,3 +93,35 @@
 fn a_life_that_began_on_a_clock_set_back_keeps_its_keys() {
     assert_late_heartbeat_is_ignored(&instance("u0", 9_000), &instance("u0", 5_000));
 }
+
+/// Guards against a table that grows for as long as its node runs.
+#[test]
+fn a_table_does_not_grow_with_the_lives_of_its_upstream() {
+    let mut now = Instant::now();
+    let mut table = GrantTable::new(HOST.into(), GrantTiming::default(), GrantGuards::all(), now);
+    let mut plan = RangePlan::default();
+    let mut live = |table: &mut GrantTable, lives: std::ops::Range<u64>| {
+        for life in lives {
+            let upstream = instance(&format!("u{life:04}"), 1_000 + life);
+            table.apply_report(&report(&upstream, 1), GrantPermit::default(), now);
+            plan = next_plan(&plan, &upstream);
+            let ranges = plan.service("orders").expect("the service is planned").clone();
+            table.apply_ranges(plan.version, ranges, true, now);
+            now += Duration::from_secs(20);
+            for (_, rows) in table.ended_fences(now) {
+                for row in &rows {
+                    table.apply_ended(row);
+                }
+                table.remove_acknowledged(&rows);
+            }
+        }
+    };
+    // From then on all versions have as many digits.
+    live(&mut table, 0..120);
+    let earlier = format!("{table:?}").len();
+    live(&mut table, 120..240);
+    let later = format!("{table:?}").len();
+    assert!(later <= earlier + earlier / 50, "{earlier} and {later} bytes");
+    let late = report(&instance("u0238", 1_238), 9);
+    assert!(!table.is_newest(&late), "a late heartbeat of an earlier life is known as such");
+}
--- a/crates/mesh/src/process/control_state/upstream_step.rs
+++ b/crates/mesh/src/process/control_state/upstream_step.rs
@@ -14,6 +14,9 @@
 /// Silence of the upstream after which it counts as gone: three heartbeat intervals.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(2_800);
 
+/// Most instances that left and are remembered, so that their late heartbeats do not end a drain.
+const MAX_LEAVING: usize = 64;
+
 /// Time between two probes of the upstream's address.
 const PROBE_INTERVAL: Duration = Duration::from_millis(600);
 
@@ -179,6 +182,8 @@
         upstream.state = UpstreamState::Draining;
         if !self.leaving.contains(&instance) {
             self.leaving.push(instance);
+            let surplus = self.leaving.len().saturating_sub(MAX_LEAVING);
+            self.leaving.drain(..surplus);
         }
         let closes_at =
             since.map_or(self.started_at, |since| since + self.settings.bounds.close_delay());
