--- a/crates/mesh/tests/own_record.rs
+++ b/crates/mesh/tests/own_record.rs
@@ -16,6 +16,7 @@
 use firspindle_edge::{StateTopic, TopicRecord, TopicSnapshot};
 use firspindle_mesh::process::{ControlState, MeshSettings};
 use node_settings::node_settings;
+use proptest::prelude::*;
 
 const HOST: &str = "host-0";
 
@@ -140,3 +141,28 @@
     state.upstream_refused(&next);
     assert_eq!(known(&state), (next, UpstreamState::Gone));
 }
+
+proptest! {
+    /// Guards against a late report of which a part is believed.
+    #[test]
+    fn reports_in_any_order_leave_what_the_newest_said(
+        sequences in prop::collection::vec(1_u32..12, 1..12),
+    ) {
+        let now = Instant::now();
+        let mut state = restarted(now);
+        let mut newest = 0;
+        for sequence in sequences {
+            let cold_remaining = Duration::from_secs(sequence.into());
+            let sequence_number = u64::from(sequence);
+            let sent = UpstreamReport {
+                slots: sequence, cold_remaining, sequence: sequence_number, ..report()
+            };
+            state.handle_report(&sent, now);
+            newest = newest.max(sequence);
+            let upstream = state.view(now).upstream.expect("the upstream is known");
+            prop_assert_eq!(upstream.slots, newest);
+            let cold = upstream.cold_report.map(|row| row.remaining);
+            prop_assert_eq!(cold, Some(Duration::from_secs(newest.into())));
+        }
+    }
+}
