test(harness): fleets reserve their addresses

Each fleet drew a /24 block out of 40,960 at random, without regard to the fleets of the other tests that ran beside it; two with the same block bind the same ports.

A fleet now holds a bound socket on an address of its block until it ends, and draws again if that is taken.

--- a/crates/harness/src/fleet.rs
+++ b/crates/harness/src/fleet.rs
@@ -123,7 +123,7 @@
     ///
     /// If a process cannot be started or the log service does not listen in time.
     pub fn start(spec: FleetSpec) -> Self {
-        let addresses = AddressBlock::random();
+        let addresses = AddressBlock::reserve();
         let name = format!("fleet-{}", uuid::Uuid::new_v4().simple());
         let directory = std::env::temp_dir().join("firspindle").join(name);
         std::fs::create_dir_all(&directory).expect("the directory of the fleet can be created");
--- a/crates/harness/src/lib.rs
+++ b/crates/harness/src/lib.rs
@@ -1,7 +1,7 @@
 //! Runs nodes, upstreams and a log service as real processes on loopback, for tests and
 //! measurements.
 //!
-//! Each fleet uses a random block of addresses in 127.0.0.0/8, so several can run at the same time.
+//! Each fleet reserves a block of addresses in 127.0.0.0/8, so several can run at the same time.
 
 mod address_block;
 mod endless_body;
