fix(mesh): many crashes at once are acknowledged

Callers whose requests were in flight when upstreams crashed waited 250 ms longer for their answers, and a request sent again meanwhile could reach a node that did not refuse it yet.

Cause: a datagram names the 16 newest suspicions that its sender knows, and a crash counted as acknowledged only while the newest datagram of each node named it. More than 16 never fitted, and those of other hosts, being newer, took the places of one's own, in the question and in the reply.

Crashes that a node announces are now named first, in as many questions as it takes, a reply names first what the question named, and what a node has shown to know is kept until all have.

40 crashes at one node beside 40 newer ones of another: 40 of 40 not acknowledged before, none now (many_crashes_at_once_are_all_acknowledged).

--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -49,4 +49,4 @@
     ClaimDecision, ClaimForecast, ClaimReason, ClaimRefusal, ClaimTicket, SettledClaim, SlotClaim,
 };
 pub use suspect_table::{SuspectTable, request_fingerprint};
-pub use suspect_tracker::{SuspectHint, SuspectTracker};
+pub use suspect_tracker::{MAX_HINTS, SuspectHint, SuspectTracker};
--- a/crates/core/src/request/suspect_tracker.rs
+++ b/crates/core/src/request/suspect_tracker.rs
@@ -25,8 +25,8 @@
 /// Time after a change for which it is sent to other nodes repeatedly, in case a datagram is lost.
 const RESEND_TIME: Duration = Duration::from_secs(5);
 
-/// Most hints in one datagram, which keeps them under 1,000 bytes.
-const MAX_HINTS: usize = 16;
+/// Most hints in one datagram beside those that are named, which keeps them under 1,000 bytes.
+pub const MAX_HINTS: usize = 16;
 
 /// Most crashes that are recorded for one request.
 const MAX_CRASHES: usize = 8;
@@ -160,14 +160,16 @@
         refused.then(|| row.until - now)
     }
 
-    /// Returns the hints to send to other nodes: recent changes and refused requests, the newest
-    /// first.
-    pub fn hints(&self, now: Instant) -> Vec<SuspectHint> {
+    /// Returns the hints to send to another node: recent changes and refused requests, first those on
+    /// the requests that are `named`, by fingerprint, then the newest.
+    pub fn hints(&self, named: &[u128], now: Instant) -> Vec<SuspectHint> {
         let due = |row: &&TrackedRow| {
             now < row.resend_until || self.refusal(row.fingerprint, now).is_some()
         };
         let mut rows: Vec<_> = self.rows.iter().filter(due).collect();
-        rows.sort_by_key(|row| std::cmp::Reverse(row.resend_until));
+        rows.sort_by_key(|row| {
+            (!named.contains(&row.fingerprint), std::cmp::Reverse(row.resend_until))
+        });
         let hints = rows.into_iter().flat_map(|row| {
             let left = row.until.saturating_duration_since(now).as_millis();
             let left_ms = u64::try_from(left).unwrap_or(u64::MAX);
@@ -178,7 +180,7 @@
                 cleared,
             })
         });
-        hints.filter(|hint| !hint.crashes.is_empty()).take(MAX_HINTS).collect()
+        hints.filter(|hint| !hint.crashes.is_empty()).take(named.len() + MAX_HINTS).collect()
     }
 
     /// Removes suspicions that ended so long ago that their crashes need not be kept.
--- a/crates/core/tests/ranges/suspects.rs
+++ b/crates/core/tests/ranges/suspects.rs
@@ -71,7 +71,7 @@
     let mut other = SuspectTracker::default();
     other.note_crash(1, 1, now);
     other.note_crash(1, 2, now);
-    for row in tracker.hints(now) {
+    for row in tracker.hints(&[], now) {
         assert!(other.merge(&row, now));
     }
     assert_eq!(other.refusal(1, now), None);
@@ -88,11 +88,11 @@
     assert_eq!(tracker.refusal(1, now), None, "the first is cleared");
     let newest = tracker.note_crash(1, 3, now);
     assert_eq!(tracker.refusal(1, now), Some(MINUTE));
-    for row in tracker.hints(now) {
+    for row in tracker.hints(&[], now) {
         other.merge(&row, now);
     }
     assert_eq!(other.refusal(1, now), Some(MINUTE));
-    assert!(other.hints(now).iter().any(|row| newest.is_known_by(row)));
+    assert!(other.hints(&[], now).iter().any(|row| newest.is_known_by(row)));
 }
 
 #[test]
@@ -102,11 +102,11 @@
     for fingerprint in 0..100 {
         tracker.note_crash(fingerprint, 1, start + Duration::from_millis(fingerprint as u64));
     }
-    let hints = tracker.hints(start + Duration::from_millis(100));
+    let hints = tracker.hints(&[], start + Duration::from_millis(100));
     assert_eq!(hints.len(), 16);
     assert!(hints.iter().all(|row| row.fingerprint >= 84));
     assert!(
-        tracker.hints(start + MINUTE).is_empty(),
+        tracker.hints(&[], start + MINUTE).is_empty(),
         "a single crash is sent to other nodes only for a short time"
     );
 }
--- a/crates/mesh/src/process/control_state.rs
+++ b/crates/mesh/src/process/control_state.rs
@@ -41,6 +41,7 @@
 pub use evacuation_step::EvacuationFaults;
 use evacuation_step::EvacuationJournal;
 use relay_step::{RelayCache, RelayDuties, RelayedRow};
+use suspect_step::AnnouncedCrash;
 
 /// Time between runs of [`ControlState::tick`].
 pub(super) const TICK_INTERVAL: Duration = Duration::from_millis(100);
@@ -192,6 +193,8 @@
     load: UpstreamLoad,
     demand: DemandReport,
     suspects: Arc<SuspectTracker>,
+    /// Crashes that the other nodes are to acknowledge.
+    announced: Vec<AnnouncedCrash>,
     /// Time before which the upstream is not probed again.
     next_probe_at: Instant,
 }
@@ -280,6 +283,7 @@
             load: UpstreamLoad::default(),
             demand: DemandReport::default(),
             suspects: Arc::default(),
+            announced: Vec::new(),
             next_probe_at: now,
         }
     }
--- a/crates/mesh/src/process/control_state/gossip_step.rs
+++ b/crates/mesh/src/process/control_state/gossip_step.rs
@@ -77,6 +77,7 @@
         }
         self.note_peer_mark(&message, now);
         let news = self.merge_suspects(&message.suspects, now);
+        self.note_known_suspects(&message.sender.host, &message.suspects);
         self.view_changed |= news || !message.ended.is_empty();
         let replies = news || message.report.wants_reply || !message.ended.is_empty();
         replies.then_some(message.sender.host)
@@ -155,13 +156,14 @@
 
     /// Returns the sends of a datagram to each of these hosts that is known.
     pub fn datagrams(&mut self, hosts: &[Box<str>], now: Instant) -> Vec<ControlAction> {
-        self.sends(hosts, false, now)
+        self.sends(hosts, false, &[], now)
     }
 
     pub(super) fn sends(
         &mut self,
         hosts: &[Box<str>],
         wants_reply: bool,
+        suspects: &[u128],
         now: Instant,
     ) -> Vec<ControlAction> {
         let ended = self.grants.ended_fences(now);
@@ -174,7 +176,7 @@
                 .find(|(name, _)| name == host)
                 .map_or(Vec::new(), |(_, rows)| rows.clone());
             rows.truncate(MAX_ENDED_ROWS);
-            let mut message = self.datagram(host, rows, now);
+            let mut message = self.datagram(host, rows, suspects, now);
             message.report = self.relay_report(host, wants_reply, now);
             actions.push(ControlAction::Send(address, message.encode().into(), place));
         }
@@ -197,6 +199,7 @@
         &mut self,
         host: &str,
         ended: Vec<EndedFence>,
+        suspects: &[u128],
         now: Instant,
     ) -> GossipMessage {
         let stamp_ms = self.stamp_ms(now);
@@ -221,7 +224,7 @@
             demand: self.may_plan(host).then(|| self.demand.clone()),
             ended,
             acknowledged,
-            suspects: self.suspects.hints(now),
+            suspects: self.suspects.hints(&self.named_suspects(host, suspects), now),
             mark: self.mark(),
             manifest_age_ms: self.manifests_known_at.map(|at| relay_step::age_ms(at, now)),
             heard_incarnation: self.peers.get(host).map_or(0, |peer| peer.incarnation),
--- a/crates/mesh/src/process/control_state/relay_step.rs
+++ b/crates/mesh/src/process/control_state/relay_step.rs
@@ -172,10 +172,21 @@
 
     /// Returns the sends of a datagram that is to be answered at once to each of these hosts.
     pub fn questions(&mut self, hosts: &[Box<str>], now: Instant) -> Vec<ControlAction> {
+        self.questions_on(hosts, &[], now)
+    }
+
+    /// Returns the sends of a datagram that is to be answered at once to each of these hosts and that
+    /// names these suspected requests first.
+    pub(super) fn questions_on(
+        &mut self,
+        hosts: &[Box<str>],
+        suspects: &[u128],
+        now: Instant,
+    ) -> Vec<ControlAction> {
         for host in hosts {
             self.asked.note_question(host, now);
         }
-        self.sends(hosts, true, now)
+        self.sends(hosts, true, suspects, now)
     }
 
     /// Returns the hosts that this node tells at once of a new plan: as a relay, its share of the
--- a/crates/mesh/src/process/control_state/suspect_step.rs
+++ b/crates/mesh/src/process/control_state/suspect_step.rs
@@ -3,16 +3,76 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use firspindle_core::request::SuspectHint;
-use firspindle_core::version::HostRecord;
+use firspindle_core::request::{MAX_HINTS, SuspectHint};
 use firspindle_edge::PlatformCodec;
 
-use super::ControlState;
+use super::{ControlAction, ControlState};
+
+/// A crash that this node announced, and the hosts that have shown that they know of it, sorted.
+#[derive(Debug, Clone)]
+pub(super) struct AnnouncedCrash {
+    hint: SuspectHint,
+    known_by: Vec<Box<str>>,
+}
+
+impl AnnouncedCrash {
+    fn is_known_by(&self, host: &str) -> bool {
+        self.known_by.binary_search_by(|known| (**known).cmp(host)).is_ok()
+    }
+
+    fn note_known_by(&mut self, host: &str) {
+        if let Err(index) = self.known_by.binary_search_by(|known| (**known).cmp(host)) {
+            self.known_by.insert(index, host.into());
+        }
+    }
+}
 
 impl<C: PlatformCodec> ControlState<C> {
     /// Notes that an upstream crashed while it ran a request; returns the hint for the other nodes.
     pub fn note_crash(&mut self, fingerprint: u128, instance: u64, now: Instant) -> SuspectHint {
-        Arc::make_mut(&mut self.suspects).note_crash(fingerprint, instance, now)
+        let hint = Arc::make_mut(&mut self.suspects).note_crash(fingerprint, instance, now);
+        self.announced.push(AnnouncedCrash { hint: hint.clone(), known_by: Vec::new() });
+        hint
+    }
+
+    /// Returns the questions that announce the crashes to all other nodes, as many to each as it takes
+    /// to name them all.
+    pub fn crash_questions(&mut self, now: Instant) -> Vec<ControlAction> {
+        let hosts = self.other_hosts();
+        let named: Vec<_> = self.announced.iter().map(|row| row.hint.fingerprint).collect();
+        let chunks = named.chunks(MAX_HINTS);
+        chunks.flat_map(|chunk| self.questions_on(&hosts, chunk, now)).collect()
+    }
+
+    /// Forgets an announced crash.
+    pub fn forget_crash(&mut self, hint: &SuspectHint) {
+        self.announced.retain(|row| row.hint != *hint);
+    }
+
+    /// Returns the requests that a datagram to a host names first: these ones, or else those announced
+    /// of which it has not shown that it knows, and those that its newest datagram named, which
+    /// acknowledges them.
+    pub(super) fn named_suspects(&self, host: &str, suspects: &[u128]) -> Vec<u128> {
+        let unknown = self.announced.iter().filter(|row| !row.is_known_by(host)).take(MAX_HINTS);
+        let echoed = self.peers.get(host).into_iter().flat_map(|peer| &peer.suspects);
+        let echoed = echoed.take(MAX_HINTS).map(|hint| hint.fingerprint);
+        let mut named: Vec<_> = match suspects {
+            [] => unknown.map(|row| row.hint.fingerprint).collect(),
+            suspects => suspects.to_vec(),
+        };
+        named.extend(echoed);
+        named.sort_unstable();
+        named.dedup();
+        named
+    }
+
+    /// Notes which announced crashes a host has shown that it knows of.
+    pub(super) fn note_known_suspects(&mut self, host: &str, hints: &[SuspectHint]) {
+        for row in &mut self.announced {
+            if hints.iter().any(|known| row.hint.is_known_by(known)) {
+                row.note_known_by(host);
+            }
+        }
     }
 
     /// Clears the suspicion of a request that an upstream answered.
@@ -37,13 +97,10 @@
         }
     }
 
-    /// Whether every other node that is not silent showed in its newest datagram that it knows of a
-    /// suspicion.
+    /// Whether every other node that is not silent has shown that it knows of an announced crash.
     pub fn all_acknowledged(&self, hint: &SuspectHint, now: Instant) -> bool {
-        let knows = |row: &HostRecord| {
-            let peer = self.peers.get(&row.host);
-            peer.is_some_and(|peer| peer.suspects.iter().any(|known| hint.is_known_by(known)))
-        };
-        self.others().filter(|row| !self.asked.is_silent(&row.host, now)).all(knows)
+        let announced = self.announced.iter().find(|row| row.hint == *hint);
+        let others = || self.others().filter(|row| !self.asked.is_silent(&row.host, now));
+        announced.is_none_or(|announced| others().all(|row| announced.is_known_by(&row.host)))
     }
 }
--- a/crates/mesh/src/process/control_thread/crash_step.rs
+++ b/crates/mesh/src/process/control_thread/crash_step.rs
@@ -52,7 +52,7 @@
     pub(super) fn send_crashes(&mut self) {
         self.crashes_due_at = None;
         let now = self.clock.now();
-        let actions = self.state.questions(&self.state.other_hosts(), now);
+        let actions = self.state.crash_questions(now);
         self.execute(actions);
         self.finish_notices();
     }
@@ -63,7 +63,9 @@
         let state = &self.state;
         let done =
             |row: &mut CrashNotice| now >= row.until || state.all_acknowledged(&row.hint, now);
-        for row in self.notices.extract_if(.., done) {
+        let rows: Vec<_> = self.notices.extract_if(.., done).collect();
+        for row in rows {
+            self.state.forget_crash(&row.hint);
             let _ = row.ack.send(());
         }
     }
--- a/crates/mesh/tests/ownership/suspects.rs
+++ b/crates/mesh/tests/ownership/suspects.rs
@@ -113,6 +113,36 @@
     }
 }
 
+/// Guards against crashes that are never acknowledged because they do not fit one datagram, beside
+/// newer ones of other nodes.
+#[test]
+fn many_crashes_at_once_are_all_acknowledged() {
+    let mut trio = NodeTrio::new();
+    trio.advance(20);
+    let now = trio.now;
+    let own: Vec<_> =
+        (0..40).map(|request| trio.nodes[0].note_crash(request, INSTANCES[0], now)).collect();
+    for request in 100..140 {
+        trio.nodes[1].note_crash(request, INSTANCES[1], now);
+    }
+    // The other node hears of the crashes of the second node before those of the first.
+    for from in [1, 0] {
+        let now = trio.now;
+        for action in trio.nodes[from].crash_questions(now) {
+            let ControlAction::Send(address, bytes, _) = action else { continue };
+            let to = (0..3).find(|host| settings(*host).listen.gossip == address);
+            let to = to.expect("a known address");
+            trio.advance(1);
+            assert!(trio.deliver(to, &bytes), "a question gets a reply");
+            let reply = trio.datagram(to, from);
+            trio.deliver(from, &reply);
+        }
+    }
+    let open: Vec<_> =
+        own.iter().filter(|hint| !trio.nodes[0].all_acknowledged(hint, trio.now)).collect();
+    assert!(open.is_empty(), "{} of {} not acknowledged", open.len(), own.len());
+}
+
 /// Two upstreams crash at about the same time; each node counts both crashes, whichever node
 /// reported them.
 #[test]
