fix(mesh): an upload whose receiver does not read for a while is not cut off

Callers saw uploads that end with 'may have run' because their upstream, or the node beside it, read nothing for 1.5 s. Cause: TCP_USER_TIMEOUT on connections that a node opens; the system applies it also to a receiver that acknowledges everything while its window is closed.

The limit stays at 1.5 s for what fits any receiver's window, since only it shows a silent side in time; once 32 KiB of a request were written it is 30 s, beyond the deadline that ends the request, and it is set back with the first bytes of the next request.

unread_bodies: 8 MiB to a receiver that reads nothing for 2.5 s. Before: no answer, 4,051 bytes arrived; now 200 and all of them.

--- a/crates/mesh/src/connection.rs
+++ b/crates/mesh/src/connection.rs
@@ -8,6 +8,7 @@
 mod instance_notice;
 mod link_pacer;
 mod outbound_body;
+mod outbound_stream;
 mod paced_transfer;
 mod proxy_body;
 mod send_pace;
--- a/crates/mesh/src/connection/connection_pool.rs
+++ b/crates/mesh/src/connection/connection_pool.rs
@@ -20,12 +20,13 @@
 use tokio::time::Instant;
 
 use super::OutboundBody;
+use super::outbound_stream::OutboundStream;
 
 /// Time limit for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Time for which sent bytes may stay unacknowledged before the connection fails.
-const UNACKED_TIMEOUT: Duration = Duration::from_millis(1_500);
+pub(super) const UNACKED_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// Idle time before the first keep-alive probe, and time between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
@@ -172,8 +173,10 @@
             Ok(Err(_)) | Err(_) => return Err(SendError::NotSent),
         };
         set_client_options(&stream);
-        let (sender, driver) =
-            Builder::new().handshake(TokioIo::new(stream)).await.map_err(|_| SendError::NotSent)?;
+        let (sender, driver) = Builder::new()
+            .handshake(TokioIo::new(OutboundStream::new(stream)))
+            .await
+            .map_err(|_| SendError::NotSent)?;
         tokio::task::spawn_local(async move {
             if let Err(error) = driver.await {
                 log::debug!(address:%, error:%; "outgoing connection ended with an error");
@@ -234,10 +237,10 @@
     seconds?.trim().parse::<u32>().ok().map(|seconds| Duration::from_secs(seconds.into()))
 }
 
-/// Time for which what was sent to a client of this node may stay unread. The system counts a client that
-/// acknowledges everything but reads nothing like one that is gone, so this is longer than any answer's
-/// deadline, which ends it before.
-const UNREAD_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time for which an answer or a large request body may stay unread. The system counts a receiver that
+/// acknowledges everything but reads nothing like one that is gone, so this is longer than the deadline
+/// that ends either before.
+pub(super) const UNREAD_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Limits the time for which a connection that this node opened may be silent.
 fn set_client_options(stream: &tokio::net::TcpStream) {
--- /dev/null
+++ b/crates/mesh/src/connection/outbound_stream.rs
@@ -0,0 +1,107 @@
+//! Stream of a connection that this node opened.
+//!
+//! The limit on the time that sent bytes stay unacknowledged shows soon that the other side is silent.
+//! But the system applies it also to one that acknowledges everything and reads nothing while its window
+//! is closed. Small requests never fill a window, so a silent side is noticed by them; while a large body
+//! is sent, the limit is longer than the deadline that ends the request.
+
+use std::io::{IoSlice, Result};
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use socket2::SockRef;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+use super::connection_pool::{UNACKED_TIMEOUT, UNREAD_TIMEOUT};
+
+/// Bytes of a request that fit the window of any receiver.
+const WINDOW_BYTES: usize = 32 * 1024;
+
+/// Stream of a connection that this node opened.
+pub(super) struct OutboundStream {
+    stream: TcpStream,
+    /// Bytes written since the last read, or of a request so far.
+    written: usize,
+    /// Whether what was sent may stay unread.
+    patient: bool,
+}
+
+impl OutboundStream {
+    pub(super) const fn new(stream: TcpStream) -> Self {
+        Self { stream, written: 0, patient: false }
+    }
+
+    fn set_patient(&mut self, patient: bool) {
+        if self.patient == patient {
+            return;
+        }
+        self.patient = patient;
+        let timeout = if patient { UNREAD_TIMEOUT } else { UNACKED_TIMEOUT };
+        self.set_timeout(timeout);
+    }
+
+    fn set_timeout(&self, timeout: Duration) {
+        if let Err(error) = SockRef::from(&self.stream).set_tcp_user_timeout(Some(timeout)) {
+            log::warn!(error:%; "socket options not set");
+        }
+    }
+
+    fn note_write(&mut self, written: &Poll<Result<usize>>) {
+        if let Poll::Ready(Ok(bytes)) = written {
+            self.written += bytes;
+            self.set_patient(self.written > WINDOW_BYTES);
+        }
+    }
+}
+
+impl AsyncRead for OutboundStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<Result<()>> {
+        let before = buffer.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(cx, buffer);
+        if buffer.filled().len() > before {
+            // The next write begins another request.
+            self.written = 0;
+        }
+        read
+    }
+}
+
+impl AsyncWrite for OutboundStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write(cx, bytes);
+        self.note_write(&written);
+        written
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, slices);
+        self.note_write(&written);
+        written
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
