fix(mesh): a report whose body stays away is refused after 5 s

Another writer that sends a head and no body held a connection and its descriptor for good; listed as open in the table of readers. Every body of a request to the administration server now has 5 s to arrive, and is answered with 408 then.

--- a/crates/mesh/src/process/admin_server.rs
+++ b/crates/mesh/src/process/admin_server.rs
@@ -4,6 +4,7 @@
 use std::convert::Infallible;
 use std::net::TcpListener;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use firspindle_core::connection::UpstreamReport;
@@ -13,6 +14,7 @@
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
 use xitca_web::body::ResponseBody;
+use xitca_web::handler::FromRequest;
 use xitca_web::handler::body::Limit;
 use xitca_web::handler::handler_service;
 use xitca_web::http::WebResponse;
@@ -24,6 +26,9 @@
 /// Longest body of a request, in bytes: a heartbeat that frees some thousand ranges of keys.
 const MAX_BODY_BYTES: usize = 256 * 1024;
 
+/// Time within which the body of a request arrives whole.
+const BODY_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Decodes the report that a heartbeat carries, from the upstream's id in the path and from the
 /// body.
 pub(crate) type ReportDecoder =
@@ -63,10 +68,26 @@
     response
 }
 
-async fn answer(
-    ctx: &WebContext<'_, AdminState>,
-    (body, _): (Vec<u8>, Limit<MAX_BODY_BYTES>),
-) -> Result<WebResponse, Infallible> {
+/// Reads the body of a request; the error is the answer to one that is too long, or whose rest stays
+/// away.
+async fn read_body(ctx: &WebContext<'_, AdminState>) -> Result<Vec<u8>, WebResponse> {
+    let reading = <(Vec<u8>, Limit<MAX_BODY_BYTES>)>::from_request(ctx);
+    let refuse = |status: StatusCode, reason: &'static str| {
+        log::warn!(path = ctx.req().uri().path(), reason; "request refused");
+        reply(status, "text/plain", reason)
+    };
+    match tokio::time::timeout(BODY_TIMEOUT, reading).await {
+        Ok(Ok((body, _))) => Ok(body),
+        Ok(Err(_)) => Err(refuse(StatusCode::PAYLOAD_TOO_LARGE, "body too long or broken off\n")),
+        Err(_) => Err(refuse(StatusCode::REQUEST_TIMEOUT, "body not received in time\n")),
+    }
+}
+
+async fn answer(ctx: &WebContext<'_, AdminState>) -> Result<WebResponse, Infallible> {
+    let body = match read_body(ctx).await {
+        Ok(body) => body,
+        Err(refusal) => return Ok(refusal),
+    };
     let state = ctx.state();
     let path = ctx.req().uri().path().to_owned();
     let method = ctx.req().method().clone();
