fix: a settings file is read up to 1 MiB

A file of 1.8 MB is refused with its name and the bound, exit status 2 (a_settings_file_beyond_its_bound_is_refused).

--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -14,6 +14,7 @@
 mod memory_store;
 mod platform_codec;
 mod retry_after;
+mod settings_file;
 mod state_store;
 mod upstream_notice;
 
@@ -26,5 +27,6 @@
 pub use memory_store::MemoryStore;
 pub use platform_codec::{DecodeError, DecodePlace, PlatformCodec};
 pub use retry_after::parse_retry_after;
+pub use settings_file::read_settings_file;
 pub use state_store::{ReadBatch, StateStore, StateTopic, StoreError, TopicRecord, TopicSnapshot};
 pub use upstream_notice::{LimitNotice, UpstreamNotice};
--- a/crates/firspindle/src/process/command_line.rs
+++ b/crates/firspindle/src/process/command_line.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use clap::{Parser, Subcommand};
 use firspindle_core::version::ManifestSpec;
+use firspindle_edge::read_settings_file;
 use firspindle_mesh::process::{MeshSettings, run_mesh_node};
 use firspindle_platform::{JsonCodec, LogStore};
 use http::{HeaderMap, Method, Uri};
@@ -127,13 +128,19 @@
     Ok((name, text))
 }
 
+fn read_settings_text(path: &Path) -> Result<(Box<str>, String), ProcessError> {
+    let name: Box<str> = path.display().to_string().into();
+    let text = read_settings_file(path).context(ReadFileSnafu { path: name.clone() })?;
+    Ok((name, text))
+}
+
 pub(super) fn read_settings(path: &Path) -> Result<NodeSettings, ProcessError> {
-    let (path, text) = read_file(path)?;
+    let (path, text) = read_settings_text(path)?;
     NodeSettings::parse(&text).context(BadFileSnafu { path })
 }
 
 pub(super) fn read_mesh_settings(path: &Path) -> Result<MeshSettings, ProcessError> {
-    let (path, text) = read_file(path)?;
+    let (path, text) = read_settings_text(path)?;
     MeshSettings::parse(&text).context(BadFileSnafu { path })
 }
 
--- a/crates/firspindle/tests/check.rs
+++ b/crates/firspindle/tests/check.rs
@@ -204,3 +204,14 @@
         prop_assert_eq!(output.status.code() != Some(2), accepted, "{}", folder.show(&output));
     }
 }
+
+/// Guards against a settings file without end that is read whole.
+#[test]
+fn a_settings_file_beyond_its_bound_is_refused() {
+    let folder = TestFolder::new();
+    let settings = folder.file("long.toml", "# a line\n".repeat(200_000));
+    let output = Fleet::command(&["check", "--settings", &settings]);
+    let text = folder.show(&output);
+    assert_eq!(output.status.code(), Some(2), "{text}");
+    assert!(text.contains("long.toml") && text.contains("1 MiB"), "{text}");
+}
--- a/crates/mesh/src/process/mesh_node.rs
+++ b/crates/mesh/src/process/mesh_node.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use firspindle_core::connection::{UpstreamLimit, UpstreamLoad};
-use firspindle_edge::{BootClock, PlatformCodec, StateStore, unix_ms};
+use firspindle_edge::{BootClock, PlatformCodec, StateStore, read_settings_file, unix_ms};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use snafu::{ResultExt, Snafu};
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
@@ -231,7 +231,7 @@
 /// Parses the settings file again and logs whether it is valid and differs. The running process
 /// keeps the settings and addresses that it started with.
 fn check_settings(path: &Path, settings: &MeshSettings) {
-    let text = match std::fs::read_to_string(path) {
+    let text = match read_settings_file(path) {
         Ok(text) => text,
         Err(error) => {
             log::warn!(error:%; "settings file not readable; settings unchanged");
