fix(core): a holder that lost its lease in a pause hands over what it saw

The next owner had opened the partition without the state of the one before it, which was alive and knew that its upstream had refused the orders, but handed that over only after 0.4 s without a lease, and to an owner that ignored it; with its incarnation the state was lost.

A successor that opens without it asks for it, a holder without a lease gives up when it is asked, what an ended incarnation saw is handed over by the next one once its last request has ended, and orders that only it can decide wait up to 1 s. Without it the answer is 'may have run' as before.

A second fault in the same place: a process whose incarnation had ended answered requests for release as if it had nothing to hand over, and the successor counted its own state as complete, so that a resend could run twice. It does not answer before its last request has ended.

--- a/crates/core/src/process.rs
+++ b/crates/core/src/process.rs
@@ -48,7 +48,8 @@
 pub use node_action::NodeAction;
 pub use node_machine::{NodeMachine, OwnedRow};
 pub use ownership_table::{
-    HeldGrant, OwnershipTable, PartitionOwnership, PendingGrant, ReleasedGrant, ReleasingGrant,
+    EarlierRight, EndedGrant, HeldGrant, MemoryWait, OwnershipTable, PartitionOwnership,
+    PendingGrant, ReleasedGrant, ReleasingGrant,
 };
 pub use peer_log::PeerLog;
 pub use plan_confirmation::PlanConfirmation;
--- a/crates/core/src/process/node_action.rs
+++ b/crates/core/src/process/node_action.rs
@@ -33,6 +33,13 @@
         /// Whether that state covers all requests that may have run under earlier holders.
         dedup_complete: bool,
     },
+    /// Adds deduplication state of earlier holders that arrived after the partition was opened.
+    CompleteDedup {
+        /// Partition that is open.
+        partition: PartitionId,
+        /// State of all earlier holders whose state was missing.
+        dedup_state: Vec<DedupState>,
+    },
     /// Raises the fence of an open partition.
     RaiseFence {
         /// Partition that stays open.
--- a/crates/core/src/process/node_machine.rs
+++ b/crates/core/src/process/node_machine.rs
@@ -267,6 +267,7 @@
         next.past_incarnations.extend(ended);
         // Other nodes can still request a release notice and its deduplication state.
         next.ownerships.released = self.ownerships.released;
+        next.ownerships.ended = self.ownerships.ended;
         next.roles = self.roles;
         next.log = self.log;
         next.suspects = self.suspects;
--- a/crates/core/src/process/node_machine/fold_step.rs
+++ b/crates/core/src/process/node_machine/fold_step.rs
@@ -142,14 +142,9 @@
 
     /// Abandons all partitions and the lease, and ends the incarnation.
     pub(super) fn end_incarnation(&mut self, reason: &str) {
-        let held = self.ownerships.held.iter().map(|ownership| ownership.partition);
-        let releasing = self.ownerships.releasing.iter().map(|ownership| ownership.partition);
-        let partitions: Vec<_> = held.chain(releasing).collect();
-        for partition in partitions {
+        for partition in self.ownerships.end() {
             self.actions.push(NodeAction::Abandon { partition });
         }
-        let released = std::mem::take(&mut self.ownerships.released);
-        self.ownerships = crate::process::OwnershipTable { released, ..Default::default() };
         self.involved.clear();
         self.lease.discard();
         let incarnation = match self.life {
--- a/crates/core/src/process/node_machine/message_step.rs
+++ b/crates/core/src/process/node_machine/message_step.rs
@@ -8,6 +8,7 @@
     RevokeRequest, SwitchReply,
 };
 use crate::process::{NodeAction, ownership_table};
+use crate::version::PartitionRow;
 use crate::{LogOffset, NodeId};
 
 /// Time that the log reader has to catch up before records are requested from a peer.
@@ -34,6 +35,11 @@
             PeerMessage::RequestRelease(request) if self.past_incarnations.contains(&to) => {
                 self.answer_release(to, from, &request);
             }
+            PeerMessage::ReleaseAck { partition, before }
+                if self.past_incarnations.contains(&to) =>
+            {
+                self.handle_release_ack(from, partition, before);
+            }
             // The message was meant for an incarnation that ended.
             _ => {}
         }
@@ -49,6 +55,7 @@
             PeerMessage::HolderSilent { node } => self.note_silent(node, now),
             PeerMessage::RequestRelease(request) => {
                 let me = self.life.id().unwrap_or(0);
+                self.give_up_superseded(&request, now);
                 self.answer_release(me, from, &request);
             }
             PeerMessage::Release(notice) => self.handle_release(from, notice, now),
@@ -161,9 +168,23 @@
         self.update_partitions(now);
     }
 
+    /// Gives up a partition without a lease if another node serves it, as only such a one requests
+    /// rights under the current assignment.
+    fn give_up_superseded(&mut self, request: &ReleaseRequest, now: Instant) {
+        let row = self.state.partition(request.partition);
+        let current = row.and_then(PartitionRow::current).map_or(0, |assignment| assignment.offset);
+        let is_folded = request.before <= self.state.next_offset;
+        if is_folded && request.before > current && !self.lease.is_valid(now) {
+            self.begin_release(request.partition, true, "another node serves it");
+        }
+    }
+
     fn answer_release(&mut self, me: NodeId, requester: NodeId, request: &ReleaseRequest) {
         let partition = request.partition;
-        if self.ownerships.is_active(partition) || self.state.next_offset <= request.before {
+        // What an ended incarnation saw is not known before its last request.
+        let ended = ownership_table::find(&self.ownerships.ended, partition).is_ok();
+        let active = ended || self.ownerships.is_active(partition);
+        if active || self.state.next_offset <= request.before {
             return;
         }
         let (served_fence, dedup_state) = self.known_dedup_state(partition);
@@ -186,11 +207,16 @@
         let row = ReleaseRow { partition, node: from, before, served_fence, dedup_state, until };
         let key = (partition, from);
         match self.releases.binary_search_by_key(&key, |row| (row.partition, row.node)) {
-            Ok(index) if self.releases[index].before > before => {}
+            Ok(index) if self.releases[index].before > before => {
+                let known = &mut self.releases[index];
+                known.served_fence = known.served_fence.max(row.served_fence);
+                known.dedup_state.extend(&row.dedup_state);
+            }
             Ok(index) => self.releases[index] = row,
             Err(index) => self.releases.insert(index, row),
         }
         self.send(from, PeerMessage::ReleaseAck { partition, before });
+        self.complete_memory(partition);
         self.update_partition(partition, now);
     }
 
--- a/crates/core/src/process/node_machine/ownership_step.rs
+++ b/crates/core/src/process/node_machine/ownership_step.rs
@@ -7,8 +7,10 @@
 use crate::connection::{DedupState, PeerMessage, ReleaseNotice, ReleaseRequest};
 use crate::process::ownership_table::{self, insert, take};
 use crate::process::{
-    DrainReason, FenceToken, LifeCycle, NodeAction, PartitionOwnership, RevocationCheck,
+    DrainReason, FenceToken, HeldGrant, LifeCycle, MemoryWait, NodeAction, PartitionOwnership,
+    RevocationCheck,
 };
+use crate::request::MEMORY_WAIT_MS;
 use crate::version::{AssignmentRow, PartitionRow};
 use crate::{LogOffset, NodeId, PartitionId};
 
@@ -101,7 +103,12 @@
     }
 
     /// Closes a partition to new requests; it is released once none is in flight.
-    fn begin_release(&mut self, partition: PartitionId, gives_up_current: bool, reason: &str) {
+    pub(super) fn begin_release(
+        &mut self,
+        partition: PartitionId,
+        gives_up_current: bool,
+        reason: &str,
+    ) {
         let Some(ownership) = take(&mut self.ownerships.held, partition) else { return };
         log::info!(partition, fence:% = ownership.state.fence, reason; "partition closed");
         let ownership = ownership.release(gives_up_current);
@@ -139,6 +146,29 @@
         self.note_lease_validity(now);
     }
 
+    /// Hands over the deduplication state of a partition that an ended incarnation of this process
+    /// served, once none of its requests is in flight.
+    pub fn abandoned_idle(
+        &mut self,
+        partition: PartitionId,
+        dedup_state: DedupState,
+        now: Instant,
+    ) {
+        let Some(ownership) = take(&mut self.ownerships.ended, partition) else { return };
+        let current = self.state.partition(partition).and_then(PartitionRow::current);
+        let nodes = current.map_or(&[][..], |assignment| &assignment.nodes);
+        let to: Vec<_> = nodes.iter().copied().filter(|node| !self.is_own(*node)).collect();
+        log::info!(partition, to:?, requests = dedup_state.requests.len(); "partition of an ended incarnation idle");
+        match ownership_table::find(&self.ownerships.released, partition) {
+            Ok(index) => self.ownerships.released[index].state.dedup_state.extend(&dedup_state),
+            Err(_) => insert(
+                &mut self.ownerships.released,
+                ownership.idle(to, dedup_state, now, now + RELEASE_RETENTION),
+            ),
+        }
+        self.complete_memory(partition);
+    }
+
     /// Sends unconfirmed releases again, and drops those that are no longer kept.
     pub(super) fn send_releases(&mut self, now: Instant) {
         let resend = self.timing.resend;
@@ -192,7 +222,7 @@
         if !blockers.is_empty() {
             self.request_releases(partition, &blockers, offset, now);
         } else if self.lease.is_valid(now) && self.witnesses_know_assignment(offset) {
-            self.open(partition, fence);
+            self.open(partition, fence, now);
         }
     }
 
@@ -271,12 +301,70 @@
         }
     }
 
-    fn open(&mut self, partition: PartitionId, fence: FenceToken) {
+    fn open(&mut self, partition: PartitionId, fence: FenceToken, now: Instant) {
         let Some(ownership) = take(&mut self.ownerships.pending, partition) else { return };
         insert(&mut self.ownerships.held, ownership.hold(fence));
-        let (dedup_state, dedup_complete) = self.collect_dedup_state(partition);
+        let missing = self.missing_memories(partition);
+        let known = self.knows_earlier_epochs(partition);
+        let dedup_complete = known && missing.is_empty();
+        let dedup_state = self.collect_dedup_state(partition);
         log::info!(partition, fence:%, dedup_complete; "partition opened");
         self.actions.push(NodeAction::Open { partition, fence, dedup_state, dedup_complete });
+        if known
+            && !missing.is_empty()
+            && let Ok(index) = ownership_table::find(&self.ownerships.held, partition)
+        {
+            let until = now + Duration::from_millis(MEMORY_WAIT_MS);
+            let wait = MemoryWait { missing, until, request_at: now };
+            self.ownerships.held[index].state.memory_wait = Some(wait);
+            self.request_memory(partition, now);
+        }
+    }
+
+    /// Requests the deduplication state that partitions opened without, where it is due.
+    pub(super) fn request_memories(&mut self, now: Instant) {
+        let waits = |ownership: &&PartitionOwnership<HeldGrant>| {
+            ownership.state.memory_wait.as_ref().is_some_and(|wait| now >= wait.request_at)
+        };
+        let due: Vec<_> =
+            self.ownerships.held.iter().filter(waits).map(|row| row.partition).collect();
+        for partition in due {
+            self.request_memory(partition, now);
+        }
+    }
+
+    /// Requests the state of a partition from the earlier holders that have not handed it over. Their
+    /// rights have provably ended, but their processes may still run.
+    fn request_memory(&mut self, partition: PartitionId, now: Instant) {
+        let current = self.state.partition(partition).and_then(PartitionRow::current);
+        let before = current.map_or(0, |assignment| assignment.offset + 1);
+        let Ok(index) = ownership_table::find(&self.ownerships.held, partition) else { return };
+        let memory_wait = &mut self.ownerships.held[index].state.memory_wait;
+        let Some(wait) = memory_wait.as_mut().filter(|wait| now < wait.until) else {
+            *memory_wait = None;
+            return;
+        };
+        wait.request_at = now + REQUEST_INTERVAL;
+        let mut nodes: Vec<_> = wait.missing.iter().map(|right| right.node).collect();
+        nodes.sort_unstable();
+        nodes.dedup();
+        for node in nodes {
+            self.send(node, PeerMessage::RequestRelease(ReleaseRequest { partition, before }));
+        }
+    }
+
+    /// Completes the deduplication state of a partition that opened without, if it is all at hand now.
+    pub(super) fn complete_memory(&mut self, partition: PartitionId) {
+        let Ok(index) = ownership_table::find(&self.ownerships.held, partition) else { return };
+        let Some(mut wait) = self.ownerships.held[index].state.memory_wait.take() else { return };
+        self.retain_missing(partition, &mut wait.missing);
+        if !wait.missing.is_empty() {
+            self.ownerships.held[index].state.memory_wait = Some(wait);
+            return;
+        }
+        log::info!(partition; "deduplication state completed");
+        let dedup_state = self.collect_dedup_state(partition);
+        self.actions.push(NodeAction::CompleteDedup { partition, dedup_state });
     }
 
     /// Starts to release all partitions and to leave the fleet.
--- a/crates/core/src/process/node_machine/right_step.rs
+++ b/crates/core/src/process/node_machine/right_step.rs
@@ -9,8 +9,8 @@
 use super::NodeMachine;
 use super::ownership_step::fence_of;
 use crate::connection::DedupState;
-use crate::process::FenceToken;
 use crate::process::ownership_table::{self, take};
+use crate::process::{EarlierRight, FenceToken};
 use crate::version::{DepartReason, PartitionRow};
 use crate::{LogOffset, NodeId, PartitionId};
 
@@ -25,13 +25,6 @@
     pub(super) before: LogOffset,
 }
 
-/// A right of another node that must end before this one serves.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) struct EarlierRight {
-    node: NodeId,
-    fence: FenceToken,
-}
-
 impl NodeMachine {
     /// Nodes whose rights under the current or an earlier assignment have not ended, or whose
     /// handover is still expected.
@@ -94,23 +87,33 @@
         }
     }
 
-    /// Takes out the deduplication state that earlier holders handed over, and returns it with
-    /// whether it is complete.
+    /// Returns the earlier rights under which requests may have run that the deduplication state at hand
+    /// does not list.
     ///
-    /// A node that ended without a release may have run requests that the state does not list,
-    /// unless another node served after it and handed over its own state.
-    pub(super) fn collect_dedup_state(
-        &mut self,
-        partition: PartitionId,
-    ) -> (Vec<DedupState>, bool) {
+    /// A node that ended without a release may have run such requests, unless another node served
+    /// after it and handed over its own state.
+    pub(super) fn missing_memories(&self, partition: PartitionId) -> Vec<EarlierRight> {
         let me = self.life.id().unwrap_or(0);
         let row = self.state.partition(partition);
-        let rights = row.map(|row| self.earlier_rights(me, row)).unwrap_or_default();
+        let mut rights = row.map(|row| self.earlier_rights(me, row)).unwrap_or_default();
+        self.retain_missing(partition, &mut rights);
+        rights
+    }
+
+    /// Drops the rights that the deduplication state at hand covers.
+    pub(super) fn retain_missing(&self, partition: PartitionId, rights: &mut Vec<EarlierRight>) {
         let last = self.last_served(partition);
-        // The first owner of an epoch does not know what ran in older ones.
-        let known = self.state.epoch() == 0 || last.is_some();
-        let dedup_complete =
-            known && rights.iter().all(|right| self.is_covered(partition, right, last));
+        rights.retain(|right| !self.is_covered(partition, right, last));
+    }
+
+    /// Whether the deduplication state of earlier epochs is at hand: the first owner of an epoch does not
+    /// know what ran in older ones.
+    pub(super) fn knows_earlier_epochs(&self, partition: PartitionId) -> bool {
+        self.state.epoch() == 0 || self.last_served(partition).is_some()
+    }
+
+    /// Takes out the deduplication state that earlier holders handed over.
+    pub(super) fn collect_dedup_state(&mut self, partition: PartitionId) -> Vec<DedupState> {
         let mut dedup_state = Vec::new();
         for row in self.releases.iter_mut().filter(|row| row.partition == partition) {
             dedup_state.push(std::mem::take(&mut row.dedup_state));
@@ -118,11 +121,11 @@
         if let Some(ownership) = take(&mut self.ownerships.released, partition) {
             dedup_state.push(ownership.state.dedup_state);
         }
-        (dedup_state, dedup_complete)
+        dedup_state
     }
 
     /// Whether the deduplication state at hand covers all requests that may have run under `right`:
-    /// its holder released it, or a holder with a higher fence handed over its state.
+    /// its holder released it, or it or a holder with a higher fence handed over its state.
     fn is_covered(
         &self,
         partition: PartitionId,
@@ -130,7 +133,7 @@
         last: Option<FenceToken>,
     ) -> bool {
         self.has_released(partition, right.node, right.fence.offset)
-            || last.is_some_and(|last| right.fence < last)
+            || last.is_some_and(|last| right.fence <= last)
     }
 
     /// Returns the highest fence whose holder's deduplication state is at hand.
--- a/crates/core/src/process/node_machine/tick_step.rs
+++ b/crates/core/src/process/node_machine/tick_step.rs
@@ -67,6 +67,7 @@
             }
         }
         self.update_pending(now);
+        self.request_memories(now);
         self.send_releases(now);
         self.record_revocations(me, now);
         self.heartbeat(now);
--- a/crates/core/src/process/ownership_table.rs
+++ b/crates/core/src/process/ownership_table.rs
@@ -20,6 +20,28 @@
 pub struct HeldGrant {
     /// Fence of the grant.
     pub fence: FenceToken,
+    /// Set while the deduplication state of an earlier holder is missing and may still arrive.
+    pub memory_wait: Option<MemoryWait>,
+}
+
+/// A right of another node that came before this node's.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EarlierRight {
+    /// Node that had the right.
+    pub node: NodeId,
+    /// Fence under which it may have served.
+    pub fence: FenceToken,
+}
+
+/// A wait for the deduplication state of earlier holders that did not release the partition.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MemoryWait {
+    /// Rights under which requests may have run that no state at hand lists.
+    pub missing: Vec<EarlierRight>,
+    /// Time from which the state is not expected any more.
+    pub until: Instant,
+    /// Time of the next request for it.
+    pub request_at: Instant,
 }
 
 /// The node lets requests in flight finish before it releases the partition.
@@ -53,6 +75,13 @@
     pub keep_until: Instant,
 }
 
+/// The incarnation that served the partition ended, and its last requests may still be in flight.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EndedGrant {
+    /// Fence of the grant that ended.
+    pub fence: FenceToken,
+}
+
 /// A partition in state `S`; each transition consumes the previous state.
 #[derive(Debug, Clone, PartialEq)]
 pub struct PartitionOwnership<S> {
@@ -71,7 +100,10 @@
     /// Starts to serve, once every earlier right has ended.
     #[must_use]
     pub fn hold(self, fence: FenceToken) -> PartitionOwnership<HeldGrant> {
-        PartitionOwnership { partition: self.partition, state: HeldGrant { fence } }
+        PartitionOwnership {
+            partition: self.partition,
+            state: HeldGrant { fence, memory_wait: None },
+        }
     }
 }
 
@@ -85,6 +117,30 @@
     }
 }
 
+impl PartitionOwnership<EndedGrant> {
+    /// Hands the deduplication state over once no request is in flight. Rights that the incarnation
+    /// had end by other evidence.
+    #[must_use]
+    pub fn idle(
+        self,
+        to: Vec<NodeId>,
+        dedup_state: DedupState,
+        now: Instant,
+        keep_until: Instant,
+    ) -> PartitionOwnership<ReleasedGrant> {
+        let fence = self.state.fence;
+        let state = ReleasedGrant {
+            before: 0,
+            fence,
+            unconfirmed: to,
+            dedup_state,
+            send_at: now,
+            keep_until,
+        };
+        PartitionOwnership { partition: self.partition, state }
+    }
+}
+
 impl PartitionOwnership<ReleasingGrant> {
     /// Completes the release, once no request is in flight.
     #[must_use]
@@ -117,12 +173,35 @@
     pub releasing: Vec<PartitionOwnership<ReleasingGrant>>,
     /// Partitions released, with the notice and deduplication state that are still kept.
     pub released: Vec<PartitionOwnership<ReleasedGrant>>,
+    /// Partitions of an ended incarnation of this process, until none of their requests is in flight.
+    pub ended: Vec<PartitionOwnership<EndedGrant>>,
 }
 
 impl OwnershipTable {
     /// Creates an empty table.
     pub const fn new() -> Self {
-        Self { pending: Vec::new(), held: Vec::new(), releasing: Vec::new(), released: Vec::new() }
+        Self {
+            pending: Vec::new(),
+            held: Vec::new(),
+            releasing: Vec::new(),
+            released: Vec::new(),
+            ended: Vec::new(),
+        }
+    }
+
+    /// Ends all partitions that requests may be in flight of, as the incarnation ended; returns them.
+    pub fn end(&mut self) -> Vec<PartitionId> {
+        let held = std::mem::take(&mut self.held);
+        let held = held.into_iter().map(|row| (row.partition, row.state.fence));
+        let releasing = std::mem::take(&mut self.releasing);
+        let releasing = releasing.into_iter().map(|row| (row.partition, row.state.fence));
+        let active: Vec<_> = held.chain(releasing).collect();
+        self.pending.clear();
+        for (partition, fence) in &active {
+            let state = EndedGrant { fence: *fence };
+            insert(&mut self.ended, PartitionOwnership { partition: *partition, state });
+        }
+        active.into_iter().map(|(partition, _)| partition).collect()
     }
 
     /// Returns the grant under which a partition is served.
--- a/crates/core/src/request/dedup_table.rs
+++ b/crates/core/src/request/dedup_table.rs
@@ -3,7 +3,8 @@
 //! Ids are version 7 UUIDs, so they sort by age: new ones are appended, old ones are dropped from
 //! the front. A request whose id is older than the period that the table covers is refused as
 //! "may have run" and never run a second time. After a takeover with incomplete state, as when
-//! the table of the previous owner is lost, the period begins anew.
+//! the table of the previous owner is lost, the period begins anew. A previous owner that still runs may
+//! hand its table over late; for a short time, requests that only it can decide wait for that.
 
 use uuid::Uuid;
 
@@ -16,11 +17,20 @@
 /// Largest difference between the clocks of two hosts that is tolerated, in milliseconds.
 pub(super) const CLOCK_SKEW_MS: u64 = 250;
 
+/// Time after a takeover with incomplete state for which requests wait for the rest of it, in
+/// milliseconds: several round trips, and the processing of a node that was paused.
+pub const MEMORY_WAIT_MS: u64 = 1_000;
+
 /// Non-idempotent requests that an owner saw, sorted by id.
 #[derive(Debug, Clone, Default)]
 pub struct DedupTable {
     rows: Vec<SeenRequest>,
+    /// Requests with older ids may have run without being listed.
     unknown_before_ms: u64,
+    /// The same, as long as the state of an earlier owner is missing.
+    missing_before_ms: u64,
+    /// Until when that state may still arrive.
+    awaited_until_ms: u64,
 }
 
 /// Decision on a request that arrives.
@@ -34,6 +44,8 @@
     StillRunning,
     /// Whether it ran is unknown.
     Unknown,
+    /// Whether it ran is not known yet: an earlier owner may still hand over its state.
+    NotKnownYet,
 }
 
 /// Unix time in milliseconds at which an id was created; `None` unless it is a version 7 UUID.
@@ -48,14 +60,26 @@
     /// `complete` says that the state covers all earlier owners. Otherwise ids created before the
     /// takeover at `now_ms` may have run without being listed.
     pub fn take_over(states: &[DedupState], complete: bool, now_ms: u64) -> Self {
-        let lost_before_ms = if complete { 0 } else { now_ms + CLOCK_SKEW_MS };
-        let mut table = Self { rows: Vec::new(), unknown_before_ms: lost_before_ms };
+        let mut table = Self::default();
+        if !complete {
+            table.missing_before_ms = now_ms + CLOCK_SKEW_MS;
+            table.awaited_until_ms = now_ms + MEMORY_WAIT_MS;
+        }
         for other in states {
             table.merge(other);
         }
         table
     }
 
+    /// Adds state that arrived after the takeover; with it, the state covers all earlier owners.
+    pub fn complete(&mut self, states: &[DedupState]) {
+        for other in states {
+            self.merge(other);
+        }
+        self.missing_before_ms = 0;
+        self.awaited_until_ms = 0;
+    }
+
     fn merge(&mut self, other: &DedupState) {
         self.unknown_before_ms = self.unknown_before_ms.max(other.unknown_before_ms);
         for row in &other.requests {
@@ -78,6 +102,10 @@
                 state @ RunState::Ran { .. } => DedupDecision::Replay(state.clone()),
             },
             Err(_) if !first_send && self.is_not_covered(id, now_ms) => DedupDecision::Unknown,
+            Err(_) if !first_send && self.is_missing(id) => match now_ms < self.awaited_until_ms {
+                true => DedupDecision::NotKnownYet,
+                false => DedupDecision::Unknown,
+            },
             Err(index) => {
                 self.rows.insert(index, SeenRequest { id, state: RunState::Running });
                 DedupDecision::Run
@@ -91,6 +119,11 @@
         created_ms < self.unknown_before_ms || created_ms + ID_WINDOW_MS < now_ms
     }
 
+    /// Whether an earlier owner whose state is missing may have run a request with this id.
+    fn is_missing(&self, id: RequestId) -> bool {
+        id_unix_ms(id).is_none_or(|created_ms| created_ms < self.missing_before_ms)
+    }
+
     /// Records the outcome of a request.
     pub fn finish(&mut self, id: RequestId, state: RunState) {
         if let Ok(index) = self.find(id) {
@@ -127,7 +160,8 @@
                 row.state = RunState::Unknown;
             }
         }
-        DedupState { requests, unknown_before_ms: self.unknown_before_ms }
+        let unknown_before_ms = self.unknown_before_ms.max(self.missing_before_ms);
+        DedupState { requests, unknown_before_ms }
     }
 
     /// Number of ids listed.
--- a/crates/core/tests/ownership/main.rs
+++ b/crates/core/tests/ownership/main.rs
@@ -3,6 +3,7 @@
 //! shows that an invariant breaks without it.
 
 mod late_joins;
+mod late_memory;
 mod restores;
 mod schedule;
 mod world;
--- a/crates/core/tests/ownership/world.rs
+++ b/crates/core/tests/ownership/world.rs
@@ -56,6 +56,8 @@
     rate: u64,
     /// Partitions to report as idle, with the time of the report.
     idle_reports: Vec<(Duration, u32)>,
+    /// Partitions of ended incarnations to report as idle, with the time of the report and the boot count.
+    abandoned_reports: Vec<(Duration, u32, u128)>,
     /// Partitions of requests in flight at the upstream, with the time at which they finish.
     in_flight: Vec<(Duration, u32)>,
     /// Number of incarnations started.
@@ -95,10 +97,18 @@
     in_transit: Vec<(Duration, usize, usize, Envelope)>,
     /// Highest fence of each partition, with the node and boot count that it was given to.
     fences: BTreeMap<u32, (FenceToken, usize, u128)>,
+    /// Node and boot count of the holder before the last one of each partition.
+    earlier_holders: BTreeMap<u32, (usize, u128)>,
     /// Number of records appended by others than the nodes; also the last of their ids.
     foreign_records: u128,
     /// Number of times that a partition was opened in the whole history.
     pub opened: u64,
+    /// Node and partition of each opening without the state of an earlier holder, and since when.
+    missing_memories: BTreeMap<(usize, u32), Duration>,
+    /// States that counted as complete and were not.
+    pub memory_faults: Vec<Fault>,
+    /// How long each missing state took to arrive.
+    pub memory_times: Vec<Duration>,
 }
 
 /// Description of a broken invariant.
@@ -121,8 +131,12 @@
             links: vec![vec![true; NODES]; NODES],
             in_transit: Vec::new(),
             fences: BTreeMap::new(),
+            earlier_holders: BTreeMap::new(),
             foreign_records: 0,
             opened: 0,
+            missing_memories: BTreeMap::new(),
+            memory_faults: Vec::new(),
+            memory_times: Vec::new(),
         };
         for index in 0..NODES {
             let rate = 955_000 + world.rng.below(90_000);
@@ -134,6 +148,7 @@
                 log_reachable: true,
                 rate,
                 idle_reports: Vec::new(),
+                abandoned_reports: Vec::new(),
                 in_flight: Vec::new(),
                 boot_count: 1,
                 process: 1,
@@ -224,6 +239,11 @@
         self.now
     }
 
+    /// Number of openings without the state of an earlier holder that has not arrived since.
+    pub fn missing_memories(&self) -> usize {
+        self.missing_memories.len()
+    }
+
     /// Applies one step of a schedule and checks the invariants.
     pub fn apply(&mut self, step: &Step) -> Result<(), Fault> {
         match step {
@@ -252,6 +272,7 @@
                 node.process = boot_count;
                 node.alive = true;
                 node.idle_reports.clear();
+                node.abandoned_reports.clear();
                 node.in_flight.clear();
                 node.failed_appends.clear();
                 node.inbox.clear();
--- a/crates/core/tests/ownership/world/oracle.rs
+++ b/crates/core/tests/ownership/world/oracle.rs
@@ -27,6 +27,32 @@
         Ok(())
     }
 
+    /// Notes that a node opens a partition, with the holder before it, which may be the node itself.
+    pub(super) fn note_open(
+        &mut self,
+        index: usize,
+        partition: u32,
+        fence: FenceToken,
+    ) -> Result<(), Fault> {
+        if let Some((_, holder, boot)) = self.fences.get(&partition) {
+            self.earlier_holders.insert(partition, (*holder, *boot));
+        }
+        self.note_fence(index, partition, fence)
+    }
+
+    /// Notes a fault if the holder before the present one has requests of a partition in flight while the
+    /// present one counts the deduplication state of all earlier holders as complete. What those before
+    /// it left open is part of its state.
+    pub(super) fn check_memory(&mut self, partition: u32) {
+        let Some((holder, boot)) = self.earlier_holders.get(&partition) else { return };
+        let reports = &self.nodes[*holder].abandoned_reports;
+        if reports.iter().any(|row| (row.1, row.2) == (partition, *boot)) {
+            let fault =
+                format!("partition {partition}: node {holder} is not idle at {:?}", self.now);
+            self.memory_faults.push(fault);
+        }
+    }
+
     /// Checks that at most one node may run each partition and that no manifest reverts.
     pub(super) fn check_invariants(&mut self) -> Result<(), Fault> {
         for partition in 0..PARTITIONS {
--- a/crates/core/tests/ownership/world/round.rs
+++ b/crates/core/tests/ownership/world/round.rs
@@ -79,6 +79,13 @@
             self.nodes[index].machine.partition_idle(partition, dedup_state, now);
             self.carry_out_actions(index)?;
         }
+        let due: Vec<_> =
+            self.nodes[index].abandoned_reports.extract_if(.., |row| row.0 <= at).collect();
+        for (_, partition, _) in due {
+            let dedup_state = DedupState::default();
+            self.nodes[index].machine.abandoned_idle(partition, dedup_state, now);
+            self.carry_out_actions(index)?;
+        }
         Ok(())
     }
 
@@ -111,21 +118,38 @@
             match action {
                 NodeAction::Send { address, envelope } => self.send(index, &address, envelope),
                 NodeAction::Append { record } => self.append(index, record),
-                NodeAction::Open { partition, fence, .. } => {
+                NodeAction::Open { partition, fence, dedup_complete, .. } => {
                     self.opened += 1;
-                    self.note_fence(index, partition, fence)?;
+                    self.note_open(index, partition, fence)?;
+                    match dedup_complete {
+                        true => self.check_memory(partition),
+                        false => {
+                            self.missing_memories.insert((index, partition), self.now);
+                        }
+                    }
+                }
+                NodeAction::CompleteDedup { partition, .. } => {
+                    self.check_memory(partition);
+                    let since = self.missing_memories.remove(&(index, partition));
+                    self.memory_times.extend(since.map(|since| self.now.saturating_sub(since)));
                 }
                 NodeAction::RaiseFence { partition, fence } => {
                     self.note_fence(index, partition, fence)?;
                 }
                 NodeAction::Close { partition } => {
+                    self.missing_memories.remove(&(index, partition));
                     let end = self.now + Duration::from_millis(self.rng.below(400));
                     let idle = if self.guards.idle_release { end } else { self.now };
                     self.nodes[index].in_flight.push((end, partition));
                     self.nodes[index].idle_reports.push((idle, partition));
                 }
-                NodeAction::Abandon { .. } | NodeAction::Suspects { .. } | NodeAction::Finished => {
+                NodeAction::Abandon { partition } => {
+                    self.missing_memories.remove(&(index, partition));
+                    let idle = self.now + Duration::from_millis(self.rng.below(400));
+                    let boot_count = self.nodes[index].boot_count;
+                    self.nodes[index].abandoned_reports.push((idle, partition, boot_count));
                 }
+                NodeAction::Suspects { .. } | NodeAction::Finished => {}
             }
         }
         Ok(())
--- a/crates/firspindle/src/connection/partition_gate.rs
+++ b/crates/firspindle/src/connection/partition_gate.rs
@@ -69,6 +69,11 @@
         self.cancel_requests();
     }
 
+    /// Whether the gate is closed and no request is in flight.
+    pub fn is_idle(&self) -> bool {
+        self.state.load(Ordering::Acquire) == CLOSED
+    }
+
     /// Makes the requests in flight stop waiting for a response; whether they ran is unknown.
     pub fn cancel_requests(&self) {
         self.cancelled.send_replace(true);
--- a/crates/firspindle/src/process/control_thread.rs
+++ b/crates/firspindle/src/process/control_thread.rs
@@ -114,6 +114,8 @@
     named_limit: Option<(Box<str>, UpstreamLimit)>,
     announced_at: Instant,
     gates: Vec<GateRow>,
+    /// Gates of ended incarnations whose requests are still in flight.
+    abandoned: Vec<GateRow>,
     routes: Arc<RouteTable>,
     /// Revision of the state from which `routes` was built.
     routes_revision: Option<LogOffset>,
@@ -153,6 +155,7 @@
             named_limit: None,
             announced_at: now,
             gates: Vec::new(),
+            abandoned: Vec::new(),
             routes: Arc::default(),
             routes_revision: None,
             published_node: None,
@@ -248,6 +251,7 @@
             }
         }
         self.hand_over_idle(now);
+        self.hand_over_abandoned(now);
         // Carries out the actions of each event before the next event is handled.
         self.execute_actions();
     }
@@ -276,6 +280,7 @@
             self.current_machine().expire_suspects(unix_ms());
         }
         self.hand_over_idle(now);
+        self.hand_over_abandoned(now);
         self.fetch_from_seeds(now);
         self.extend_grant();
         self.restart_incarnation(now);
@@ -320,6 +325,11 @@
             NodeAction::Open { partition, fence, dedup_state, dedup_complete } => {
                 self.open_gate(partition, fence, &dedup_state, dedup_complete);
             }
+            NodeAction::CompleteDedup { partition, dedup_state } => {
+                if let Ok(index) = self.find_gate(partition) {
+                    self.gates[index].gate.dedup_table().complete(&dedup_state);
+                }
+            }
             NodeAction::RaiseFence { partition, fence } => {
                 if let Ok(index) = self.find_gate(partition) {
                     self.gates[index].gate.raise_fence(fence);
@@ -332,7 +342,9 @@
             }
             NodeAction::Abandon { partition } => {
                 if let Ok(index) = self.find_gate(partition) {
-                    self.gates.remove(index).gate.abandon();
+                    let row = self.gates.remove(index);
+                    row.gate.abandon();
+                    self.abandoned.push(row);
                 }
             }
             NodeAction::Suspects { .. } => self.published_suspects = usize::MAX,
--- a/crates/firspindle/src/process/control_thread/upstream_step.rs
+++ b/crates/firspindle/src/process/control_thread/upstream_step.rs
@@ -116,6 +116,15 @@
         self.current_machine().partition_idle(partition, dedup_state, now);
     }
 
+    /// Hands over what ended incarnations saw, of the partitions that are idle.
+    pub(super) fn hand_over_abandoned(&mut self, now: Instant) {
+        let idle: Vec<_> = self.abandoned.extract_if(.., |row| row.gate.is_idle()).collect();
+        for row in idle {
+            let dedup_state = row.gate.dedup_table().export();
+            self.current_machine().abandoned_idle(row.partition, dedup_state, now);
+        }
+    }
+
     pub(super) fn extend_grant(&mut self) {
         let Some(machine) = &self.machine else { return };
         if self.handover_hold.is_some() {
--- a/crates/firspindle/src/request/owner_step.rs
+++ b/crates/firspindle/src/request/owner_step.rs
@@ -33,6 +33,9 @@
 /// `Retry-After` of an upstream's refusal that names none.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Time between two looks whether an earlier owner has handed over what it saw.
+const MEMORY_POLL_INTERVAL: Duration = Duration::from_millis(10);
+
 /// Most bytes of an upstream's reason that are logged.
 const MAX_LOGGED_BYTES: usize = 200;
 
@@ -90,13 +93,13 @@
     }
     let deduplicated = !request.operation.idempotent;
     if deduplicated {
-        match gate_guard.gate().dedup_table().begin(request.id, request.first_send, unix_ms()) {
+        match decide(gate_guard.gate(), request).await {
             DedupDecision::Run => {}
             DedupDecision::Replay(state) => return CallerResponse::replayed(state),
             DedupDecision::StillRunning => {
                 return CallerResponse::failed(&RequestFailure::StillRunning);
             }
-            DedupDecision::Unknown => {
+            DedupDecision::Unknown | DedupDecision::NotKnownYet => {
                 return CallerResponse::failed(&RequestFailure::OutcomeUnknown);
             }
         }
@@ -130,6 +133,17 @@
     }
 }
 
+/// Decides whether a request may run; waits while an earlier owner may still hand over what it saw.
+async fn decide(gate: &PartitionGate, request: &CallerRequest) -> DedupDecision {
+    loop {
+        let decision = gate.dedup_table().begin(request.id, request.first_send, unix_ms());
+        if decision != DedupDecision::NotKnownYet || Instant::now() >= request.deadline {
+            return decision;
+        }
+        tokio::time::sleep(MEMORY_POLL_INTERVAL).await;
+    }
+}
+
 async fn acquire_and_send(
     context: &TrafficContext,
     view: &TrafficView,
