fix(core): the assignment of an earlier holder is kept until a later owner has served

An order could run twice: the assignment that shows who served a partition before was dropped once every member had acknowledged a later one, also if its owner ended before it served. The next owner then took its deduplication state for complete. Found by the oracle of the histories (check_memory), not seen in a process.

An owner acknowledges an assignment only once it has served under it, a draining one no more than it has, and the planner drops nothing older than an assignment that nobody has acknowledged so.

--- a/crates/core/src/process/node_machine.rs
+++ b/crates/core/src/process/node_machine.rs
@@ -95,6 +95,8 @@
     /// Time since which the node has a witness set but no valid lease.
     lease_lost_since: Option<Instant>,
     drain_reason: Option<DrainReason>,
+    /// What a draining node acknowledges at most, as it has not served all that it was assigned.
+    drain_ack_bound: Option<LogOffset>,
     /// Assignment offset for which a renewal was last sent early.
     early_renewal_offset: LogOffset,
     /// Revision for which the computed plan is empty.
@@ -231,6 +233,7 @@
             lease_was_valid: false,
             lease_lost_since: None,
             drain_reason: None,
+            drain_ack_bound: None,
             early_renewal_offset: 0,
             empty_plan_revision: None,
             drain_step_at: now,
--- a/crates/core/src/process/node_machine/ownership_step.rs
+++ b/crates/core/src/process/node_machine/ownership_step.rs
@@ -373,6 +373,10 @@
         let incarnation = incarnation.drain();
         self.life = LifeCycle::Draining(incarnation);
         self.drain_reason = Some(reason);
+        if !self.ownerships.pending.is_empty() {
+            // It does not serve what it waited for any more.
+            self.drain_ack_bound = Some(self.acked());
+        }
         self.ownerships.pending.clear();
         self.drain_step_at = now;
         log::info!(node = incarnation.state.id, reason:?; "drain started");
--- a/crates/core/src/process/node_machine/tick_step.rs
+++ b/crates/core/src/process/node_machine/tick_step.rs
@@ -5,7 +5,7 @@
 use super::{AppendKind, NodeMachine};
 use crate::connection::{Envelope, PeerMessage, RenewRequest, SwitchRequest};
 use crate::process::{DrainReason, LifeCycle, NodeAction, PlannerSchedule};
-use crate::version::{CheckpointBody, PlanBuilder, PlanRecord, RecordBody};
+use crate::version::{CheckpointBody, PartitionRow, PlanBuilder, PlanRecord, RecordBody};
 use crate::{LogOffset, NodeId};
 
 /// Maximum time that a drained node stays until its releases are confirmed and, if its process
@@ -194,8 +194,14 @@
         });
         let assignment_bound =
             releasing.map(|assignment| assignment.offset.saturating_sub(1)).min();
+        // The earlier assignments show whose deduplication state a partition opens without.
+        let waiting = self.ownerships.pending.iter().filter_map(|ownership| {
+            self.state.partition(ownership.partition).and_then(PartitionRow::current)
+        });
+        let waiting_bound = waiting.map(|assignment| assignment.offset.saturating_sub(1)).min();
         let set_bound = self.lease.first_ungranted().map_or(folded, |set| set.saturating_sub(1));
-        folded.min(assignment_bound.unwrap_or(folded)).min(set_bound)
+        let bounds = [assignment_bound, waiting_bound, self.drain_ack_bound, Some(set_bound)];
+        bounds.into_iter().flatten().fold(folded, LogOffset::min)
     }
 
     /// Sends the acknowledged offset to the planner: at each heartbeat interval, and sooner if it
--- a/crates/core/src/process/planner_schedule.rs
+++ b/crates/core/src/process/planner_schedule.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use super::LeaseTiming;
-use crate::version::{FoldState, epoch_of};
+use crate::version::{AssignmentRow, FoldState, epoch_of};
 use crate::{LogOffset, NodeId};
 
 /// Time between two plans, so that one plan covers several changes.
@@ -75,15 +75,30 @@
         }
     }
 
-    /// Returns the offset that every member has acknowledged.
+    /// Returns the offset that every member has acknowledged, below that of any assignment that shows
+    /// who served a partition before and that nobody has served under since.
     ///
     /// A member that has not sent an acknowledgement counts with its join offset.
     pub fn floor(&self, state: &FoldState) -> LogOffset {
-        let acked_offset = |node: NodeId| {
-            let index = self.acked.binary_search_by_key(&node, |row| row.node).ok()?;
-            Some(self.acked[index].offset)
+        let acked = state.members.iter().map(|row| self.acked_offset(row.id)).min().unwrap_or(0);
+        // An owner acknowledges an assignment only once it has served under it.
+        let is_served = |assignment: &AssignmentRow| {
+            let owner = assignment.nodes.first().copied();
+            let owner = owner.filter(|owner| state.member(*owner).is_some());
+            owner.is_some_and(|owner| self.acked_offset(owner) >= assignment.offset)
         };
-        state.members.iter().map(|row| acked_offset(row.id).unwrap_or(row.id)).min().unwrap_or(0)
+        let unserved = state.partitions.iter().filter_map(|row| match &*row.assignments {
+            [_, superseding, ..] if !row.current().is_some_and(is_served) => {
+                Some(superseding.offset.saturating_sub(1))
+            }
+            _ => None,
+        });
+        unserved.min().unwrap_or(acked).min(acked)
+    }
+
+    fn acked_offset(&self, node: NodeId) -> LogOffset {
+        let index = self.acked.binary_search_by_key(&node, |row| row.node);
+        index.map_or(node, |index| self.acked[index].offset)
     }
 
     /// Starts over, in a new epoch of the log.
--- a/crates/core/tests/ownership/late_memory.rs
+++ b/crates/core/tests/ownership/late_memory.rs
@@ -2,11 +2,15 @@
 
 use std::time::Duration;
 
+use proptest::prelude::*;
+use proptest::test_runner::TestError;
+
 use firspindle_core::process::SafetyGuards;
 use firspindle_core::request::MEMORY_WAIT_MS;
 
-use crate::schedule::Step;
-use crate::world::{NODES, World};
+use crate::schedule::{Step, steps};
+use crate::world::{NODES, World, run_history};
+use crate::{env_number, runner};
 
 /// Time for which all nodes are paused, longer than a lease.
 const PAUSE_MS: u64 = 1_700;
@@ -17,6 +21,9 @@
 /// Time after it within which all partitions are served.
 const RECOVERY_TIME: Duration = Duration::from_secs(4);
 
+/// Number of random histories.
+const HISTORIES: u32 = 600;
+
 /// Guards against orders that did not run and are refused as ones that may have run, because the holder
 /// that a pause of all hosts cost its lease never tells the next one what it saw.
 #[test]
@@ -42,3 +49,37 @@
     assert!(missing * 20 <= times.len(), "{missing} missing");
     assert!(times.iter().all(|time| *time < Duration::from_millis(MEMORY_WAIT_MS)), "{times:?}");
 }
+
+/// Guards against requests that run twice, because a state counts as complete while an earlier holder that
+/// ended still has requests in flight.
+#[test]
+fn no_state_is_complete_before_the_earlier_holder_is_idle() {
+    let cases = env_number("MEMORY_CASES", HISTORIES);
+    let strategy = (any::<u64>(), steps());
+    let result = runner(cases, 41).run(&strategy, |(seed, steps)| {
+        let world = run_history(seed, &steps, SafetyGuards::all()).map_err(TestCaseError::fail)?;
+        prop_assert!(world.memory_faults.is_empty(), "{:?}", world.memory_faults);
+        Ok(())
+    });
+    if let Err(TestError::Fail(reason, (seed, steps))) = result {
+        panic!("{reason}\nseed {seed}\nsteps {steps:?}");
+    }
+}
+
+/// Guards against the same after an owner that ended before it served, with which the assignment of the
+/// earlier holder was forgotten.
+#[test]
+fn no_state_is_complete_after_an_owner_that_never_served() {
+    let steps = [
+        Step::Pause(3, 1985),
+        Step::LogLink(1, false),
+        Step::Isolate(4),
+        Step::Run(3372),
+        Step::Pause(2, 3339),
+        Step::LogLink(1, true),
+        Step::Run(2137),
+    ];
+    let world = run_history(8_969_937_273_798_536_532, &steps, SafetyGuards::all());
+    let world = world.expect("no rule is broken");
+    assert_eq!(world.memory_faults, [""; 0]);
+}
