--- a/crates/mesh/tests/own_record.rs
+++ b/crates/mesh/tests/own_record.rs
@@ -165,4 +165,30 @@
             prop_assert_eq!(cold, Some(Duration::from_secs(newest.into())));
         }
     }
+
+    /// Guards against a report of an earlier life that replaces the present one, whatever the order of their
+    /// arrival. Lives share an id or have their own; each is known by its start.
+    #[test]
+    fn reports_of_several_lives_leave_the_newest(
+        sent in prop::collection::vec((0_u64..4, 1_u32..12), 1..24),
+        shared_id in any::<bool>(),
+    ) {
+        let now = Instant::now();
+        let mut state = restarted(now);
+        let mut newest = (0, 0);
+        for (life, sequence) in sent {
+            let id = if shared_id { "i".into() } else { format!("i{life}").into() };
+            let instance = UpstreamInstance { id, born_ms: 1_000 + life };
+            let row = UpstreamReport {
+                instance: instance.clone(),
+                slots: sequence,
+                sequence: u64::from(sequence),
+                ..report()
+            };
+            state.handle_report(&row, now);
+            newest = newest.max((life, sequence));
+            let upstream = state.view(now).upstream.expect("the upstream is known");
+            prop_assert_eq!((upstream.instance.born_ms, upstream.slots), (1_000 + newest.0, newest.1));
+        }
+    }
 }
