--- a/crates/core/src/process.rs
+++ b/crates/core/src/process.rs
@@ -48,7 +48,7 @@
 pub use node_action::NodeAction;
 pub use node_machine::{NodeMachine, OwnedRow};
 pub use ownership_table::{
-    EarlierRight, EndedGrant, HeldGrant, MemoryWait, OwnershipTable, PartitionOwnership,
+    DedupWait, EarlierRight, EndedGrant, HeldGrant, OwnershipTable, PartitionOwnership,
     PendingGrant, ReleasedGrant, ReleasingGrant,
 };
 pub use peer_log::PeerLog;
--- a/crates/core/src/process/node_machine/message_step.rs
+++ b/crates/core/src/process/node_machine/message_step.rs
@@ -216,7 +216,7 @@
             Err(index) => self.releases.insert(index, row),
         }
         self.send(from, PeerMessage::ReleaseAck { partition, before });
-        self.complete_memory(partition);
+        self.complete_dedup(partition);
         self.update_partition(partition, now);
     }
 
--- a/crates/core/src/process/node_machine/ownership_step.rs
+++ b/crates/core/src/process/node_machine/ownership_step.rs
@@ -7,10 +7,10 @@
 use crate::connection::{DedupState, PeerMessage, ReleaseNotice, ReleaseRequest};
 use crate::process::ownership_table::{self, insert, take};
 use crate::process::{
-    DrainReason, FenceToken, HeldGrant, LifeCycle, MemoryWait, NodeAction, PartitionOwnership,
+    DedupWait, DrainReason, FenceToken, HeldGrant, LifeCycle, NodeAction, PartitionOwnership,
     RevocationCheck,
 };
-use crate::request::MEMORY_WAIT_MS;
+use crate::request::DEDUP_WAIT_MS;
 use crate::version::{AssignmentRow, PartitionRow};
 use crate::{LogOffset, NodeId, PartitionId};
 
@@ -166,7 +166,7 @@
                 ownership.idle(to, dedup_state, now, now + RELEASE_RETENTION),
             ),
         }
-        self.complete_memory(partition);
+        self.complete_dedup(partition);
     }
 
     /// Sends unconfirmed releases again, and drops those that are no longer kept.
@@ -304,7 +304,7 @@
     fn open(&mut self, partition: PartitionId, fence: FenceToken, now: Instant) {
         let Some(ownership) = take(&mut self.ownerships.pending, partition) else { return };
         insert(&mut self.ownerships.held, ownership.hold(fence));
-        let missing = self.missing_memories(partition);
+        let missing = self.missing_dedup(partition);
         let known = self.knows_earlier_epochs(partition);
         let dedup_complete = known && missing.is_empty();
         let dedup_state = self.collect_dedup_state(partition);
@@ -314,34 +314,34 @@
             && !missing.is_empty()
             && let Ok(index) = ownership_table::find(&self.ownerships.held, partition)
         {
-            let until = now + Duration::from_millis(MEMORY_WAIT_MS);
-            let wait = MemoryWait { missing, until, request_at: now };
-            self.ownerships.held[index].state.memory_wait = Some(wait);
-            self.request_memory(partition, now);
+            let until = now + Duration::from_millis(DEDUP_WAIT_MS);
+            let wait = DedupWait { missing, until, request_at: now };
+            self.ownerships.held[index].state.dedup_wait = Some(wait);
+            self.request_dedup(partition, now);
         }
     }
 
     /// Requests the deduplication state that partitions opened without, where it is due.
-    pub(super) fn request_memories(&mut self, now: Instant) {
+    pub(super) fn request_missing_dedup(&mut self, now: Instant) {
         let waits = |ownership: &&PartitionOwnership<HeldGrant>| {
-            ownership.state.memory_wait.as_ref().is_some_and(|wait| now >= wait.request_at)
+            ownership.state.dedup_wait.as_ref().is_some_and(|wait| now >= wait.request_at)
         };
         let due: Vec<_> =
             self.ownerships.held.iter().filter(waits).map(|row| row.partition).collect();
         for partition in due {
-            self.request_memory(partition, now);
+            self.request_dedup(partition, now);
         }
     }
 
     /// Requests the state of a partition from the earlier holders that have not handed it over. Their
     /// rights have provably ended, but their processes may still run.
-    fn request_memory(&mut self, partition: PartitionId, now: Instant) {
+    fn request_dedup(&mut self, partition: PartitionId, now: Instant) {
         let current = self.state.partition(partition).and_then(PartitionRow::current);
         let before = current.map_or(0, |assignment| assignment.offset + 1);
         let Ok(index) = ownership_table::find(&self.ownerships.held, partition) else { return };
-        let memory_wait = &mut self.ownerships.held[index].state.memory_wait;
-        let Some(wait) = memory_wait.as_mut().filter(|wait| now < wait.until) else {
-            *memory_wait = None;
+        let dedup_wait = &mut self.ownerships.held[index].state.dedup_wait;
+        let Some(wait) = dedup_wait.as_mut().filter(|wait| now < wait.until) else {
+            *dedup_wait = None;
             return;
         };
         wait.request_at = now + REQUEST_INTERVAL;
@@ -354,12 +354,12 @@
     }
 
     /// Completes the deduplication state of a partition that opened without, if it is all at hand now.
-    pub(super) fn complete_memory(&mut self, partition: PartitionId) {
+    pub(super) fn complete_dedup(&mut self, partition: PartitionId) {
         let Ok(index) = ownership_table::find(&self.ownerships.held, partition) else { return };
-        let Some(mut wait) = self.ownerships.held[index].state.memory_wait.take() else { return };
+        let Some(mut wait) = self.ownerships.held[index].state.dedup_wait.take() else { return };
         self.retain_missing(partition, &mut wait.missing);
         if !wait.missing.is_empty() {
-            self.ownerships.held[index].state.memory_wait = Some(wait);
+            self.ownerships.held[index].state.dedup_wait = Some(wait);
             return;
         }
         log::info!(partition; "deduplication state completed");
--- a/crates/core/src/process/node_machine/right_step.rs
+++ b/crates/core/src/process/node_machine/right_step.rs
@@ -92,7 +92,7 @@
     ///
     /// A node that ended without a release may have run such requests, unless another node served
     /// after it and handed over its own state.
-    pub(super) fn missing_memories(&self, partition: PartitionId) -> Vec<EarlierRight> {
+    pub(super) fn missing_dedup(&self, partition: PartitionId) -> Vec<EarlierRight> {
         let me = self.life.id().unwrap_or(0);
         let row = self.state.partition(partition);
         let mut rights = row.map(|row| self.earlier_rights(me, row)).unwrap_or_default();
--- a/crates/core/src/process/node_machine/tick_step.rs
+++ b/crates/core/src/process/node_machine/tick_step.rs
@@ -67,7 +67,7 @@
             }
         }
         self.update_pending(now);
-        self.request_memories(now);
+        self.request_missing_dedup(now);
         self.send_releases(now);
         self.record_revocations(me, now);
         self.heartbeat(now);
--- a/crates/core/src/process/ownership_table.rs
+++ b/crates/core/src/process/ownership_table.rs
@@ -21,7 +21,7 @@
     /// Fence of the grant.
     pub fence: FenceToken,
     /// Set while the deduplication state of an earlier holder is missing and may still arrive.
-    pub memory_wait: Option<MemoryWait>,
+    pub dedup_wait: Option<DedupWait>,
 }
 
 /// A right of another node that came before this node's.
@@ -35,7 +35,7 @@
 
 /// A wait for the deduplication state of earlier holders that did not release the partition.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct MemoryWait {
+pub struct DedupWait {
     /// Rights under which requests may have run that no state at hand lists.
     pub missing: Vec<EarlierRight>,
     /// Time from which the state is not expected any more.
@@ -102,7 +102,7 @@
     pub fn hold(self, fence: FenceToken) -> PartitionOwnership<HeldGrant> {
         PartitionOwnership {
             partition: self.partition,
-            state: HeldGrant { fence, memory_wait: None },
+            state: HeldGrant { fence, dedup_wait: None },
         }
     }
 }
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -27,7 +27,7 @@
 pub use admission_queue::{Admission, AdmissionQueue, Completion};
 pub use call_tracker::{CallTracker, CallVerdict};
 pub use cold_tracker::{ColdBelief, ColdCause, ColdRule, ColdTracker};
-pub use dedup_table::{DedupDecision, DedupTable, MEMORY_WAIT_MS, id_unix_ms};
+pub use dedup_table::{DEDUP_WAIT_MS, DedupDecision, DedupTable, id_unix_ms};
 pub use limit_tracker::LimitTracker;
 pub use load_tracker::{LoadTracker, PEER_REPORT_LIFETIME};
 pub use node_choice::{NodeDistance, NodeOption, choose_node};
--- a/crates/core/src/request/dedup_table.rs
+++ b/crates/core/src/request/dedup_table.rs
@@ -19,7 +19,7 @@
 
 /// Time after a takeover with incomplete state for which requests wait for the rest of it, in
 /// milliseconds: several round trips, and the processing of a node that was paused.
-pub const MEMORY_WAIT_MS: u64 = 1_000;
+pub const DEDUP_WAIT_MS: u64 = 1_000;
 
 /// Non-idempotent requests that an owner saw, sorted by id.
 #[derive(Debug, Clone, Default)]
@@ -63,7 +63,7 @@
         let mut table = Self::default();
         if !complete {
             table.missing_before_ms = now_ms + CLOCK_SKEW_MS;
-            table.awaited_until_ms = now_ms + MEMORY_WAIT_MS;
+            table.awaited_until_ms = now_ms + DEDUP_WAIT_MS;
         }
         for other in states {
             table.merge(other);
--- a/crates/core/tests/late_dedup.rs
+++ b/crates/core/tests/dedup_after_takeover.rs
@@ -2,7 +2,7 @@
 
 use firspindle_core::RequestId;
 use firspindle_core::connection::{DedupState, RunState, SeenRequest};
-use firspindle_core::request::{DedupDecision, DedupTable, MEMORY_WAIT_MS};
+use firspindle_core::request::{DEDUP_WAIT_MS, DedupDecision, DedupTable};
 
 /// Unix time of the takeover in milliseconds.
 const TAKEOVER_MS: u64 = 1_767_225_600_000;
@@ -43,7 +43,7 @@
 #[test]
 fn a_request_whose_earlier_owner_stays_away_may_have_run() {
     let mut table = DedupTable::take_over(&[], false, TAKEOVER_MS);
-    let late = TAKEOVER_MS + MEMORY_WAIT_MS;
+    let late = TAKEOVER_MS + DEDUP_WAIT_MS;
     assert_eq!(table.begin(old_id(1), false, late), DedupDecision::Unknown);
     // The state goes on to the next owner as incomplete.
     let next = DedupTable::take_over(&[table.export()], true, late);
--- a/crates/core/tests/ownership/late_memory.rs
+++ b/crates/core/tests/ownership/late_dedup.rs
@@ -6,7 +6,7 @@
 use proptest::test_runner::TestError;
 
 use firspindle_core::process::SafetyGuards;
-use firspindle_core::request::MEMORY_WAIT_MS;
+use firspindle_core::request::DEDUP_WAIT_MS;
 
 use crate::schedule::{Step, steps};
 use crate::world::{NODES, World, run_history};
@@ -38,27 +38,27 @@
             world.apply(&pause).expect("no rule is broken");
         }
         world.run(RECOVERY_TIME).expect("no rule is broken");
-        times.append(&mut world.memory_times);
-        missing += world.missing_memories();
-        assert_eq!(world.memory_faults, [""; 0], "seed {seed}");
+        times.append(&mut world.dedup_times);
+        missing += world.missing_dedup();
+        assert_eq!(world.dedup_faults, [""; 0], "seed {seed}");
     }
     times.sort_unstable();
     println!("{} handed over late, {missing} not: {times:?}", times.len());
     assert!(times.len() > 20, "takeovers: {}", times.len());
     // One message in fifty is lost, and one in twenty is late.
     assert!(missing * 20 <= times.len(), "{missing} missing");
-    assert!(times.iter().all(|time| *time < Duration::from_millis(MEMORY_WAIT_MS)), "{times:?}");
+    assert!(times.iter().all(|time| *time < Duration::from_millis(DEDUP_WAIT_MS)), "{times:?}");
 }
 
 /// Guards against requests that run twice, because a state counts as complete while an earlier holder that
 /// ended still has requests in flight.
 #[test]
 fn no_state_is_complete_before_the_earlier_holder_is_idle() {
-    let cases = env_number("MEMORY_CASES", HISTORIES);
+    let cases = env_number("DEDUP_CASES", HISTORIES);
     let strategy = (any::<u64>(), steps());
     let result = runner(cases, 41).run(&strategy, |(seed, steps)| {
         let world = run_history(seed, &steps, SafetyGuards::all()).map_err(TestCaseError::fail)?;
-        prop_assert!(world.memory_faults.is_empty(), "{:?}", world.memory_faults);
+        prop_assert!(world.dedup_faults.is_empty(), "{:?}", world.dedup_faults);
         Ok(())
     });
     if let Err(TestError::Fail(reason, (seed, steps))) = result {
@@ -81,5 +81,5 @@
     ];
     let world = run_history(8_969_937_273_798_536_532, &steps, SafetyGuards::all());
     let world = world.expect("no rule is broken");
-    assert_eq!(world.memory_faults, [""; 0]);
+    assert_eq!(world.dedup_faults, [""; 0]);
 }
--- a/crates/core/tests/ownership/main.rs
+++ b/crates/core/tests/ownership/main.rs
@@ -2,8 +2,8 @@
 //! clock drift, network partitions, log outages and racing records. For each safety guard, a test
 //! shows that an invariant breaks without it.
 
+mod late_dedup;
 mod late_joins;
-mod late_memory;
 mod restores;
 mod schedule;
 mod world;
--- a/crates/core/tests/ownership/world.rs
+++ b/crates/core/tests/ownership/world.rs
@@ -104,11 +104,11 @@
     /// Number of times that a partition was opened in the whole history.
     pub opened: u64,
     /// Node and partition of each opening without the state of an earlier holder, and since when.
-    missing_memories: BTreeMap<(usize, u32), Duration>,
+    missing_dedup: BTreeMap<(usize, u32), Duration>,
     /// States that counted as complete and were not.
-    pub memory_faults: Vec<Fault>,
+    pub dedup_faults: Vec<Fault>,
     /// How long each missing state took to arrive.
-    pub memory_times: Vec<Duration>,
+    pub dedup_times: Vec<Duration>,
 }
 
 /// Description of a broken invariant.
@@ -134,9 +134,9 @@
             earlier_holders: BTreeMap::new(),
             foreign_records: 0,
             opened: 0,
-            missing_memories: BTreeMap::new(),
-            memory_faults: Vec::new(),
-            memory_times: Vec::new(),
+            missing_dedup: BTreeMap::new(),
+            dedup_faults: Vec::new(),
+            dedup_times: Vec::new(),
         };
         for index in 0..NODES {
             let rate = 955_000 + world.rng.below(90_000);
@@ -240,8 +240,8 @@
     }
 
     /// Number of openings without the state of an earlier holder that has not arrived since.
-    pub fn missing_memories(&self) -> usize {
-        self.missing_memories.len()
+    pub fn missing_dedup(&self) -> usize {
+        self.missing_dedup.len()
     }
 
     /// Applies one step of a schedule and checks the invariants.
--- a/crates/core/tests/ownership/world/oracle.rs
+++ b/crates/core/tests/ownership/world/oracle.rs
@@ -43,13 +43,13 @@
     /// Notes a fault if the holder before the present one has requests of a partition in flight while the
     /// present one counts the deduplication state of all earlier holders as complete. What those before
     /// it left open is part of its state.
-    pub(super) fn check_memory(&mut self, partition: u32) {
+    pub(super) fn check_dedup(&mut self, partition: u32) {
         let Some((holder, boot)) = self.earlier_holders.get(&partition) else { return };
         let reports = &self.nodes[*holder].abandoned_reports;
         if reports.iter().any(|row| (row.1, row.2) == (partition, *boot)) {
             let fault =
                 format!("partition {partition}: node {holder} is not idle at {:?}", self.now);
-            self.memory_faults.push(fault);
+            self.dedup_faults.push(fault);
         }
     }
 
--- a/crates/core/tests/ownership/world/round.rs
+++ b/crates/core/tests/ownership/world/round.rs
@@ -122,29 +122,29 @@
                     self.opened += 1;
                     self.note_open(index, partition, fence)?;
                     match dedup_complete {
-                        true => self.check_memory(partition),
+                        true => self.check_dedup(partition),
                         false => {
-                            self.missing_memories.insert((index, partition), self.now);
+                            self.missing_dedup.insert((index, partition), self.now);
                         }
                     }
                 }
                 NodeAction::CompleteDedup { partition, .. } => {
-                    self.check_memory(partition);
-                    let since = self.missing_memories.remove(&(index, partition));
-                    self.memory_times.extend(since.map(|since| self.now.saturating_sub(since)));
+                    self.check_dedup(partition);
+                    let since = self.missing_dedup.remove(&(index, partition));
+                    self.dedup_times.extend(since.map(|since| self.now.saturating_sub(since)));
                 }
                 NodeAction::RaiseFence { partition, fence } => {
                     self.note_fence(index, partition, fence)?;
                 }
                 NodeAction::Close { partition } => {
-                    self.missing_memories.remove(&(index, partition));
+                    self.missing_dedup.remove(&(index, partition));
                     let end = self.now + Duration::from_millis(self.rng.below(400));
                     let idle = if self.guards.idle_release { end } else { self.now };
                     self.nodes[index].in_flight.push((end, partition));
                     self.nodes[index].idle_reports.push((idle, partition));
                 }
                 NodeAction::Abandon { partition } => {
-                    self.missing_memories.remove(&(index, partition));
+                    self.missing_dedup.remove(&(index, partition));
                     let idle = self.now + Duration::from_millis(self.rng.below(400));
                     let boot_count = self.nodes[index].boot_count;
                     self.nodes[index].abandoned_reports.push((idle, partition, boot_count));
--- a/crates/firspindle/src/request/owner_step.rs
+++ b/crates/firspindle/src/request/owner_step.rs
@@ -34,7 +34,7 @@
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Time between two looks whether an earlier owner has handed over what it saw.
-const MEMORY_POLL_INTERVAL: Duration = Duration::from_millis(10);
+const DEDUP_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Most bytes of an upstream's reason that are logged.
 const MAX_LOGGED_BYTES: usize = 200;
@@ -140,7 +140,7 @@
         if decision != DedupDecision::NotKnownYet || Instant::now() >= request.deadline {
             return decision;
         }
-        tokio::time::sleep(MEMORY_POLL_INTERVAL).await;
+        tokio::time::sleep(DEDUP_POLL_INTERVAL).await;
     }
 }
 
