--- a/review/standin-2/case_handover.rs
+++ b/review/standin-2/case_handover.rs
@@ -9,7 +9,7 @@
 use crate::Outcome;
 use crate::client::{Call, call};
 use crate::fleet::Fleet;
-use crate::mill;
+use crate::mill::{self, MILL};
 use crate::overlap::{KEY_STEP, Overlap};
 use crate::record::{note, note_at, seconds};
 use crate::target::Target;
@@ -24,7 +24,7 @@
 const STAYS: Duration = Duration::from_millis(3_500);
 
 pub fn play(folder: &Path, trouble: bool) -> Outcome {
-    let Some(fleet) = mill::start(folder) else { return Outcome::NotRun };
+    let Some(fleet) = mill::start(&MILL, folder) else { return Outcome::NotRun };
     // Waits of the start are over then.
     std::thread::sleep(Duration::from_secs(6));
     let stop = Arc::new(AtomicBool::new(false));
@@ -86,7 +86,7 @@
                 let request = Call {
                     key: Some(key / KEY_STEP * KEY_STEP),
                     budget: Duration::from_millis(1_200),
-                    ..Call::get(mill::HOST, "/stock/roll?ms=20")
+                    ..Call::get(MILL.host, "/stock/roll?ms=20")
                 };
                 let _ = call(address, &request);
                 std::thread::sleep(Duration::from_millis(10));
@@ -103,15 +103,23 @@
     let within: Vec<_> = runs.iter().filter(|run| (first..=last).contains(&run.at)).collect();
     let mut keys: Vec<u16> = Vec::new();
     for (position, run) in within.iter().enumerate() {
-        let other =
-            within[position + 1..].iter().find(|row| row.key == run.key && row.target != run.target);
+        let other = within[position + 1..]
+            .iter()
+            .find(|row| row.key == run.key && row.target != run.target);
         let (Some(other), Some(key)) = (other, run.key) else { continue };
         if !keys.contains(&key) {
             if keys.len() < 5 {
-                note_at(run.at, &format!(
-                    "key {key}: target {} began {}; target {} began {} at {:.3}",
-                    run.target, run.id, other.target, other.id, seconds(other.at)
-                ));
+                note_at(
+                    run.at,
+                    &format!(
+                        "key {key}: target {} began {}; target {} began {} at {:.3}",
+                        run.target,
+                        run.id,
+                        other.target,
+                        other.id,
+                        seconds(other.at)
+                    ),
+                );
             }
             keys.push(key);
         }
--- a/review/standin-2/case_reader.rs
+++ b/review/standin-2/case_reader.rs
@@ -38,8 +38,7 @@
 const CLIENTS: usize = 3;
 
 pub fn play(folder: &Path, trouble: bool) -> Outcome {
-    let machine =
-        |zone, service| MachineSpec { zone, service, sharded: service == "registre" };
+    let machine = |zone, service| MachineSpec { zone, service, sharded: service == "registre" };
     let mut fleet = Fleet::start(
         FleetSpec {
             machines: vec![
@@ -122,12 +121,15 @@
     let took = done.ended_at - done.sent_at;
     let began = run.map_or(0.0, |run| seconds(run.at));
     let ended = run.and_then(|run| run.ended).map_or(0.0, seconds);
-    note_at(done.sent_at, &format!(
-        "{id} sent; run by target {:?} from {began:.3} to {ended:.3}; status {}, {length} of {bytes} bytes, whole: \
+    note_at(
+        done.sent_at,
+        &format!(
+            "{id} sent; run by target {:?} from {began:.3} to {ended:.3}; status {}, {length} of {bytes} bytes, whole: \
          {whole}; the connection ended after {:.3} s",
-        run.map(|run| run.target),
-        done.status(),
-        took.as_secs_f64(),
-    ));
+            run.map(|run| run.target),
+            done.status(),
+            took.as_secs_f64(),
+        ),
+    );
     run.is_some() && !whole && took < BUDGET
 }
--- a/review/standin-2/fleet.rs
+++ b/review/standin-2/fleet.rs
@@ -54,7 +54,8 @@
 pub struct Fleet {
     pub spec: FleetSpec,
     pub machines: Vec<Machine>,
-    pub store: Arc<Store>,
+    /// Runs until the program ends.
+    _store: Arc<Store>,
     pub runs: Runs,
     folder: PathBuf,
     store_address: SocketAddr,
@@ -65,7 +66,8 @@
     let start = std::process::id();
     for attempt in 0..200 {
         let number = (start + attempt * 37) % 40_000;
-        let block = [64 + u8::try_from(number / 250).unwrap_or(0), u8::try_from(number % 250).unwrap_or(0)];
+        let block =
+            [64 + u8::try_from(number / 250).unwrap_or(0), u8::try_from(number % 250).unwrap_or(0)];
         let ports = [TRAFFIC, FORWARD, READINESS, CONTROL, APP, GOSSIP, ADMIN, STORE];
         let free = (0..=machines).all(|index| {
             let ip = address_in(block, index);
@@ -100,7 +102,7 @@
         });
         let machines = machines.collect();
         let mut fleet =
-            Self { spec, machines, store, runs, folder: folder.to_owned(), store_address };
+            Self { spec, machines, _store: store, runs, folder: folder.to_owned(), store_address };
         for index in 0..fleet.machines.len() {
             fleet.start_target(index);
             fleet.start_node(index, true);
@@ -120,10 +122,6 @@
         SocketAddr::from((self.machines[index].ip, APP))
     }
 
-    pub fn readiness(&self, index: usize) -> SocketAddr {
-        SocketAddr::from((self.machines[index].ip, READINESS))
-    }
-
     /// Starts a life of a machine's target.
     pub fn start_target(&mut self, index: usize) {
         let (address, reports_to) = (self.app(index), self.control(index));
--- a/review/standin-2/http.rs
+++ b/review/standin-2/http.rs
@@ -10,7 +10,6 @@
 
 /// A request that was read whole.
 pub struct Request {
-    pub method: String,
     /// Path with its query.
     pub target: String,
     pub headers: Headers,
@@ -78,8 +77,8 @@
     pace: &mut dyn FnMut(usize),
 ) -> (Vec<u8>, bool) {
     let mut body = Vec::new();
-    let chunked =
-        header(headers, "transfer-encoding").is_some_and(|text| text.eq_ignore_ascii_case("chunked"));
+    let chunked = header(headers, "transfer-encoding")
+        .is_some_and(|text| text.eq_ignore_ascii_case("chunked"));
     if chunked {
         loop {
             let Ok(Some(line)) = read_line(reader) else { return (body, false) };
@@ -134,15 +133,13 @@
 /// Reads the next request; `None` if the connection ended before it.
 pub fn read_request(reader: &mut BufReader<TcpStream>) -> io::Result<Option<Request>> {
     let Some(line) = read_line(reader)? else { return Ok(None) };
-    let mut words = line.split(' ');
-    let method = words.next().unwrap_or_default().to_owned();
-    let target = words.next().unwrap_or_default().to_owned();
+    let target = line.split(' ').nth(1).unwrap_or_default().to_owned();
     let headers = read_headers(reader)?;
     let (body, whole) = read_body(reader, &headers, false, &mut |_| ());
     if !whole {
         return Err(broken("the body breaks off"));
     }
-    Ok(Some(Request { method, target, headers, body }))
+    Ok(Some(Request { target, headers, body }))
 }
 
 pub fn write_response(
--- a/review/standin-2/json.rs
+++ b/review/standin-2/json.rs
@@ -32,13 +32,6 @@
             _ => None,
         }
     }
-
-    pub fn text(&self) -> Option<&str> {
-        match self {
-            Json::Text(text) => Some(text),
-            _ => None,
-        }
-    }
 }
 
 /// Parses a JSON text; `None` if it is none.
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -3,6 +3,7 @@
 //! With `TROUBLE=0` in the environment the disruption is left out.
 
 mod case_handover;
+mod case_late;
 mod case_reader;
 mod case_report;
 mod client;
@@ -38,6 +39,7 @@
     let outcome = match case.as_str() {
         "report" => case_report::play(folder, trouble),
         "handover" => case_handover::play(folder, trouble),
+        "late" => case_late::play(folder, trouble),
         "reader" => case_reader::play(folder, trouble),
         _ => Outcome::NotRun,
     };
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -4,7 +4,6 @@
 use std::collections::BTreeMap;
 use std::io::BufReader;
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -14,8 +13,6 @@
 pub struct Store {
     topics: Mutex<BTreeMap<String, Vec<Vec<u8>>>>,
     appended: Condvar,
-    /// Whether every call is refused with 503, as by a store that is down.
-    down: AtomicBool,
 }
 
 impl Store {
@@ -33,15 +30,6 @@
         store
     }
 
-    pub fn set_down(&self, down: bool) {
-        self.down.store(down, Ordering::SeqCst);
-        self.appended.notify_all();
-    }
-
-    fn is_down(&self) -> bool {
-        self.down.load(Ordering::SeqCst)
-    }
-
     /// Writes a record of a keyed topic, as the operator does.
     pub fn put(&self, topic: &str, key: &str, value: &[u8]) {
         let mut record = vec![u8::try_from(key.len()).expect("a short key")];
@@ -66,9 +54,6 @@
     }
 
     fn answer(&self, request: &Request) -> (u16, Vec<u8>) {
-        if self.is_down() {
-            return (503, Vec::new());
-        }
         let topic = request.parameter("topic").unwrap_or_default().to_owned();
         match request.path() {
             "/log-append" => self.append(&topic, request),
@@ -106,9 +91,6 @@
         let until = Instant::now() + Duration::from_millis(number("waitMs").unwrap_or(0));
         let mut topics = self.topics.lock().expect("no thread panics");
         loop {
-            if self.is_down() {
-                return (503, Vec::new());
-            }
             let rows = topics.get(topic).map_or(&[][..], |rows| rows);
             let now = Instant::now();
             if rows.len() > from || now >= until {
@@ -152,7 +134,11 @@
     const LETTERS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
     for part in bytes.chunks(3) {
-        let number = part.iter().chain([&0, &0]).take(3).fold(0_u32, |sum, byte| sum << 8 | u32::from(*byte));
+        let number = part
+            .iter()
+            .chain([&0, &0])
+            .take(3)
+            .fold(0_u32, |sum, byte| sum << 8 | u32::from(*byte));
         for index in 0..4 {
             let letter = LETTERS[(number >> (18 - 6 * index) & 63) as usize];
             text.push(if index <= part.len() { char::from(letter) } else { '=' });
--- a/review/standin-2/system.rs
+++ b/review/standin-2/system.rs
@@ -7,7 +7,6 @@
 
 pub const SIGTERM: c_int = 15;
 pub const SIGCONT: c_int = 18;
-pub const SIGSTOP: c_int = 19;
 
 const AF_INET: c_int = 2;
 const SOCK_STREAM: c_int = 1;
@@ -28,7 +27,8 @@
     #[link_name = "kill"]
     fn c_kill(process: c_int, signal: c_int) -> c_int;
     fn socket(domain: c_int, kind: c_int, protocol: c_int) -> c_int;
-    fn setsockopt(fd: c_int, level: c_int, name: c_int, value: *const c_void, length: u32) -> c_int;
+    fn setsockopt(fd: c_int, level: c_int, name: c_int, value: *const c_void, length: u32)
+    -> c_int;
     fn connect(fd: c_int, address: *const c_void, length: u32) -> c_int;
 }
 
--- a/review/standin-2/target.rs
+++ b/review/standin-2/target.rs
@@ -3,13 +3,13 @@
 //!
 //! A request says in its query how long it is worked on (`ms`) and how long its answer is (`bytes`).
 
-use std::io::{BufReader, Read, Write};
+use std::io::BufReader;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use crate::http::{Request, header, read_answer, read_request, write_request, write_response};
+use crate::http::{Request, read_answer, read_request, write_request, write_response};
 use crate::json;
 
 /// Number of keys.
@@ -29,12 +29,8 @@
 pub struct Run {
     pub at: Instant,
     pub target: usize,
-    pub instance: String,
     pub id: String,
     pub key: Option<u16>,
-    pub caller_service: String,
-    pub method: String,
-    pub path: String,
     /// When the answer was written to the connection, whole.
     pub ended: Option<Instant>,
 }
@@ -79,8 +75,6 @@
     sequence: AtomicU64,
     draining: AtomicBool,
     ended: AtomicBool,
-    /// Whether it currently sends no reports.
-    mute: AtomicBool,
     runs: Runs,
     /// Answers to reports: when, and whether they granted keys.
     pub answers: Mutex<Vec<(Instant, u16, bool)>>,
@@ -111,7 +105,6 @@
             sequence: AtomicU64::new(0),
             draining: AtomicBool::new(false),
             ended: AtomicBool::new(false),
-            mute: AtomicBool::new(false),
             runs: runs.clone(),
             answers: Mutex::default(),
         });
@@ -135,17 +128,6 @@
         self.draining.store(true, Ordering::SeqCst);
     }
 
-    pub fn set_mute(&self, mute: bool) {
-        self.mute.store(mute, Ordering::SeqCst);
-    }
-
-    /// Whether it holds a key or is at work on it.
-    pub fn holds(&self, key: u16) -> bool {
-        let holds = self.holds.lock().expect("no thread panics");
-        let held = holds.fences[usize::from(key)] > 0 && Instant::now() < holds.until;
-        self.is_up() && (held || holds.working.contains(&key))
-    }
-
     /// Returns the fence under which it holds a key; 0 if it does not.
     pub fn fence(&self, key: u16) -> u64 {
         let holds = self.holds.lock().expect("no thread panics");
@@ -201,7 +183,8 @@
             return write_response(stream, 400, &refusal, b"");
         }
         let key = request.header("x-shard-key").and_then(|text| text.parse::<u16>().ok());
-        let expected = request.header("x-expect-instance").is_none_or(|expected| expected == self.id);
+        let expected =
+            request.header("x-expect-instance").is_none_or(|expected| expected == self.id);
         if !expected || (self.facts.sharded && !self.begin_work(key)) {
             return write_response(stream, 421, &refusal, b"");
         }
@@ -211,7 +194,7 @@
             self.end_work(key);
             return write_response(stream, 503, &refusal, b"");
         }
-        let index = self.note_run(request, &id, key);
+        let index = self.note_run(&id, key);
         let number = |name| request.parameter(name).and_then(|text: &str| text.parse::<u64>().ok());
         std::thread::sleep(Duration::from_millis(number("ms").unwrap_or(0)));
         let length = usize::try_from(number("bytes").unwrap_or(16)).unwrap_or(16);
@@ -230,17 +213,13 @@
         Ok(())
     }
 
-    fn note_run(&self, request: &Request, id: &str, key: Option<u16>) -> usize {
+    fn note_run(&self, id: &str, key: Option<u16>) -> usize {
         let mut runs = self.runs.lock().expect("no thread panics");
         runs.push(Run {
             at: Instant::now(),
             target: self.facts.index,
-            instance: self.id.clone(),
             id: id.into(),
             key,
-            caller_service: request.header("x-caller-service").unwrap_or_default().into(),
-            method: request.method.clone(),
-            path: request.path().into(),
             ended: None,
         });
         runs.len() - 1
@@ -266,10 +245,6 @@
 
     fn report_until_end(&self) {
         while self.is_up() {
-            if self.mute.load(Ordering::SeqCst) {
-                std::thread::sleep(Duration::from_millis(20));
-                continue;
-            }
             let sent_at = Instant::now();
             let (body, freed) = self.report();
             let reply = self.put(&body);
@@ -322,6 +297,11 @@
         (body, freed)
     }
 
+    /// Returns path and body of a report that is held up on its way.
+    pub fn held_up_report(&self) -> (String, String) {
+        (format!("/instances/{}", self.id), self.report().0)
+    }
+
     /// Sends a report; returns the body of a 2xx answer.
     fn put(&self, body: &str) -> Option<String> {
         let answer = exchange(
@@ -417,19 +397,5 @@
     write_request(&mut stream, method, path, &headers, body).ok()?;
     let mut reader = BufReader::new(stream);
     let answer = read_answer(&mut reader, &mut |_| ()).ok()?;
-    let _ = header(&answer.headers, "content-type");
     Some((answer.status, String::from_utf8_lossy(&answer.body).into_owned()))
 }
-
-/// Writes bytes and reads until the connection ends; for requests that are not written by [`write_request`].
-pub fn send_raw(address: SocketAddr, bytes: &[u8]) -> Vec<u8> {
-    let Ok(mut stream) = TcpStream::connect_timeout(&address, REPORT_TIMEOUT) else {
-        return Vec::new();
-    };
-    let _ = stream.set_read_timeout(Some(REPORT_TIMEOUT));
-    let mut answer = Vec::new();
-    if stream.write_all(bytes).is_ok() {
-        let _ = stream.read_to_end(&mut answer);
-    }
-    answer
-}
