Review case 8: a request that crashes targets after its caller left is never refused

Case: a request crashes each target that runs it 0.4 s after its begin; its callers leave after 0.3 s, and it comes again every 1.5 s (BUDGET). It is an entry: docs/incidents/crashing-requests.md, "after the caller has left".

--- a/review/standin-2/case_reader.rs
+++ b/review/standin-2/case_reader.rs
@@ -51,6 +51,7 @@
             slots: 9,
             beat: Duration::from_millis(870),
             born: false,
+            crashes: false,
         },
         folder,
     );
--- a/review/standin-2/client.rs
+++ b/review/standin-2/client.rs
@@ -24,6 +24,8 @@
     pub budget: Duration,
     /// Time for which it reads nothing once the answer's body has begun.
     pub pause: Option<Duration>,
+    /// Time after which it closes its connection if no answer has begun.
+    pub leaves_after: Option<Duration>,
 }
 
 impl Call {
@@ -39,6 +41,7 @@
             body: Vec::new(),
             budget: Duration::from_secs(2),
             pause: None,
+            leaves_after: None,
         }
     }
 }
@@ -78,7 +81,7 @@
     };
     let mut stream = stream.ok()?;
     let _ = stream.set_nodelay(true);
-    let _ = stream.set_read_timeout(Some(request.budget));
+    let _ = stream.set_read_timeout(Some(request.leaves_after.unwrap_or(request.budget)));
     let sent_at = Instant::now();
     let mut headers = vec![
         ("host", request.host.clone()),
--- a/review/standin-2/fleet.rs
+++ b/review/standin-2/fleet.rs
@@ -39,6 +39,8 @@
     pub slots: usize,
     pub beat: Duration,
     pub born: bool,
+    /// Whether requests may crash targets.
+    pub crashes: bool,
 }
 
 pub struct Machine {
@@ -137,6 +139,7 @@
             sharded: machine.spec.sharded,
             beat: self.spec.beat,
             born: self.spec.born,
+            crashes: self.spec.crashes,
         };
         let id = format!("i-{index}-{}", machine.lives);
         machine.target = Some(Target::start(facts, &id, &self.runs));
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -4,6 +4,7 @@
 
 mod case_handover;
 mod case_late;
+mod case_left;
 mod case_reader;
 mod case_report;
 mod client;
@@ -40,6 +41,7 @@
         "report" => case_report::play(folder, trouble),
         "handover" => case_handover::play(folder, trouble),
         "late" => case_late::play(folder, trouble),
+        "left" => case_left::play(folder, trouble),
         "reader" => case_reader::play(folder, trouble),
         _ => Outcome::NotRun,
     };
--- a/review/standin-2/mill.rs
+++ b/review/standin-2/mill.rs
@@ -68,6 +68,7 @@
         slots: site.slots,
         beat: Duration::from_millis(870),
         born: site.born,
+        crashes: false,
     };
     let fleet = Fleet::start(spec, folder);
     let path = format!("{}probe?ms=5", site.prefix);
--- a/review/standin-2/target.rs
+++ b/review/standin-2/target.rs
@@ -31,6 +31,7 @@
     pub target: usize,
     pub id: String,
     pub key: Option<u16>,
+    pub path: String,
     /// When the answer was written to the connection, whole.
     pub ended: Option<Instant>,
 }
@@ -63,6 +64,8 @@
     pub beat: Duration,
     /// Whether its reports name their `born`, as those of the newer installations do.
     pub born: bool,
+    /// Whether a request whose query says so (`crash`, in milliseconds after its begin) crashes it.
+    pub crashes: bool,
 }
 
 /// A life of a target.
@@ -75,7 +78,11 @@
     sequence: AtomicU64,
     draining: AtomicBool,
     ended: AtomicBool,
+    /// Connections that it accepted.
+    streams: Mutex<Vec<TcpStream>>,
     runs: Runs,
+    /// When a request crashed it.
+    pub crashed_by: Mutex<Vec<Instant>>,
     /// Answers to reports: when, and whether they granted keys.
     pub answers: Mutex<Vec<(Instant, u16, bool)>>,
 }
@@ -105,7 +112,9 @@
             sequence: AtomicU64::new(0),
             draining: AtomicBool::new(false),
             ended: AtomicBool::new(false),
+            streams: Mutex::default(),
             runs: runs.clone(),
+            crashed_by: Mutex::default(),
             answers: Mutex::default(),
         });
         let server = target.clone();
@@ -118,6 +127,9 @@
     /// Ends the life at once, as a crash does.
     pub fn end(&self) {
         self.ended.store(true, Ordering::SeqCst);
+        for stream in self.streams.lock().expect("no thread panics").drain(..) {
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+        }
     }
 
     pub fn is_up(&self) -> bool {
@@ -157,7 +169,8 @@
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nonblocking(false);
         let _ = stream.set_nodelay(true);
-        let Ok(copy) = stream.try_clone() else { return };
+        let (Ok(copy), Ok(kept)) = (stream.try_clone(), stream.try_clone()) else { return };
+        self.streams.lock().expect("no thread panics").push(kept);
         let (mut reader, mut stream) = (BufReader::new(copy), stream);
         while let Ok(Some(request)) = read_request(&mut reader) {
             if !self.is_up() || self.answer(&request, &mut stream).is_err() {
@@ -194,8 +207,13 @@
             self.end_work(key);
             return write_response(stream, 503, &refusal, b"");
         }
-        let index = self.note_run(&id, key);
+        let index = self.note_run(request, &id, key);
         let number = |name| request.parameter(name).and_then(|text: &str| text.parse::<u64>().ok());
+        if let Some(crash) = number("crash").filter(|_| self.facts.crashes) {
+            std::thread::sleep(Duration::from_millis(crash));
+            self.crashed_by.lock().expect("no thread panics").push(Instant::now());
+            self.end();
+        }
         std::thread::sleep(Duration::from_millis(number("ms").unwrap_or(0)));
         let length = usize::try_from(number("bytes").unwrap_or(16)).unwrap_or(16);
         self.running.fetch_sub(1, Ordering::SeqCst);
@@ -213,13 +231,14 @@
         Ok(())
     }
 
-    fn note_run(&self, id: &str, key: Option<u16>) -> usize {
+    fn note_run(&self, request: &Request, id: &str, key: Option<u16>) -> usize {
         let mut runs = self.runs.lock().expect("no thread panics");
         runs.push(Run {
             at: Instant::now(),
             target: self.facts.index,
             id: id.into(),
             key,
+            path: request.path().into(),
             ended: None,
         });
         runs.len() - 1
