--- a/review/standin-2/case_left.rs
+++ b/review/standin-2/case_left.rs
@@ -1,4 +1,5 @@
-//! A request that crashes each target that runs it, a little after its caller has left.
+//! A request that crashes each target that runs it, a little after its caller has left. With `MOMENT=answered` in the
+//! environment its callers wait, and it crashes each target some time after its whole answer.
 
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -19,6 +20,9 @@
 /// Path of the request, always the same.
 const CRASH_PATH: &str = "/verif/plaque?crash=400&ms=20";
 
+/// The same for a crash after the answer.
+const CRASH_AFTER_PATH: &str = "/verif/plaque?crash-after=1500&ms=20";
+
 /// Time after which its callers leave: half of the objective of 0.6 s.
 const LEAVES_AFTER: Duration = Duration::from_millis(300);
 
@@ -41,6 +45,7 @@
 type Orders = Arc<Mutex<Vec<u16>>>;
 
 pub fn play(folder: &Path, trouble: bool) -> Outcome {
+    let answered = std::env::var("MOMENT").is_ok_and(|text| text == "answered");
     let zones = ["rennes", "brest", "vannes", "saint-brieuc"];
     let machine = |zone| MachineSpec { zone, service: "registre", sharded: false };
     let mut fleet = Fleet::start(
@@ -74,14 +79,11 @@
             std::thread::spawn(move || {
                 let request = Call {
                     budget: Duration::from_secs(4),
-                    leaves_after: Some(LEAVES_AFTER),
-                    ..Call::get(HOST, CRASH_PATH)
+                    leaves_after: (!answered).then_some(LEAVES_AFTER),
+                    ..Call::get(HOST, if answered { CRASH_AFTER_PATH } else { CRASH_PATH })
                 };
                 let status = call(address, &request).map_or(0, |done| done.status());
-                note(&format!(
-                    "the request {}: status {status} (0: its caller has left)",
-                    request.id
-                ));
+                note(&format!("the request {}: status {status} (0: no answer)", request.id));
             });
         }
         for index in 0..fleet.machines.len() {
--- a/review/standin-2/target.rs
+++ b/review/standin-2/target.rs
@@ -64,7 +64,8 @@
     pub beat: Duration,
     /// Whether its reports name their `born`, as those of the newer installations do.
     pub born: bool,
-    /// Whether a request whose query says so (`crash`, in milliseconds after its begin) crashes it.
+    /// Whether a request whose query says so crashes it: `crash` milliseconds after its begin, or `crash-after`
+    /// milliseconds after its answer.
     pub crashes: bool,
 }
 
@@ -166,7 +167,7 @@
         }
     }
 
-    fn serve(&self, stream: TcpStream) {
+    fn serve(self: &Arc<Self>, stream: TcpStream) {
         let _ = stream.set_nonblocking(false);
         let _ = stream.set_nodelay(true);
         let (Ok(copy), Ok(kept)) = (stream.try_clone(), stream.try_clone()) else { return };
@@ -179,7 +180,7 @@
         }
     }
 
-    fn answer(&self, request: &Request, stream: &mut TcpStream) -> std::io::Result<()> {
+    fn answer(self: &Arc<Self>, request: &Request, stream: &mut TcpStream) -> std::io::Result<()> {
         let id = request.header("x-request-id").unwrap_or_default().to_owned();
         let load = format!("{},0,{}", self.running.load(Ordering::SeqCst), self.facts.slots);
         if request.path() == "/healthz" {
@@ -210,9 +211,7 @@
         let index = self.note_run(request, &id, key);
         let number = |name| request.parameter(name).and_then(|text: &str| text.parse::<u64>().ok());
         if let Some(crash) = number("crash").filter(|_| self.facts.crashes) {
-            std::thread::sleep(Duration::from_millis(crash));
-            self.crashed_by.lock().expect("no thread panics").push(Instant::now());
-            self.end();
+            self.crash_in(Duration::from_millis(crash));
         }
         std::thread::sleep(Duration::from_millis(number("ms").unwrap_or(0)));
         let length = usize::try_from(number("bytes").unwrap_or(16)).unwrap_or(16);
@@ -228,6 +227,10 @@
         ];
         write_response(stream, 200, &headers, &vec![b'x'; length])?;
         self.runs.lock().expect("no thread panics")[index].ended = Some(Instant::now());
+        if let Some(crash) = number("crash-after").filter(|_| self.facts.crashes) {
+            let target = self.clone();
+            std::thread::spawn(move || target.crash_in(Duration::from_millis(crash)));
+        }
         Ok(())
     }
 
@@ -244,6 +247,13 @@
         runs.len() - 1
     }
 
+    /// Crashes after a time.
+    fn crash_in(&self, time: Duration) {
+        std::thread::sleep(time);
+        self.crashed_by.lock().expect("no thread panics").push(Instant::now());
+        self.end();
+    }
+
     /// Begins work on a key if it is held.
     fn begin_work(&self, key: Option<u16>) -> bool {
         let Some(key) = key else { return false };
