--- a/review/standin-2/case_report.rs
+++ b/review/standin-2/case_report.rs
@@ -9,10 +9,10 @@
 use crate::record::note;
 
 /// `recoverS` of the sites.
-pub const RECOVER: Duration = Duration::from_secs(15);
+const RECOVER: Duration = Duration::from_secs(15);
 
 /// Time for which requests are sent before the disruption, and for which they are judged after it.
-pub const JUDGED: Duration = Duration::from_secs(8);
+const JUDGED: Duration = Duration::from_secs(8);
 
 /// Time after the processes are back at which the reports of the other writer come.
 const REPORTS_AFTER: Duration = Duration::from_secs(4);
@@ -36,7 +36,7 @@
 }
 
 /// Judges the rule RECOVER for requests before a final fault and after the machines were back.
-pub fn judge(clients: Clients, fault_at: Instant, back_at: Instant) -> Outcome {
+fn judge(clients: Clients, fault_at: Instant, back_at: Instant) -> Outcome {
     let sent = clients.end();
     let began = sent.first().map_or(fault_at, |row| row.0);
     let before = share(&sent, began, fault_at);
--- a/review/standin-2/client.rs
+++ b/review/standin-2/client.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use crate::http::{Answer, header, read_answer, write_request};
+use crate::record;
 use crate::system::connect_small;
 
 static NEXT_ID: AtomicU64 = AtomicU64::new(1);
@@ -83,6 +84,8 @@
     let _ = stream.set_nodelay(true);
     let _ = stream.set_read_timeout(Some(request.leaves_after.unwrap_or(request.budget)));
     let sent_at = Instant::now();
+    let key = request.key.map_or(String::new(), |key| format!(" key {key}"));
+    record::keep(sent_at, format!("{} sent: {} {}{key}", request.id, request.method, request.path));
     let mut headers = vec![
         ("host", request.host.clone()),
         ("x-request-id", request.id.clone()),
@@ -103,5 +106,10 @@
         };
         read_answer(&mut reader, &mut pace).ok()
     });
-    Some(Done { sent_at, ended_at: Instant::now(), answer })
+    let ended_at = Instant::now();
+    let text = answer.as_ref().map_or("no answer".to_owned(), |answer| {
+        format!("{}, {} bytes, whole: {}", answer.status, answer.body.len(), answer.whole)
+    });
+    record::keep(ended_at, format!("{} answered: {text}", request.id));
+    Some(Done { sent_at, ended_at, answer })
 }
