fix(mesh): a report of another service changes nothing

Cause: handle_report applied a report to the grants and to the upstream's record before it compared the service. A whole heartbeat of another writer with a later start was taken for the upstream's next life: its fences counted as ended, which other hosts were told, and the upstream's own reports counted as late for good.

Change: OwnReport::check is the one place that decides whether a report is of the host's upstream; what applies reports takes an OwnReport, which nothing else creates. The service is compared with the host's settings and not with the manifest, so an upstream whose service a manifest drops keeps its keys; plans keep services that the manifest has dropped, and replies renew them. Refused reports are answered 400, not 200, so they acknowledge nothing. Leaves of unknown upstreams that are remembered are bounded.

Tests of odd reports changed one field each of what the decoder checks; none named another service.

--- a/crates/core/src/connection.rs
+++ b/crates/core/src/connection.rs
@@ -11,6 +11,7 @@
 mod link_estimate;
 mod link_schedule;
 mod load_report;
+mod own_report;
 mod peer_message;
 mod relay_report;
 mod sender_meter;
@@ -25,6 +26,7 @@
 pub use link_estimate::LinkEstimate;
 pub use link_schedule::{BodyOrder, LinkSchedule, PartTicket};
 pub use load_report::LoadReport;
+pub use own_report::{OwnReport, ReportRefusal};
 pub use peer_message::{
     DedupState, Envelope, PeerMessage, PeerRecord, ReleaseNotice, ReleaseRequest, RenewReply,
     RenewRequest, RenewVerdict, RevokeReply, RevokeRequest, RevokeVerdict, RunState, SeenRequest,
--- a/crates/core/src/process/grant_table.rs
+++ b/crates/core/src/process/grant_table.rs
@@ -26,7 +26,7 @@
 pub use ended_fence::EndedFence;
 
 use super::{GrantGuards, GrantPermit, GrantTiming};
-use crate::connection::{GrantReply, GrantRow, UpstreamReport};
+use crate::connection::{GrantReply, GrantRow, OwnReport};
 use crate::version::{
     CELL_KEYS, CELLS, CellIndex, HolderRow, LogEpoch, PlanVersion, ServiceRanges, UpstreamInstance,
     epoch_of_version, keys_of_cells,
@@ -204,7 +204,7 @@
 
     /// Whether a report is the newest of the current instance, or of one that follows it: what it says
     /// replaces what is known. A late or repeated one says nothing new.
-    pub fn is_newest(&self, report: &UpstreamReport) -> bool {
+    pub fn is_newest(&self, report: &OwnReport) -> bool {
         let current = self.instance.as_ref();
         let same = current == Some(&report.instance);
         let ended = self.ended_instances.contains(&report.instance)
@@ -216,7 +216,7 @@
     /// for a repeated or late heartbeat, and once `permit` has ended.
     pub fn apply_report(
         &mut self,
-        report: &UpstreamReport,
+        report: &OwnReport,
         permit: GrantPermit,
         now: Instant,
     ) -> Option<GrantReply> {
@@ -236,7 +236,7 @@
         permitted.then(|| self.grant(report.sequence, permit, now))
     }
 
-    fn apply_held(&mut self, report: &UpstreamReport) {
+    fn apply_held(&mut self, report: &OwnReport) {
         let mut held = vec![0; CELLS];
         for row in &report.holds {
             for cell in &mut held[cells_of_keys(row.first, row.last)] {
--- a/crates/core/tests/instances.rs
+++ b/crates/core/tests/instances.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use firspindle_core::connection::{DemandReport, UpstreamReport};
+use firspindle_core::connection::{DemandReport, OwnReport, UpstreamReport};
 use firspindle_core::process::{
     GrantGuards, GrantPermit, GrantTable, GrantTiming, RangeCandidate, ServiceCandidates,
     ShareFilling, plan_ranges,
@@ -11,8 +11,8 @@
 
 const HOST: &str = "host-0";
 
-fn report(instance: &UpstreamInstance, sequence: u64) -> UpstreamReport {
-    UpstreamReport {
+fn report(instance: &UpstreamInstance, sequence: u64) -> OwnReport {
+    let report = UpstreamReport {
         instance: instance.clone(),
         service: "orders".into(),
         slots: 9,
@@ -22,7 +22,8 @@
         lists_keys: true,
         holds: Vec::new(),
         freed: Vec::new(),
-    }
+    };
+    OwnReport::check(report, "orders", true).expect("it is of the host's upstream")
 }
 
 fn next_plan(before: &RangePlan, instance: &UpstreamInstance) -> RangePlan {
--- a/crates/core/tests/settled_versions.rs
+++ b/crates/core/tests/settled_versions.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use firspindle_core::connection::{DemandReport, UpstreamReport};
+use firspindle_core::connection::{DemandReport, OwnReport, UpstreamReport};
 use firspindle_core::process::{
     GrantGuards, GrantPermit, GrantTable, GrantTiming, RangeCandidate, ServiceCandidates,
     ShareFilling, plan_ranges,
@@ -52,6 +52,7 @@
         holds: Vec::new(),
         freed: Vec::new(),
     };
+    let report = OwnReport::check(report, SERVICE, true).expect("it lists keys");
     table.apply_report(&report, GrantPermit::default(), now);
     assert!(table.waiting_cells(now).1 > 0);
     assert!(table.settled_version(now) < 2);
--- a/crates/mesh/src/process/admin_server.rs
+++ b/crates/mesh/src/process/admin_server.rs
@@ -138,18 +138,19 @@
             Err(_) => stopping(),
         };
     }
-    match (state.decode)(id, body) {
-        Ok(report) => {
-            let (tx, rx) = oneshot::channel();
-            let _ = state.tx.send(ControlEvent::Report(Box::new(report), tx));
-            match rx.await {
-                Ok(body) => reply(StatusCode::OK, "application/json", body),
-                Err(_) => stopping(),
-            }
-        }
-        Err(error) => {
-            log::warn!(id, error:%; "heartbeat refused");
-            reply(StatusCode::BAD_REQUEST, "text/plain", error.to_string())
-        }
+    let refused = |error: &dyn std::fmt::Display| {
+        log::warn!(id, error:%; "heartbeat refused");
+        reply(StatusCode::BAD_REQUEST, "text/plain", error.to_string())
+    };
+    let report = match (state.decode)(id, body) {
+        Ok(report) => Box::new(report),
+        Err(error) => return refused(&error),
+    };
+    let (tx, rx) = oneshot::channel();
+    let _ = state.tx.send(ControlEvent::Report(report, tx));
+    match rx.await {
+        Ok(Ok(body)) => reply(StatusCode::OK, "application/json", body),
+        Ok(Err(refusal)) => refused(&refusal),
+        Err(_) => stopping(),
     }
 }
--- a/crates/mesh/src/process/control_event.rs
+++ b/crates/mesh/src/process/control_event.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use firspindle_core::connection::UpstreamReport;
+use firspindle_core::connection::{ReportRefusal, UpstreamReport};
 use firspindle_core::version::{LogEpoch, LogPosition, RangePlan, UpstreamInstance};
 use firspindle_edge::{ReadBatch, StateTopic, TopicSnapshot};
 use tokio::sync::oneshot;
@@ -15,9 +15,9 @@
 /// when it began, because the answer shows the store's state at some moment not before that.
 #[derive(Debug)]
 pub enum ControlEvent {
-    /// Report that a heartbeat of the upstream carried; answered with the body of the HTTP
-    /// response.
-    Report(Box<UpstreamReport>, oneshot::Sender<Bytes>),
+    /// Report that a heartbeat carried; answered with the body of the HTTP response, or why it is not of
+    /// the host's upstream.
+    Report(Box<UpstreamReport>, oneshot::Sender<Result<Bytes, ReportRefusal>>),
     /// The upstream with this id announces that it leaves; answered once the published view shows
     /// it as draining.
     Leave(Box<str>, oneshot::Sender<()>),
--- a/crates/mesh/src/process/control_state/plan_step.rs
+++ b/crates/mesh/src/process/control_state/plan_step.rs
@@ -7,8 +7,8 @@
     RangeCandidate, ServiceCandidates, ShareFilling, defer_moves, plan_ranges,
 };
 use firspindle_core::version::{
-    HostRecord, LogPosition, PlanVersion, RangePlan, ServiceRanges, UpstreamRecord, UpstreamState,
-    plan_version_at,
+    ColdTerms, HostRecord, LogPosition, PlanVersion, RangePlan, RouteManifest, ServiceRanges,
+    UpstreamRecord, UpstreamState, plan_version_at,
 };
 use firspindle_edge::PlatformCodec;
 
@@ -188,11 +188,11 @@
         let manifest = self.manifest.as_ref()?;
         let limit = self.peer_timeout(now);
         let mut services = Vec::new();
-        for service in manifest.services().iter().filter(|row| row.sharded) {
-            let usual_ms = self.usual_service_ms(&service.name);
+        for (service, cold) in self.planned_services(manifest) {
+            let usual_ms = self.usual_service_ms(service);
             let mut candidates = Vec::new();
             let mut missing = false;
-            for record in self.hosts.iter().filter(|row| row.service == service.name) {
+            for record in self.hosts.iter().filter(|row| &*row.service == service) {
                 let evacuated = self.is_evacuated(&record.data_centre);
                 if evacuated || !self.is_alive(&record.host, limit, now) {
                     continue;
@@ -205,20 +205,35 @@
                     None => missing = true,
                 }
             }
-            let first = self.plan.service(&service.name).is_none();
+            let first = self.plan.service(service).is_none();
             if first && missing && now < self.started_at + FIRST_PLAN_TIMEOUT {
                 return None;
             }
-            let filling = match service.cold {
+            let filling = match cold {
                 None => ShareFilling::Whole,
                 Some(_) if self.moved_recently(now) => ShareFilling::Paused,
                 Some(_) => ShareFilling::Steps,
             };
-            services.push(ServiceCandidates { service: service.name.clone(), candidates, filling });
+            services.push(ServiceCandidates { service: service.into(), candidates, filling });
         }
         Some(services)
     }
 
+    /// Returns the services whose upstreams hold keys, sorted by name: the sharded ones of the manifest, and
+    /// those of the plan that it has dropped, as requests for them may still run.
+    fn planned_services<'a>(
+        &'a self,
+        manifest: &'a RouteManifest,
+    ) -> Vec<(&'a str, Option<ColdTerms>)> {
+        let sharded = manifest.services().iter().filter(|row| row.sharded);
+        let mut services: Vec<_> = sharded.map(|row| (&*row.name, row.cold)).collect();
+        let planned = self.plan.services.iter().map(|ranges| &*ranges.service);
+        let dropped = planned.filter(|name| manifest.service(name).is_none());
+        services.extend(dropped.map(|name| (name, None)));
+        services.sort_unstable_by_key(|row| row.0);
+        services
+    }
+
     /// Whether cells that a plan moved may not be served yet.
     fn moved_recently(&self, now: Instant) -> bool {
         let last = self.planned_at.max(self.other_plan_at);
--- a/crates/mesh/src/process/control_state/upstream_step.rs
+++ b/crates/mesh/src/process/control_state/upstream_step.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use firspindle_core::connection::{UpstreamLoad, UpstreamReport};
+use firspindle_core::connection::{OwnReport, ReportRefusal, UpstreamLoad, UpstreamReport};
 use firspindle_core::process::GrantPermit;
 use firspindle_core::version::{UpstreamInstance, UpstreamRecord, UpstreamState};
 use firspindle_edge::PlatformCodec;
@@ -14,39 +14,38 @@
 /// Silence of the upstream after which it counts as gone: three heartbeat intervals.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_millis(2_800);
 
-/// Most instances that left and are remembered, so that their late heartbeats do not end a drain.
+/// Most instances that left, and most leaves of unknown ones, that are remembered.
 const MAX_LEAVING: usize = 64;
 
 /// Time between two probes of the upstream's address.
 const PROBE_INTERVAL: Duration = Duration::from_millis(600);
 
 impl<C: PlatformCodec> ControlState<C> {
-    /// Handles the report that a heartbeat of the upstream carries, and returns the body of the
-    /// response to the heartbeat.
-    pub fn handle_report(&mut self, report: &UpstreamReport, now: Instant) -> Bytes {
-        if self.is_sharded(&report.service) && !report.lists_keys {
-            log::warn!(life = &*report.instance.id; "heartbeat without keys ignored");
-            return self.codec.encode_reply(None);
-        }
+    /// Handles the report that a heartbeat carries, and returns the body of the response to the
+    /// heartbeat.
+    ///
+    /// # Errors
+    ///
+    /// A [`ReportRefusal`] if the report is not of this host's upstream; nothing has changed then.
+    pub fn handle_report(
+        &mut self,
+        report: UpstreamReport,
+        now: Instant,
+    ) -> Result<Bytes, ReportRefusal> {
+        let holds_keys = self.holds_keys(&self.settings.service);
+        let report = OwnReport::check(report, &self.settings.service, holds_keys)?;
         let leaving = self.leaving.contains(&report.instance);
         let permit = self.grant_permit(now);
-        let newest = self.grants.is_newest(report);
-        let reply = self.grants.apply_report(report, permit, now);
+        let newest = self.grants.is_newest(&report);
+        let reply = self.grants.apply_report(&report, permit, now);
         if newest {
-            self.update_upstream(report, leaving, now);
+            self.update_upstream(&report, leaving, now);
         } else {
             log::info!(
                 life = &*report.instance.id, sequence = report.sequence;
                 "late heartbeat ignored"
             );
         }
-        if report.service != self.settings.service {
-            log::warn!(
-                service = &*report.service, life = &*report.instance.id;
-                "heartbeat names another service"
-            );
-            return self.codec.encode_reply(None);
-        }
         let (cells, waiting) = self.grants.waiting_cells(now);
         let level = if waiting > 0 { log::Level::Info } else { log::Level::Debug };
         log::log!(
@@ -56,8 +55,8 @@
             granted = reply.as_ref().map_or(0, |reply| reply.rows.len());
             "heartbeat answered"
         );
-        let sent_reply = reply.filter(|_| self.is_sharded(&report.service));
-        self.codec.encode_reply(sent_reply.as_ref())
+        let sent_reply = reply.filter(|_| holds_keys);
+        Ok(self.codec.encode_reply(sent_reply.as_ref()))
     }
 
     /// Returns until when this node may grant under the plan that it has applied: for a short time after
@@ -98,7 +97,7 @@
         !self.grants.guards().epoch_wait || ends_at.is_none_or(|at| now >= at)
     }
 
-    pub(super) fn update_upstream(&mut self, report: &UpstreamReport, leaving: bool, now: Instant) {
+    fn update_upstream(&mut self, report: &OwnReport, leaving: bool, now: Instant) {
         self.last_heartbeat_at = Some(now);
         self.cold_report = Some(ColdReport { at: now, remaining: report.cold_remaining });
         let state = if leaving { UpstreamState::Draining } else { report.state };
@@ -140,6 +139,17 @@
         manifest.and_then(|manifest| manifest.service(service)).is_some_and(|row| row.sharded)
     }
 
+    /// Whether upstreams of a service hold keys. One that the manifest has dropped is known by the plan.
+    fn holds_keys(&self, service: &str) -> bool {
+        let manifest = self.manifest.as_ref();
+        let row = manifest.map(|manifest| manifest.service(service));
+        match row {
+            Some(None) => self.plan.service(service).is_some(),
+            Some(Some(row)) => row.sharded,
+            None => false,
+        }
+    }
+
     /// Handles the announcement that the upstream with this id leaves.
     pub fn handle_leave(&mut self, id: &str, now: Instant) {
         log::info!(id; "upstream leave requested");
@@ -147,7 +157,11 @@
         match known {
             Some(known) if &*known.id == id => self.close_upstream(known.clone(), Some(now)),
             Some(_) => {}
-            None => self.early_leaves.push((id.into(), now)),
+            None => {
+                self.early_leaves.push((id.into(), now));
+                let surplus = self.early_leaves.len().saturating_sub(MAX_LEAVING);
+                self.early_leaves.drain(..surplus);
+            }
         }
     }
 
--- a/crates/mesh/src/process/control_thread.rs
+++ b/crates/mesh/src/process/control_thread.rs
@@ -166,9 +166,9 @@
         let now = self.clock.now();
         match event {
             ControlEvent::Report(report, reply) => {
-                let body = self.state.handle_report(&report, now);
+                let answer = self.state.handle_report(*report, now);
                 self.publish();
-                let _ = reply.send(body);
+                let _ = reply.send(answer);
                 self.send_ended_fences();
                 self.step();
             }
--- a/crates/mesh/tests/cold_keys.rs
+++ b/crates/mesh/tests/cold_keys.rs
@@ -76,6 +76,10 @@
     held: [usize; 2],
 }
 
+fn handle(state: &mut ControlState<TestCodec>, report: UpstreamReport, now: Instant) {
+    state.handle_report(report, now).expect("it is of the host's upstream");
+}
+
 impl Play {
     fn new(manifest_version: u64) -> Self {
         let start = Instant::now();
@@ -96,7 +100,7 @@
         for (topic, rows) in &rows {
             state.handle_snapshot(*topic, rows, start, start);
         }
-        state.handle_report(&report(Duration::ZERO, 1), start);
+        handle(&mut state, report(Duration::ZERO, 1), start);
         Self { state, start, held: [0; 2] }
     }
 
@@ -106,7 +110,7 @@
         let mut plans = Vec::new();
         for ms in (from_ms..to_ms).step_by(100) {
             let now = self.start + Duration::from_millis(ms);
-            self.state.handle_report(&report(Duration::ZERO, ms + 2), now);
+            handle(&mut self.state, report(Duration::ZERO, ms + 2), now);
             if let Some(cold_ms) = cold_ms {
                 self.state.handle_datagram(&datagram(1, cold_ms), now);
             }
@@ -162,16 +166,16 @@
     let mut play = Play::new(COLD_VERSION);
     let cold = Duration::from_secs(5);
     let now = play.start + Duration::from_millis(100);
-    play.state.handle_report(&report(cold, 5), now);
+    handle(&mut play.state, report(cold, 5), now);
     let late = UpstreamReport { slots: 90, ..report(Duration::ZERO, 4) };
-    play.state.handle_report(&late, now + Duration::from_millis(10));
+    handle(&mut play.state, late, now + Duration::from_millis(10));
     let upstream = play.state.view(now).upstream.expect("it is known");
     assert_eq!(upstream.cold_report.map(|row| (row.at, row.remaining)), Some((now, cold)));
     assert_eq!(upstream.slots, 9);
 
     let draining = UpstreamReport { state: UpstreamState::Draining, ..report(cold, 7) };
-    play.state.handle_report(&draining, now);
-    play.state.handle_report(&report(Duration::ZERO, 6), now);
+    handle(&mut play.state, draining, now);
+    handle(&mut play.state, report(Duration::ZERO, 6), now);
     let upstream = play.state.view(now).upstream.expect("it is known");
     assert_eq!(upstream.state, UpstreamState::Draining);
 }
--- a/crates/mesh/tests/evacuated_upstream.rs
+++ b/crates/mesh/tests/evacuated_upstream.rs
@@ -40,7 +40,7 @@
             holds: Vec::new(),
             freed: Vec::new(),
         };
-        state.handle_report(&report, start);
+        state.handle_report(report, start).expect("it is of the host's upstream");
         Self { state, start }
     }
 
--- a/crates/mesh/tests/fleet/model.rs
+++ b/crates/mesh/tests/fleet/model.rs
@@ -237,7 +237,7 @@
                 let node = &mut self.nodes[host];
                 node.upstream.expire(now);
                 let report = node.upstream.report(SERVICE);
-                node.state.handle_report(&report, now);
+                node.state.handle_report(report, now).expect("it is of the host's upstream");
                 let reply = node.codec.reply.lock().expect("the lock is not poisoned").take();
                 if let Some(reply) = reply {
                     node.upstream.apply_reply(&reply, now, now);
--- a/crates/mesh/tests/grants_over_restores.rs
+++ b/crates/mesh/tests/grants_over_restores.rs
@@ -103,7 +103,7 @@
     fn beat(&mut self, now: Instant) {
         self.upstream.expire(now);
         let report = self.upstream.report(SERVICE);
-        self.state.handle_report(&report, now);
+        self.state.handle_report(report, now).expect("it is of the host's upstream");
         let reply = self.codec.reply.lock().expect("the lock is not poisoned").take();
         if let Some(reply) = reply {
             self.upstream.apply_reply(&reply, now, now);
--- a/crates/mesh/tests/own_record.rs
+++ b/crates/mesh/tests/own_record.rs
@@ -63,6 +63,10 @@
     }
 }
 
+fn send(state: &mut ControlState<TestCodec>, report: UpstreamReport, now: Instant) {
+    state.handle_report(report, now).expect("it is of the host's upstream");
+}
+
 fn restarted(now: Instant) -> ControlState<TestCodec> {
     ControlState::new(settings(), TestCodec::new(), 2, GrantGuards::all(), now)
 }
@@ -81,7 +85,7 @@
     state.handle_snapshot(StateTopic::Hosts, &hosts(UpstreamState::Draining), now, now);
     assert_closed(&state, now);
     // A late heartbeat, or one of an upstream that only announced that it leaves.
-    state.handle_report(&report(), now);
+    send(&mut state, report(), now);
     assert_closed(&state, now);
 }
 
@@ -90,7 +94,7 @@
 fn an_upstream_that_left_is_closed_once_the_record_of_its_host_is_read() {
     let now = Instant::now();
     let mut state = restarted(now);
-    state.handle_report(&report(), now);
+    send(&mut state, report(), now);
     state.handle_snapshot(StateTopic::Hosts, &hosts(UpstreamState::Draining), now, now);
     assert_closed(&state, now);
 }
@@ -108,7 +112,7 @@
             let ready = hosts(UpstreamState::Ready);
             state.handle_snapshot(StateTopic::Hosts, &ready, known_at, known_at);
         }
-        state.handle_report(&report(), known_at);
+        send(&mut state, report(), known_at);
         assert_closed(&state, left_at + settings().bounds.drain);
     }
 }
@@ -119,7 +123,7 @@
     let now = Instant::now();
     let mut state = restarted(now);
     state.handle_snapshot(StateTopic::Hosts, &hosts(UpstreamState::Gone), now, now);
-    state.handle_report(&report(), now);
+    send(&mut state, report(), now);
     let upstream = state.view(now).upstream.expect("the upstream is known");
     assert_eq!((upstream.state, upstream.closes_at), (UpstreamState::Ready, None));
 }
@@ -129,9 +133,9 @@
 fn a_refused_connection_ends_only_the_instance_that_it_was_meant_for() {
     let now = Instant::now();
     let mut state = restarted(now);
-    state.handle_report(&report(), now);
+    send(&mut state, report(), now);
     let next = UpstreamInstance { id: "u1".into(), born_ms: 9 };
-    state.handle_report(&UpstreamReport { instance: next.clone(), ..report() }, now);
+    send(&mut state, UpstreamReport { instance: next.clone(), ..report() }, now);
     let known = |state: &ControlState<TestCodec>| {
         let upstream = state.view(now).upstream.expect("the upstream is known");
         (upstream.instance, upstream.state)
@@ -157,7 +161,7 @@
             let sent = UpstreamReport {
                 slots: sequence, cold_remaining, sequence: sequence_number, ..report()
             };
-            state.handle_report(&sent, now);
+            send(&mut state, sent, now);
             newest = newest.max(sequence);
             let upstream = state.view(now).upstream.expect("the upstream is known");
             prop_assert_eq!(upstream.slots, newest);
@@ -185,7 +189,7 @@
                 sequence: u64::from(sequence),
                 ..report()
             };
-            state.handle_report(&row, now);
+            send(&mut state, row, now);
             newest = newest.max((life, sequence));
             let upstream = state.view(now).upstream.expect("the upstream is known");
             prop_assert_eq!((upstream.instance.born_ms, upstream.slots), (1_000 + newest.0, newest.1));
--- a/crates/mesh/tests/ownership/codec.rs
+++ b/crates/mesh/tests/ownership/codec.rs
@@ -16,6 +16,9 @@
 /// Least version of a manifest whose service has cold terms.
 pub const COLD_VERSION: u64 = 1_000_000;
 
+/// Least version of a manifest without services.
+pub const DROPPED_VERSION: u64 = 2_000_000;
+
 /// A codec that stores the latest reply instead of encoding it.
 #[derive(Debug, Clone)]
 pub struct TestCodec {
@@ -57,7 +60,8 @@
         "evacuate/"
     }
 
-    /// The value of a manifest is its version as a text; from [`COLD_VERSION`] on with cold terms.
+    /// The value of a manifest is its version as a text; from [`COLD_VERSION`] on with cold terms,
+    /// from [`DROPPED_VERSION`] on without the service.
     fn decode_manifest(&self, value: &[u8]) -> Result<RouteManifest, DecodeError> {
         let version = std::str::from_utf8(value).ok().and_then(|text| text.parse().ok());
         let version = version.ok_or_else(|| DecodeError::new("version", "not a number"))?;
@@ -76,7 +80,8 @@
             header_timeout: Duration::ZERO,
             idle_timeout: Duration::ZERO,
         };
-        Ok(RouteManifest::new(version, Vec::new(), vec![service], limits))
+        let services = if version < DROPPED_VERSION { vec![service] } else { Vec::new() };
+        Ok(RouteManifest::new(version, Vec::new(), services, limits))
     }
 
     fn decode_report(
--- a/crates/mesh/tests/ownership/plans.rs
+++ b/crates/mesh/tests/ownership/plans.rs
@@ -67,7 +67,7 @@
         holds: Vec::new(),
         freed: Vec::new(),
     };
-    state.handle_report(&report, epoch);
+    state.handle_report(report, epoch).expect("it is of the host's upstream");
     let read_at = epoch + Duration::from_millis(1_300);
     let plan = record_of("plan", plan_of_all().encode().into());
     state.handle_snapshot(StateTopic::Plans, &plan, read_at, read_at);
--- a/crates/mesh/tests/ownership/world/heartbeats.rs
+++ b/crates/mesh/tests/ownership/world/heartbeats.rs
@@ -31,7 +31,8 @@
         let now = self.now();
         let delay = self.delay();
         let row = &mut self.hosts[host];
-        row.state.as_mut().expect("the node is running").handle_report(report, now);
+        let state = row.state.as_mut().expect("the node is running");
+        state.handle_report(report.clone(), now).expect("it is of the host's upstream");
         let reply = row.codec.reply.lock().expect("the lock is not poisoned").take();
         if let Some(reply) = reply {
             let instance = report.instance.clone();
