fix(core): an upstream that looks late for good is found by a health check

Cause: the list of ended instances and the newest sequence number are beliefs without a way back.

Change: reports that are ignored as late are remembered as a claim. One whose sequence numbers rise for longer than a hold lasts, so that nothing granted earlier is left, makes a health check due; if the upstream's address names its id, it is the current instance again. A report of the current instance under the same id ends the claim, since a health check does not tell lives with one id apart. A later start is proof that the life before has ended only under the same id; under another id the health check, which exists for instances without a start, is the proof.

--- a/crates/core/src/process/grant_table.rs
+++ b/crates/core/src/process/grant_table.rs
@@ -16,12 +16,14 @@
 mod cell_state;
 mod ended_fence;
 mod instance_step;
+mod life_claim;
 
 use std::time::Instant;
 
 use cell_state::{CellState, HandoverRow};
 use ended_fence::add_ended;
 use instance_step::is_superseded;
+use life_claim::LifeClaim;
 
 pub use ended_fence::EndedFence;
 
@@ -53,6 +55,8 @@
     refused_instance: Option<UpstreamInstance>,
     /// Whether the current instance is known to listen at the upstream's address.
     address_confirmed: bool,
+    /// Reports that look late, from an instance that may be alive.
+    claim: Option<LifeClaim>,
     /// Time by which every hold that an earlier process of this node granted has ended.
     earlier_holds_end: Instant,
     /// Sequence number of the newest heartbeat of the current instance.
@@ -84,6 +88,7 @@
             ended_instances: Vec::new(),
             refused_instance: None,
             address_confirmed: false,
+            claim: None,
             earlier_holds_end: timing.hold_end(now),
             last_sequence: 0,
             cells: vec![CellState::default(); CELLS],
@@ -221,6 +226,7 @@
         now: Instant,
     ) -> Option<GrantReply> {
         if !self.is_newest(report) {
+            self.note_late_report(report, now);
             return None;
         }
         if self.instance.as_ref() != Some(&report.instance) {
@@ -230,6 +236,7 @@
             return None;
         }
         self.last_sequence = report.sequence;
+        self.contradict_claim();
         self.apply_held(report);
         self.end_revoked_fences(now);
         let permitted = permit.acquires(now) || permit.renews(now);
--- a/crates/core/src/process/grant_table/instance_step.rs
+++ b/crates/core/src/process/grant_table/instance_step.rs
@@ -11,10 +11,10 @@
 
 impl GrantTable {
     /// Makes `instance` the current one. The holds of the former instance have ended if it is
-    /// superseded by the new one ([`is_superseded`]).
+    /// known to be the new one's former life ([`proves_end`]).
     pub(super) fn change_instance(&mut self, instance: UpstreamInstance, now: Instant) {
         let address_confirmed =
-            self.instance.as_ref().is_some_and(|old| is_superseded(old, &instance));
+            self.instance.as_ref().is_some_and(|old| proves_end(old, &instance));
         let refused = self.refused_instance.take().filter(|refused| *refused != instance);
         self.ended_instances.extend(refused);
         self.ended_instances.extend(self.instance.replace(instance));
@@ -26,8 +26,12 @@
         self.assign_own_cells(now);
     }
 
-    /// Whether cells wait until it is confirmed that an earlier instance on this host has ended.
+    /// Whether a health check is to tell which instance uses the address: cells wait until an earlier one is
+    /// known to have ended, or one that counts as ended goes on sending reports.
     pub fn needs_address_check(&self) -> bool {
+        if self.has_credible_claim() {
+            return true;
+        }
         let Some(instance) = self.instance.as_ref().filter(|_| !self.address_confirmed) else {
             return false;
         };
@@ -41,6 +45,7 @@
     /// the current instance has another id. Otherwise every other instance that used the address
     /// has ended.
     pub fn confirm_address(&mut self, id: &str, now: Instant) {
+        self.decide_claim(id, now);
         if self.instance.as_ref().is_none_or(|instance| *instance.id != *id) {
             return;
         }
@@ -98,7 +103,7 @@
             let cell = &mut self.cells[index];
             if holder.instance == *instance {
                 cell.assign(row.fence);
-            } else if is_superseded(&holder.instance, instance) {
+            } else if proves_end(&holder.instance, instance) {
                 cell.mark_ended(row.fence);
             }
         }
@@ -106,8 +111,14 @@
     }
 }
 
-/// Whether the existence of `later` proves that `earlier` has ended: both use the same address,
-/// and `later` started after it. An unknown start time of `earlier` (0) proves nothing.
+/// Whether a report of `later` proves that `earlier` has ended: it started after it under the same id.
+/// Under another id, a health check is to show that `later` uses the address.
+fn proves_end(earlier: &UpstreamInstance, later: &UpstreamInstance) -> bool {
+    earlier.id == later.id && is_superseded(earlier, later)
+}
+
+/// Whether `later` started after `earlier`, whose reports are late then. An unknown start time of `earlier`
+/// (0) says nothing.
 pub(super) fn is_superseded(earlier: &UpstreamInstance, later: &UpstreamInstance) -> bool {
     earlier.born_ms > 0 && earlier.born_ms < later.born_ms
 }
--- a/crates/core/tests/instances.rs
+++ b/crates/core/tests/instances.rs
@@ -44,6 +44,11 @@
     plan_ranges(before, before.version + 1, &[service]).expect("the holder changes")
 }
 
+fn holder_of(plan: &RangePlan) -> Option<&UpstreamInstance> {
+    let ranges = plan.service("orders")?;
+    ranges.holder_on(HOST).map(|index| &ranges.holders[index].instance)
+}
+
 /// Lets one life end and another register and be granted its keys; then a late heartbeat of the first
 /// arrives.
 fn assert_late_heartbeat_is_ignored(first: &UpstreamInstance, second: &UpstreamInstance) {
@@ -126,3 +131,96 @@
     let late = report(&instance("u0238", 1_238), 9);
     assert!(!table.is_newest(&late), "a late heartbeat of an earlier life is known as such");
 }
+
+/// Lets the upstream report on, and answer the health checks that are due; returns after which time it is
+/// granted keys again.
+fn recovery_time(
+    table: &mut GrantTable,
+    plan: &RangePlan,
+    upstream: &UpstreamInstance,
+    start: Instant,
+) -> Option<Duration> {
+    let mut plan = plan.clone();
+    for (count, ms) in (0..15_000).step_by(870).enumerate() {
+        let now = start + Duration::from_millis(ms);
+        let until = Some(now + Duration::from_secs(2));
+        let permit = GrantPermit { acquire_until: until, renew_until: until, trusts_reports: true };
+        let sequence = 8 + u64::try_from(count).expect("it is small");
+        let reply = table.apply_report(&report(upstream, sequence), permit, now);
+        if reply.is_some_and(|reply| !reply.rows.is_empty()) {
+            return Some(Duration::from_millis(ms));
+        }
+        if table.needs_address_check() {
+            table.confirm_address(&upstream.id, now);
+        }
+        if table.instance() == Some(upstream) && holder_of(&plan) != Some(upstream) {
+            plan = next_plan(&plan, upstream);
+            let ranges = plan.service("orders").expect("the service is planned").clone();
+            table.apply_ranges(plan.version, ranges, true, now);
+        }
+    }
+    None
+}
+
+/// Guards against a live upstream that is shut out for good by one report that was taken for a newer one.
+#[test]
+fn a_live_upstream_that_looks_late_is_found_by_a_health_check() {
+    let alive = instance("u0", 5_000);
+    let wrong = [
+        (instance("u1", 9_000), 1),
+        (instance("u1", 0), 1),
+        (instance("u0", 9_000), 1),
+        (instance("u0", 5_000), 1_000_000),
+    ];
+    for (instance, sequence) in wrong {
+        let start = Instant::now();
+        let timing = GrantTiming::default();
+        let mut table = GrantTable::new(HOST.into(), timing, GrantGuards::all(), start);
+        table.apply_report(&report(&alive, 7), GrantPermit::default(), start);
+        let plan = next_plan(&RangePlan::default(), &alive);
+        let ranges = plan.service("orders").expect("the service is planned").clone();
+        table.apply_ranges(plan.version, ranges, true, start);
+        table.apply_report(&report(&instance, sequence), GrantPermit::default(), start);
+        let time = recovery_time(&mut table, &plan, &alive, start);
+        let limit = timing.hold * 4;
+        assert!(time.is_some_and(|time| time < limit), "{instance:?} {sequence}: {time:?}");
+    }
+}
+
+/// Guards against keys that are given to others although their holder lives: that a report under another id
+/// started later does not show that the holder has ended.
+#[test]
+fn a_later_start_under_another_id_ends_no_fence_before_a_health_check() {
+    let start = Instant::now();
+    let alive = instance("u0", 5_000);
+    let mut table = GrantTable::new(HOST.into(), GrantTiming::default(), GrantGuards::all(), start);
+    table.apply_report(&report(&alive, 7), GrantPermit::default(), start);
+    let plan = next_plan(&RangePlan::default(), &alive);
+    let ranges = plan.service("orders").expect("the service is planned").clone();
+    table.apply_ranges(plan.version, ranges, true, start);
+    let now = start + Duration::from_millis(100);
+    table.apply_report(&report(&instance("u1", 9_000), 1), GrantPermit::default(), now);
+    assert!(table.ended_fences(now).is_empty(), "a fence ended without proof");
+    assert!(table.needs_address_check());
+    table.confirm_address("u1", now);
+    assert!(!table.ended_fences(now).is_empty(), "the health check is the proof");
+}
+
+/// Guards against an upstream that is replaced by a life that has ended: its late reports stop, and a health
+/// check names the present one.
+#[test]
+fn late_reports_of_an_ended_life_do_not_bring_it_back() {
+    let start = Instant::now();
+    let (earlier, present) = (instance("u0", 5_000), instance("u1", 9_000));
+    let mut table = GrantTable::new(HOST.into(), GrantTiming::default(), GrantGuards::all(), start);
+    table.apply_report(&report(&earlier, 1), GrantPermit::default(), start);
+    for count in 0..10 {
+        let now = start + Duration::from_millis(870 * count);
+        table.apply_report(&report(&present, 1 + count), GrantPermit::default(), now);
+        table.apply_report(&report(&earlier, 2 + count), GrantPermit::default(), now);
+        if table.needs_address_check() {
+            table.confirm_address("u1", now);
+        }
+        assert_eq!(table.instance(), Some(&present));
+    }
+}
