--- a/crates/core/tests/instances.rs
+++ b/crates/core/tests/instances.rs
@@ -206,6 +206,35 @@
     assert!(!table.ended_fences(now).is_empty(), "the health check is the proof");
 }
 
+/// Guards against keys that are given to others while the upstream that is found alive still holds them.
+#[test]
+fn an_upstream_is_found_alive_only_after_its_holds_have_ended() {
+    let start = Instant::now();
+    let timing = GrantTiming::default();
+    let alive = instance("u0", 5_000);
+    let mut table = GrantTable::new(HOST.into(), timing, GrantGuards::all(), start);
+    table.apply_report(&report(&alive, 1), GrantPermit::default(), start);
+    let plan = next_plan(&RangePlan::default(), &alive);
+    let ranges = plan.service("orders").expect("the service is planned").clone();
+    table.apply_ranges(plan.version, ranges, true, start);
+    let granted_at = start + Duration::from_secs(20);
+    let until = Some(granted_at + Duration::from_secs(2));
+    let permit = GrantPermit { acquire_until: until, renew_until: until, trusts_reports: true };
+    let reply = table.apply_report(&report(&alive, 2), permit, granted_at);
+    assert!(!reply.expect("it may be granted").rows.is_empty());
+    table.apply_report(&report(&instance("u1", 9_000), 1), GrantPermit::default(), granted_at);
+    let mut now = granted_at;
+    for sequence in 3.. {
+        now += Duration::from_millis(100);
+        if now >= timing.hold_end(granted_at) {
+            break;
+        }
+        table.apply_report(&report(&alive, sequence), GrantPermit::default(), now);
+        table.confirm_address("u0", now);
+        assert!(table.ended_fences(now).is_empty(), "{:?} after the grant", now - granted_at);
+    }
+}
+
 /// Guards against an upstream that is replaced by a life that has ended: its late reports stop, and a health
 /// check names the present one.
 #[test]
--- a/crates/mesh/tests/ownership/codec.rs
+++ b/crates/mesh/tests/ownership/codec.rs
@@ -13,10 +13,13 @@
 /// Name of the only service, which is sharded by key range.
 pub const SERVICE: &str = "orders";
 
+/// Name of the service that replaces it.
+pub const OTHER_SERVICE: &str = "parcels";
+
 /// Least version of a manifest whose service has cold terms.
 pub const COLD_VERSION: u64 = 1_000_000;
 
-/// Least version of a manifest without services.
+/// Least version of a manifest that names [`OTHER_SERVICE`] in place of [`SERVICE`].
 pub const DROPPED_VERSION: u64 = 2_000_000;
 
 /// A codec that stores the latest reply instead of encoding it.
@@ -61,13 +64,13 @@
     }
 
     /// The value of a manifest is its version as a text; from [`COLD_VERSION`] on with cold terms,
-    /// from [`DROPPED_VERSION`] on without the service.
+    /// from [`DROPPED_VERSION`] on of the other service.
     fn decode_manifest(&self, value: &[u8]) -> Result<RouteManifest, DecodeError> {
         let version = std::str::from_utf8(value).ok().and_then(|text| text.parse().ok());
         let version = version.ok_or_else(|| DecodeError::new("version", "not a number"))?;
         let terms = ColdTerms { duration: Duration::from_secs(3), per_second: 14.0 };
         let service = MeshService {
-            name: SERVICE.into(),
+            name: if version < DROPPED_VERSION { SERVICE } else { OTHER_SERVICE }.into(),
             health_path: "/".into(),
             connections: 100,
             sharded: true,
@@ -80,8 +83,7 @@
             header_timeout: Duration::ZERO,
             idle_timeout: Duration::ZERO,
         };
-        let services = if version < DROPPED_VERSION { vec![service] } else { Vec::new() };
-        Ok(RouteManifest::new(version, Vec::new(), services, limits))
+        Ok(RouteManifest::new(version, Vec::new(), vec![service], limits))
     }
 
     fn decode_report(
