fix(core): records and datagrams that contradict themselves are refused

A host record that names an upstream of another service than the host's was applied, from the store, from other nodes and as the own one; an incarnation of the largest number made the next one overflow, and a node whose record no one takes for newer is not heard. Seen by reading, in no process.

Change: HostRecord::decode and GossipMessage::decode refuse both; a node adopts the recorded upstream only of its own service.

--- a/crates/core/src/connection/gossip_message.rs
+++ b/crates/core/src/connection/gossip_message.rs
@@ -9,7 +9,7 @@
 use super::{DemandReport, HostHash, RelayReport, StateMark, UpstreamLimit};
 use crate::process::EndedFence;
 use crate::request::SuspectHint;
-use crate::version::{HostRecord, LogPosition};
+use crate::version::{HostRecord, LogPosition, MAX_INCARNATION};
 
 /// Fences that have ended.
 pub type EndedFenceList = Vec<EndedFence>;
@@ -237,8 +237,17 @@
         bytes
     }
 
-    /// Decodes a datagram; `None` if the bytes are malformed.
+    /// Decodes a datagram; `None` if the bytes are malformed or a host record contradicts itself.
     pub fn decode(bytes: &[u8]) -> Option<Self> {
+        let is_consistent = |message: &Self| {
+            message.sender.is_consistent()
+                && message.report.records.iter().all(HostRecord::is_consistent)
+                && message.heard_incarnation <= MAX_INCARNATION
+        };
+        Self::decode_fields(bytes).filter(is_consistent)
+    }
+
+    fn decode_fields(bytes: &[u8]) -> Option<Self> {
         let (mut message, rest) = postcard::take_from_bytes::<Self>(bytes).ok()?;
         message.mark.plan_position = LogPosition::new(0, message.ends[0]);
         let Ok((link_ms, rest)) = postcard::take_from_bytes(rest) else { return Some(message) };
--- a/crates/core/src/version.rs
+++ b/crates/core/src/version.rs
@@ -33,7 +33,7 @@
 pub use epoch_offset::{FoldEpoch, MAX_EPOCH, epoch_of, epoch_offset, offset_in_log};
 pub use evacuation_set::{EvacuationEffect, EvacuationSet};
 pub use fold_state::{FoldOutcome, FoldState, ManifestRow, ServiceRow, TermRow};
-pub use host_record::{HostRecord, UpstreamRecord, UpstreamState};
+pub use host_record::{HostRecord, MAX_INCARNATION, UpstreamRecord, UpstreamState};
 pub use key_hash::{partition_id, partition_index, partition_of_key, partition_service};
 pub use log_position::{LogEpoch, LogPosition};
 pub use log_record::{CheckpointBody, EpochJoin, LogRecord, RecordBody, RestoredManifest};
--- a/crates/core/src/version/host_record.rs
+++ b/crates/core/src/version/host_record.rs
@@ -6,6 +6,9 @@
 
 use super::UpstreamInstance;
 
+/// Latest time that an incarnation may state, some thousands of years ahead.
+pub const MAX_INCARNATION: u64 = 1 << 48;
+
 /// Whether an upstream accepts work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum UpstreamState {
@@ -68,8 +71,15 @@
         postcard::to_allocvec(self).unwrap_or_default()
     }
 
-    /// Decodes a record; `None` if the bytes are malformed.
+    /// Decodes a record; `None` if the bytes are malformed or contradict themselves.
     pub fn decode(bytes: &[u8]) -> Option<Self> {
-        postcard::from_bytes(bytes).ok()
+        postcard::from_bytes(bytes).ok().filter(Self::is_consistent)
+    }
+
+    /// Whether a node can have written the record: its upstream is of the host's service, and its
+    /// incarnation is a time.
+    pub fn is_consistent(&self) -> bool {
+        let same_service = |upstream: &UpstreamRecord| upstream.service == self.service;
+        self.upstream.as_ref().is_none_or(same_service) && self.incarnation <= MAX_INCARNATION
     }
 }
--- a/crates/mesh/src/process/control_state/record_step.rs
+++ b/crates/mesh/src/process/control_state/record_step.rs
@@ -263,7 +263,9 @@
     /// drains was acknowledged before the start, nobody knows when, so it gets no more requests.
     pub(super) fn adopt_own_record(&mut self, record: &HostRecord, now: Instant) {
         self.outnumber_incarnation(record.incarnation);
-        let recorded = record.upstream.as_ref().filter(|_| record.incarnation < self.incarnation);
+        let is_earlier =
+            record.incarnation < self.incarnation && record.service == self.settings.service;
+        let recorded = record.upstream.as_ref().filter(|_| is_earlier);
         let Some(recorded) = recorded else { return };
         if self.own.upstream.is_none() {
             self.own.upstream = Some(recorded.clone());
--- a/crates/mesh/tests/foreign_reports.rs
+++ b/crates/mesh/tests/foreign_reports.rs
@@ -10,7 +10,9 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use firspindle_core::connection::{DemandReport, ReportRefusal, UpstreamReport};
+use firspindle_core::connection::{
+    DemandReport, GossipMessage, ReportRefusal, UpstreamLoad, UpstreamReport,
+};
 use firspindle_core::process::{
     GrantGuards, RangeCandidate, ServiceCandidates, ShareFilling, plan_ranges,
 };
@@ -20,7 +22,7 @@
 use firspindle_edge::{ReadBatch, StateTopic, TopicRecord, TopicSnapshot};
 use firspindle_mesh::process::{ControlAction, ControlState};
 
-use codec::{DROPPED_VERSION, SERVICE, TestCodec};
+use codec::{DROPPED_VERSION, OTHER_SERVICE, SERVICE, TestCodec};
 use node_settings::node_settings;
 use upstream::Upstream;
 
@@ -160,13 +162,36 @@
     let batch = ReadBatch { records, end: LogPosition::new(0, 2) };
     let from = LogPosition::new(0, 1);
     node.state.handle_records(StateTopic::Manifests, from, &batch, now, now);
+    let mut other = record(OTHER_SERVICE, 1);
+    (other.host, other.service) = ("host-1".into(), OTHER_SERVICE.into());
+    let load = UpstreamLoad { slots: 9, ..UpstreamLoad::default() };
+    let mut planned = false;
     for ms in (14_000..24_000).step_by(870) {
+        let message = GossipMessage { load, ..GossipMessage::new(other.clone(), ms) };
+        let now = node.start + Duration::from_millis(ms);
+        node.state.handle_datagram(&message.encode(), now);
         node.beat(ms);
-        for action in node.state.tick(node.start + Duration::from_millis(ms)) {
+        for action in node.state.tick(now) {
             if let ControlAction::AppendPlan(plan, _) = action {
                 assert!(plan.service(SERVICE).is_some(), "a plan drops the service");
+                planned |= plan.service(OTHER_SERVICE).is_some();
             }
         }
         assert_eq!(node.held(), 8_192, "after {ms} ms");
     }
+    assert!(planned, "the other service is planned");
+}
+
+/// Guards against records that no node has written: of an upstream of another service, or of an incarnation
+/// that no later one can exceed.
+#[test]
+fn records_that_contradict_themselves_are_refused() {
+    for (service, incarnation, expected) in
+        [(SERVICE, 1, true), ("unknown", 1, false), (SERVICE, u64::MAX, false)]
+    {
+        let record = record(service, incarnation);
+        assert_eq!(HostRecord::decode(&record.encode()).is_some(), expected, "{record:?}");
+        let message = GossipMessage::new(record, 7).encode();
+        assert_eq!(GossipMessage::decode(&message).is_some(), expected);
+    }
 }
