fix(mesh): a node exits only when its answers are written

Cause: a request counted as in flight until its body was dropped, which hyper does when it has taken the last part into its write buffer.

Change: once no request is in flight, the listeners close, then all connections are shut down gracefully, and the process waits until none is open or its grace time ends. hyper ends such a connection when everything is written. The server of hash-divided nodes counts its connections in the same way.

--- a/crates/core/tests/instances.rs
+++ b/crates/core/tests/instances.rs
@@ -222,7 +222,11 @@
     let permit = GrantPermit { acquire_until: until, renew_until: until, trusts_reports: true };
     let reply = table.apply_report(&report(&alive, 2), permit, granted_at);
     assert!(!reply.expect("it may be granted").rows.is_empty());
-    table.apply_report(&report(&instance("u1", 9_000), 1), GrantPermit::default(), granted_at);
+    let wrong = instance("u1", 9_000);
+    table.apply_report(&report(&wrong, 1), GrantPermit::default(), granted_at);
+    let plan = next_plan(&plan, &wrong);
+    let ranges = plan.service("orders").expect("the service is planned").clone();
+    table.apply_ranges(plan.version, ranges, true, granted_at);
     let mut now = granted_at;
     for sequence in 3.. {
         now += Duration::from_millis(100);
--- a/crates/firspindle/src/connection/http_server.rs
+++ b/crates/firspindle/src/connection/http_server.rs
@@ -5,6 +5,8 @@
 
 use std::convert::Infallible;
 use std::net::{IpAddr, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -32,8 +34,40 @@
 /// Pause after a failed accept.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 
-/// Stops a server gracefully: it accepts no more connections, and each one ends after its request.
-pub type StopServer = Box<dyn Fn() + Send>;
+/// A server on threads of its own.
+pub struct HttpServer {
+    stop: watch::Sender<bool>,
+    connections: Arc<AtomicUsize>,
+}
+
+impl HttpServer {
+    /// Stops the server gracefully: it accepts no more connections, and each one ends once the answer
+    /// that was begun on it is written.
+    pub fn stop(&self) {
+        self.stop.send_replace(true);
+    }
+
+    /// Returns how many connections are open.
+    pub fn connections(&self) -> usize {
+        self.connections.load(Ordering::Relaxed)
+    }
+}
+
+/// Counts a connection as open until it is dropped.
+struct OpenConnection(Arc<AtomicUsize>);
+
+impl OpenConnection {
+    fn new(connections: &Arc<AtomicUsize>) -> Self {
+        connections.fetch_add(1, Ordering::Relaxed);
+        Self(connections.clone())
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
 
 /// Serves requests on `workers` threads. The handler gets each request with its sender's address,
 /// and its future is dropped if the sender closes the connection.
@@ -45,12 +79,13 @@
     listener: &TcpListener,
     workers: usize,
     handler: H,
-) -> Result<StopServer, ProcessError>
+) -> Result<HttpServer, ProcessError>
 where
     H: Fn(Request<Incoming>, IpAddr) -> F + Clone + Send + 'static,
     F: Future<Output = Response<Full<Bytes>>> + 'static,
 {
     let (stop, stopped) = watch::channel(false);
+    let connections = Arc::<AtomicUsize>::default();
     for _ in 0..workers {
         let listener = listener.try_clone().context(StartSnafu)?;
         let runtime = tokio::runtime::Builder::new_current_thread()
@@ -58,23 +93,23 @@
             .build()
             .context(StartSnafu)?;
         let (handler, stopped) = (handler.clone(), stopped.clone());
+        let connections = connections.clone();
         std::thread::spawn(move || {
-            let accepting = accept_connections(listener, handler, stopped);
+            let accepting = accept_connections(listener, handler, stopped, connections);
             if let Err(error) = LocalSet::new().block_on(&runtime, accepting) {
                 log::error!(error:%; "HTTP server failed");
                 std::process::abort();
             }
         });
     }
-    Ok(Box::new(move || {
-        stop.send_replace(true);
-    }))
+    Ok(HttpServer { stop, connections })
 }
 
 async fn accept_connections<H, F>(
     listener: TcpListener,
     handler: H,
     stopped: watch::Receiver<bool>,
+    connections: Arc<AtomicUsize>,
 ) -> std::io::Result<()>
 where
     H: Fn(Request<Incoming>, IpAddr) -> F + Clone + 'static,
@@ -89,7 +124,12 @@
         };
         match accepted {
             Ok((stream, remote)) => {
-                spawn_local(serve_stream(stream, remote.ip(), handler.clone(), stopped.clone()));
+                let open = OpenConnection::new(&connections);
+                let serving = serve_stream(stream, remote.ip(), handler.clone(), stopped.clone());
+                spawn_local(async move {
+                    serving.await;
+                    drop(open);
+                });
             }
             Err(error) => {
                 log::warn!(error:%; "accept failed");
--- a/crates/firspindle/src/process/node_process.rs
+++ b/crates/firspindle/src/process/node_process.rs
@@ -22,7 +22,7 @@
     ControlEvent, LogClient, MetricsSet, NodeSettings, PeerSocket, ProcessError, log_reader,
     peer_socket, record_writer,
 };
-use crate::connection::{ConnectionPool, OutboundRequest, UpstreamHandle};
+use crate::connection::{ConnectionPool, HttpServer, OutboundRequest, UpstreamHandle};
 use crate::request::{TrafficContext, serve_requests};
 
 /// Time after the release of all partitions for which requests of callers may still finish.
@@ -31,6 +31,9 @@
 /// Time without requests in flight after which the servers stop, and time from then to the exit.
 const EXIT_IDLE_TIME: Duration = Duration::from_millis(150);
 
+/// Time for which callers may still read the answers that were begun.
+const ANSWER_WRITE_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Timeout of a grant extension, and of a connection attempt to the upstream.
 const UPSTREAM_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -48,7 +51,7 @@
     let forward = bind(listen.forward, "forward")?;
     let admin = bind(listen.admin, "admin")?;
     let (tx, rx) = channel();
-    let stop_peer = peer_socket::listen(&bind(listen.peer, "peer")?, tx.clone())?;
+    let peer_server = peer_socket::listen(&bind(listen.peer, "peer")?, tx.clone())?;
     let metrics = Arc::new(MetricsSet::default());
     let peers = PeerSocket::start(metrics.clone())?;
     let context = Arc::new(TrafficContext::new(metrics.clone(), tx.clone()));
@@ -61,8 +64,8 @@
         AdminState { status: status.clone(), context: context.clone(), tx: tx.clone(), log };
     let stop_admin = serve_admin(admin, admin_state)?;
     let workers = settings.workers;
-    let stop_forward = serve_requests(&forward, workers, &context, true)?;
-    let stop_traffic = serve_requests(&traffic, workers, &context, false)?;
+    let forward_server = serve_requests(&forward, workers, &context, true)?;
+    let traffic_server = serve_requests(&traffic, workers, &context, false)?;
     watch_signals(tx.clone())?;
     log::info!(
         host = &*settings.host, traffic:% = listen.traffic, admin:% = listen.admin;
@@ -81,11 +84,10 @@
     let control = std::thread::spawn(move || ControlThread::new(parts).run());
     let control_result = control.join();
     wait_for_callers(&context);
-    stop_traffic();
-    stop_forward();
+    let servers = [traffic_server, forward_server, peer_server];
+    servers.iter().for_each(HttpServer::stop);
     stop_admin();
-    stop_peer();
-    std::thread::sleep(EXIT_IDLE_TIME);
+    wait_until_written(&servers);
     log::info!("node stopped");
     if control_result.is_err() {
         // Without its control thread, which has panicked, a node must not serve requests.
@@ -128,6 +130,20 @@
     }
 }
 
+/// Waits until every connection is closed, so that no answer is left in its write buffer, for
+/// [`ANSWER_WRITE_TIMEOUT`] at most.
+fn wait_until_written(servers: &[HttpServer]) {
+    std::thread::sleep(EXIT_IDLE_TIME);
+    let until = Instant::now() + ANSWER_WRITE_TIMEOUT;
+    let open = || servers.iter().map(HttpServer::connections).sum::<usize>();
+    while Instant::now() < until && open() > 0 {
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    if open() > 0 {
+        log::warn!(connections = open(); "answers not written before the exit");
+    }
+}
+
 /// Starts the IO thread, which calls the log, extends the upstream's grant and checks the upstream.
 fn spawn_io(
     log: &LogClient,
--- a/crates/firspindle/src/process/peer_socket.rs
+++ b/crates/firspindle/src/process/peer_socket.rs
@@ -20,7 +20,7 @@
 use tokio::sync::mpsc;
 
 use super::{ControlEvent, MetricsSet, ProcessError, StartSnafu};
-use crate::connection::{ConnectionPool, OutboundRequest, StopServer, serve};
+use crate::connection::{ConnectionPool, HttpServer, OutboundRequest, serve};
 
 /// Messages to one peer that wait to be sent; further ones are dropped.
 const SEND_BUFFER_MESSAGES: usize = 64;
@@ -147,7 +147,7 @@
 pub fn listen(
     listener: &TcpListener,
     tx: Sender<ControlEvent>,
-) -> Result<StopServer, ProcessError> {
+) -> Result<HttpServer, ProcessError> {
     serve(listener, 1, move |request, _| receive_message(request, tx.clone()))
 }
 
--- a/crates/firspindle/src/request/traffic_service.rs
+++ b/crates/firspindle/src/request/traffic_service.rs
@@ -17,7 +17,7 @@
 use super::entry_step::route;
 use super::owner_step::run_locally;
 use super::{CallerRequest, CallerResponse, TrafficContext};
-use crate::connection::{StopServer, serve};
+use crate::connection::{HttpServer, serve};
 use crate::process::{ProcessError, unix_ms};
 
 /// Most bytes of a refused request's body that are read and discarded.
@@ -33,7 +33,7 @@
     workers: usize,
     context: &Arc<TrafficContext>,
     forwarded: bool,
-) -> Result<StopServer, ProcessError> {
+) -> Result<HttpServer, ProcessError> {
     let context = context.clone();
     serve(listener, workers, move |request, remote| {
         handle_request(context.clone(), request, remote, forwarded)
--- a/crates/mesh/src/process/mesh_node.rs
+++ b/crates/mesh/src/process/mesh_node.rs
@@ -18,7 +18,8 @@
 use super::{ControlEvent, MeshSettings};
 use crate::connection::{ServerKind, serve_connections};
 use crate::request::{
-    METER_INTERVAL, SharedState, TrafficContext, check_after_breaks, check_limit, sync_upstream,
+    ExitStage, METER_INTERVAL, SharedState, TrafficContext, check_after_breaks, check_limit,
+    sync_upstream,
 };
 
 /// Time after the node turned unready in which callers are still accepted: two readiness checks,
@@ -38,6 +39,9 @@
 /// Time between checks for requests in flight while the process drains.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Time between checks for open connections while they close.
+const CLOSE_POLL_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Time between updates of the limiter's slots and of the published load.
 const LOAD_UPDATE_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -248,11 +252,26 @@
 }
 
 /// Waits until callers have had time to leave and no request is in flight, for the grace time at
-/// most. Then closes the listeners and answers what came before.
+/// most. Then closes the listeners, answers what came before, and closes the connections.
 fn drain(shared: &SharedState, grace: Duration) {
     wait_until_idle(shared, grace);
-    shared.listeners_close.notify_waiters();
+    shared.exit_stage.send_replace(ExitStage::ListenersClosed);
     std::thread::sleep(EXIT_CLOSE_TIME);
+    shared.exit_stage.send_replace(ExitStage::ConnectionsClose);
+    wait_until_written(shared);
+}
+
+/// Waits until every connection is closed, so that no answer is left in its write buffer, until the time
+/// of the exit at most.
+fn wait_until_written(shared: &SharedState) {
+    let deadline = shared.exit_deadline.get().copied();
+    let open = || shared.connections.load(Ordering::Relaxed);
+    while open() > 0 && deadline.is_some_and(|deadline| Instant::now() < deadline) {
+        std::thread::sleep(CLOSE_POLL_INTERVAL);
+    }
+    if open() > 0 {
+        log::warn!(connections = open(); "answers not written at the end of the grace time");
+    }
 }
 
 fn wait_until_idle(shared: &SharedState, grace: Duration) {
--- a/crates/mesh/src/request.rs
+++ b/crates/mesh/src/request.rs
@@ -29,7 +29,7 @@
 pub use attempt_outcome::{AttemptOutcome, NotRunReason};
 pub use caller_entry::handle_caller_request;
 pub use owner_step::handle_peer_request;
-pub use shared_state::SharedState;
+pub use shared_state::{ExitStage, SharedState};
 pub use traffic_context::{InFlightGuard, TrafficContext};
 
 pub(crate) use cold_step::{check_after_breaks, sync_upstream};
--- a/crates/mesh/src/request/shared_state.rs
+++ b/crates/mesh/src/request/shared_state.rs
@@ -7,11 +7,23 @@
 use arc_swap::ArcSwap;
 use firspindle_core::connection::{DemandReport, UpstreamLoad};
 use firspindle_edge::LogLimiter;
-use tokio::sync::Notify;
+use tokio::sync::watch;
 
 use crate::process::MeshMetrics;
 use crate::version::MeshView;
 
+/// What the servers for callers and other nodes do while the process exits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
+pub enum ExitStage {
+    /// They serve.
+    #[default]
+    Serving,
+    /// They accept no more connections.
+    ListenersClosed,
+    /// They close each connection once the answers that were begun on it are written.
+    ConnectionsClose,
+}
+
 /// State that the control thread and the traffic thread share.
 #[derive(Debug, Default)]
 pub struct SharedState {
@@ -25,8 +37,10 @@
     pub rejects_requests: AtomicBool,
     /// Latest time at which the process exits; set once it shuts down.
     pub exit_deadline: OnceLock<Instant>,
-    /// Notifies the servers that the process exits now, so that they accept no more connections.
-    pub listeners_close: Notify,
+    /// What the servers do while the process exits.
+    pub exit_stage: watch::Sender<ExitStage>,
+    /// Connections of callers and other nodes that are open.
+    pub connections: AtomicU64,
     /// Requests of callers and other nodes whose responses are not yet complete.
     pub in_flight: AtomicU64,
     demand: Mutex<DemandReport>,
