fix(mesh): a request that crashes upstreams after it was abandoned is refused

Cause: a request that its caller or its deadline ended was dropped with all that the node knew of it, while the upstream worked on, so its crash was attributed to others.

Change: such runs are kept until the upstream has outlived their deadline, and are suspected of its crash like requests that were answered just before. As nothing answers beside them, two more signs of life clear innocent requests: a connection that the upstream ended, and the open connection of an abandoned run.

--- a/crates/core/src/request/finished_runs.rs
+++ b/crates/core/src/request/finished_runs.rs
@@ -1,8 +1,11 @@
 //! Requests that an upstream answered so recently that its crash may be their doing.
 //!
 //! A request may crash an upstream shortly after its whole answer, so an answer shows that a request is harmless
-//! only once the upstream has outlived it. That is shown by an answer to a request that was sent later: heartbeats
-//! may arrive seconds after their sender has crashed.
+//! only once the upstream has outlived it. That is shown by an answer to a request that was sent later, or by a
+//! connection that the upstream ended later: heartbeats may arrive seconds after their sender has crashed.
+//!
+//! A run that its node abandoned, as its caller left or its deadline passed, may go on at the upstream until the
+//! deadline that the upstream was told. It counts like one that was answered then.
 
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
@@ -16,13 +19,14 @@
 /// Time within which a crash is noticed: by a refused connection, or as the upstream has started again.
 const NOTICE_TIME: Duration = Duration::from_secs(10);
 
-/// Most answers that are kept; the oldest give way.
+/// Most answers that are kept, and most abandoned runs; the oldest give way.
 const MAX_RUNS: usize = 64;
 
-/// Most requests that are suspected of one crash: the last ones answered.
+/// Most requests that are suspected of one crash: the last ones answered, and as many abandoned last.
 const MAX_SUSPECTS: usize = 8;
 
-/// A request that was answered, when the upstream has outlived it, and until when it is suspected of a crash.
+/// A request that was answered or abandoned, when the upstream has outlived it, and until when it is suspected of
+/// a crash.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct FinishedRun {
     fingerprint: u128,
@@ -30,17 +34,36 @@
     suspected_until: Instant,
 }
 
-/// An instance that crashed, and the requests that are suspected of it, the last answered first.
+/// An instance that crashed, and the requests that are suspected of it.
 pub type CrashSuspects = (UpstreamInstance, Vec<u128>);
 
-/// Requests that the present instance of an upstream answered and has not outlived yet, in the order of their
-/// answers.
+impl FinishedRun {
+    /// A run of which the upstream was free at `ended_at` at the latest.
+    fn ending_at(fingerprint: u128, ended_at: Instant) -> Self {
+        let (outlived_at, suspected_until) = (ended_at + OUTLIVE_TIME, ended_at + NOTICE_TIME);
+        Self { fingerprint, outlived_at, suspected_until }
+    }
+}
+
+/// Requests that the present instance of an upstream answered, or that were abandoned there, and that it has not
+/// outlived yet.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct FinishedRuns {
     instance: Option<UpstreamInstance>,
     /// Whether the instance leaves, so that its end is no crash.
     leaving: bool,
-    rows: VecDeque<FinishedRun>,
+    /// In the order of their answers.
+    answered: VecDeque<FinishedRun>,
+    /// In the order in which they were abandoned.
+    abandoned: VecDeque<FinishedRun>,
+}
+
+/// Adds a run in place of the oldest one if there are too many.
+fn push_run(rows: &mut VecDeque<FinishedRun>, row: FinishedRun) {
+    if rows.len() == MAX_RUNS {
+        rows.pop_front();
+    }
+    rows.push_back(row);
 }
 
 impl FinishedRuns {
@@ -57,7 +80,8 @@
         self.instance.get_or_insert_with(|| instance.clone());
         self.leaving = leaving;
         if leaving {
-            self.rows.clear();
+            self.answered.clear();
+            self.abandoned.clear();
         }
         crashed.filter(|(_, suspects)| !suspects.is_empty())
     }
@@ -67,24 +91,43 @@
         if !self.is_about(instance) || self.leaving {
             return;
         }
-        if self.rows.len() == MAX_RUNS {
-            self.rows.pop_front();
+        push_run(&mut self.answered, FinishedRun::ending_at(fingerprint, now));
+    }
+
+    /// Notes that a run at an instance was abandoned; the instance may work on it until `works_until`.
+    pub fn note_abandoned(
+        &mut self,
+        instance: &UpstreamInstance,
+        fingerprint: u128,
+        works_until: Instant,
+    ) {
+        if !self.is_about(instance) || self.leaving {
+            return;
         }
-        let (outlived_at, suspected_until) = (now + OUTLIVE_TIME, now + NOTICE_TIME);
-        self.rows.push_back(FinishedRun { fingerprint, outlived_at, suspected_until });
+        push_run(&mut self.abandoned, FinishedRun::ending_at(fingerprint, works_until));
+    }
+
+    /// Returns the instance of the upstream, if one is known.
+    pub const fn instance(&self) -> Option<&UpstreamInstance> {
+        self.instance.as_ref()
     }
 
-    /// Notes that an instance answered a request that was sent at `sent_at`; returns the requests that it had
-    /// outlived by then.
-    pub fn note_alive(&mut self, instance: &UpstreamInstance, sent_at: Instant) -> Vec<u128> {
+    /// Notes that an instance lived at a time, as it answered a request that was sent then; returns the requests
+    /// that it had outlived by then.
+    pub fn note_alive(&mut self, instance: &UpstreamInstance, lived_at: Instant) -> Vec<u128> {
         if !self.is_about(instance) {
             return Vec::new();
         }
-        let count = self.rows.iter().take_while(|row| row.outlived_at <= sent_at).count();
-        self.rows.drain(..count).map(|row| row.fingerprint).collect()
+        let outlived = |row: &FinishedRun| row.outlived_at <= lived_at;
+        let count = self.answered.iter().take_while(|row| outlived(row)).count();
+        let mut runs: Vec<_> = self.answered.drain(..count).collect();
+        runs.extend(self.abandoned.iter().filter(|row| outlived(row)));
+        self.abandoned.retain(|row| !outlived(row));
+        runs.into_iter().map(|row| row.fingerprint).collect()
     }
 
-    /// Returns the requests that are suspected of the crash of an instance, the last answered first.
+    /// Returns the requests that are suspected of the crash of an instance, the last abandoned first, then the
+    /// last answered.
     pub fn take_suspects(&mut self, instance: &UpstreamInstance, now: Instant) -> Vec<u128> {
         if self.is_about(instance) { self.drain_suspects(now) } else { Vec::new() }
     }
@@ -95,9 +138,12 @@
 
     fn drain_suspects(&mut self, now: Instant) -> Vec<u128> {
         let mut suspects = Vec::new();
-        for row in self.rows.drain(..).rev().filter(|row| now < row.suspected_until) {
-            if suspects.len() < MAX_SUSPECTS && !suspects.contains(&row.fingerprint) {
-                suspects.push(row.fingerprint);
+        for rows in [&mut self.abandoned, &mut self.answered] {
+            let limit = suspects.len() + MAX_SUSPECTS;
+            for row in rows.drain(..).rev().filter(|row| now < row.suspected_until) {
+                if suspects.len() < limit && !suspects.contains(&row.fingerprint) {
+                    suspects.push(row.fingerprint);
+                }
             }
         }
         suspects
--- a/crates/mesh/src/connection.rs
+++ b/crates/mesh/src/connection.rs
@@ -22,6 +22,7 @@
 pub use inbound_room::{InboundRoom, RoomGuard};
 pub use link_pacer::{LinkPacer, LinkReservation};
 pub use outbound_body::OutboundBody;
+pub(crate) use outbound_stream::RemoteEnd;
 pub use paced_transfer::PacedTransfer;
 pub use proxy_body::{ProxyBody, ProxyResponse, StreamedBody};
 pub use state_fetch::{FetchError, STATE_PATH, fetch_state, fetch_upstream_id, parse_known_state};
--- a/crates/mesh/src/connection/connection_pool.rs
+++ b/crates/mesh/src/connection/connection_pool.rs
@@ -20,7 +20,7 @@
 use tokio::time::Instant;
 
 use super::OutboundBody;
-use super::outbound_stream::OutboundStream;
+use super::outbound_stream::{OutboundStream, RemoteEnd};
 
 /// Time limit for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
@@ -93,6 +93,7 @@
 #[derive(Clone, Default)]
 pub struct ConnectionPool {
     rows: Rc<RefCell<Vec<PoolRow>>>,
+    remote_end: RemoteEnd,
 }
 
 /// A connection whose response is still to be read; [`Self::finish`] returns it to the pool.
@@ -117,6 +118,11 @@
 }
 
 impl ConnectionPool {
+    /// Returns when the other side last ended a connection of this pool.
+    pub(crate) fn remote_end(&self) -> RemoteEnd {
+        self.remote_end.clone()
+    }
+
     /// Sends a request on a connection that was idle for less than `idle_limit`, or a new one.
     /// The flag says whether the connection is new.
     ///
@@ -174,7 +180,7 @@
         };
         set_client_options(&stream);
         let (sender, driver) = Builder::new()
-            .handshake(TokioIo::new(OutboundStream::new(stream)))
+            .handshake(TokioIo::new(OutboundStream::new(stream, self.remote_end.clone())))
             .await
             .map_err(|_| SendError::NotSent)?;
         tokio::task::spawn_local(async move {
--- a/crates/mesh/src/connection/outbound_stream.rs
+++ b/crates/mesh/src/connection/outbound_stream.rs
@@ -5,10 +5,12 @@
 //! is closed. Small requests never fill a window, so a silent side is noticed by them; while a large body
 //! is sent, the limit is longer than the deadline that ends the request.
 
+use std::cell::Cell;
 use std::io::{IoSlice, Result};
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -26,11 +28,24 @@
     written: usize,
     /// Whether what was sent may stay unread.
     patient: bool,
+    remote_end: RemoteEnd,
+}
+
+/// When the other side last ended a connection: until then it lived, as the system ends all connections of a
+/// process at its end.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct RemoteEnd(Rc<Cell<Option<Instant>>>);
+
+impl RemoteEnd {
+    /// Returns the time at which the last such end was seen.
+    pub(crate) fn seen_at(&self) -> Option<Instant> {
+        self.0.get()
+    }
 }
 
 impl OutboundStream {
-    pub(super) const fn new(stream: TcpStream) -> Self {
-        Self { stream, written: 0, patient: false }
+    pub(super) const fn new(stream: TcpStream, remote_end: RemoteEnd) -> Self {
+        Self { stream, written: 0, patient: false, remote_end }
     }
 
     fn set_patient(&mut self, patient: bool) {
@@ -67,6 +82,8 @@
         if buffer.filled().len() > before {
             // The next write begins another request.
             self.written = 0;
+        } else if read.is_ready() && buffer.remaining() > 0 {
+            self.remote_end.0.set(Some(Instant::now()));
         }
         read
     }
--- a/crates/mesh/src/process/control_thread/crash_step.rs
+++ b/crates/mesh/src/process/control_thread/crash_step.rs
@@ -49,10 +49,10 @@
         self.crashes_due_at.get_or_insert(tokio::time::Instant::now() + CRASH_GATHER_TIME);
     }
 
-    /// Notes requests that an upstream had answered shortly before it crashed.
+    /// Notes requests that an upstream had answered shortly before it crashed, or that were abandoned there.
     pub(super) fn note_crash_after(&mut self, fingerprints: &[u128], instance: &UpstreamInstance) {
         let (life, born_ms, requests) = (&*instance.id, instance.born_ms, fingerprints.len());
-        log::warn!(life, born_ms, requests; "upstream crashed shortly after answers");
+        log::warn!(life, born_ms, requests; "upstream crashed after requests had ended");
         let now = self.clock.now();
         self.state.note_crash_after(fingerprints, hash_instance(instance), now);
         self.publish();
--- a/crates/mesh/src/request/crash_reporter.rs
+++ b/crates/mesh/src/request/crash_reporter.rs
@@ -1,6 +1,6 @@
 //! Notices crashes of the upstream, and tells the control thread which requests are suspected of them.
 //!
-//! Requests in flight are suspected, and those that the crashed instance answered last. The reporter is shared by
+//! Requests in flight are suspected, and those that the crashed instance answered last or may still have worked on. The reporter is shared by
 //! all requests and by the answers that are under way.
 
 use std::cell::RefCell;
@@ -15,6 +15,7 @@
 use tokio::sync::oneshot;
 
 use super::SharedState;
+use crate::connection::RemoteEnd;
 use crate::process::ControlEvent;
 
 /// Time limit of the check whether the upstream's process has died. If the process is alive and has
@@ -26,6 +27,8 @@
     upstream: SocketAddr,
     shared: Arc<SharedState>,
     control_tx: UnboundedSender<ControlEvent>,
+    /// When the upstream last ended a connection.
+    remote_end: RemoteEnd,
     finished: RefCell<FinishedRuns>,
 }
 
@@ -34,8 +37,9 @@
         upstream: SocketAddr,
         shared: Arc<SharedState>,
         control_tx: UnboundedSender<ControlEvent>,
+        remote_end: RemoteEnd,
     ) -> Self {
-        Self { upstream, shared, control_tx, finished: RefCell::default() }
+        Self { upstream, shared, control_tx, remote_end, finished: RefCell::default() }
     }
 
     fn send(&self, event: ControlEvent) -> bool {
@@ -44,6 +48,10 @@
 
     /// Notes which instance of the upstream is known, and whether it leaves.
     pub(super) fn set_instance(&self, instance: &UpstreamInstance, leaving: bool) {
+        let earlier = self.finished.borrow().instance().filter(|it| *it != instance).cloned();
+        if let Some(earlier) = earlier {
+            self.note_remote_end(&earlier);
+        }
         let crashed = self.finished.borrow_mut().set_instance(instance, leaving, Instant::now());
         if let Some((earlier, suspects)) = crashed {
             self.send(ControlEvent::CrashAfter(earlier, suspects));
@@ -55,10 +63,24 @@
         self.finished.borrow_mut().note_answer(instance, fingerprint, Instant::now());
     }
 
-    /// Notes that an instance answered a request that was sent at `sent_at`, which clears those that it had
-    /// outlived by then.
-    pub(super) fn note_alive(&self, instance: &UpstreamInstance, sent_at: Instant) {
-        let outlived = self.finished.borrow_mut().note_alive(instance, sent_at);
+    /// Notes that a run was abandoned now, on which an instance may work until its deadline. The run's connection
+    /// had not ended, so the instance lived.
+    pub(super) fn note_abandoned(
+        &self,
+        instance: &UpstreamInstance,
+        fingerprint: u128,
+        deadline: Instant,
+    ) {
+        let now = Instant::now();
+        self.note_alive(instance, now);
+        let works_until = deadline.max(now);
+        self.finished.borrow_mut().note_abandoned(instance, fingerprint, works_until);
+    }
+
+    /// Notes that an instance lived at a time, as it answered a request that was sent then, which clears those that
+    /// it had outlived by then.
+    pub(super) fn note_alive(&self, instance: &UpstreamInstance, lived_at: Instant) {
+        let outlived = self.finished.borrow_mut().note_alive(instance, lived_at);
         if outlived.is_empty() {
             return;
         }
@@ -68,8 +90,16 @@
         }
     }
 
+    /// Clears what a crashed instance outlived: it lived until its last connection ended.
+    fn note_remote_end(&self, instance: &UpstreamInstance) {
+        if let Some(seen_at) = self.remote_end.seen_at() {
+            self.note_alive(instance, seen_at);
+        }
+    }
+
     /// Notes that an instance has ended: nothing listens at its address.
     pub(super) fn note_refused(&self, instance: &UpstreamInstance) {
+        self.note_remote_end(instance);
         self.send(ControlEvent::UpstreamRefused(instance.clone()));
         let suspects = self.finished.borrow_mut().take_suspects(instance, Instant::now());
         if !suspects.is_empty() {
--- a/crates/mesh/src/request/crash_step.rs
+++ b/crates/mesh/src/request/crash_step.rs
@@ -5,8 +5,9 @@
 //! instance, and responds only once they have acknowledged it or a time limit has passed, so that a
 //! retry, by the entry node or by the caller at another node, does not overtake the report.
 //!
-//! A request may also crash the upstream shortly after its whole answer. The last requests that were answered are
-//! suspected then, of which more crashes are needed than of those in flight.
+//! A request may also crash the upstream shortly after its whole answer, or after its caller has left. The last
+//! requests that were answered, and those that were abandoned, are suspected then, of which more crashes are needed
+//! than of those in flight.
 
 use std::rc::Rc;
 use std::time::Instant;
@@ -45,13 +46,57 @@
     Some(AttemptOutcome::NotRun { reason: NotRunReason::CrashesUpstreams, retry_after: Some(left) })
 }
 
+/// Watches a request that is sent to the upstream until its answer begins. It is abandoned if this is dropped
+/// before, as the caller leaves or the deadline passes.
+pub(super) struct SendWatch<'a> {
+    context: &'a TrafficContext,
+    request: &'a RoutedRequest,
+    upstream: &'a UpstreamView,
+    settled: bool,
+}
+
+impl<'a> SendWatch<'a> {
+    /// Watches a request that is about to be sent.
+    pub(super) const fn new(
+        context: &'a TrafficContext,
+        request: &'a RoutedRequest,
+        upstream: &'a UpstreamView,
+    ) -> Self {
+        Self { context, request, upstream, settled: false }
+    }
+
+    /// Notes that the upstream does not work on the request, or that its answer is watched from now on.
+    pub(super) fn settle(mut self) {
+        self.settled = true;
+    }
+}
+
+impl Drop for SendWatch<'_> {
+    fn drop(&mut self) {
+        if self.settled {
+            return;
+        }
+        if let Some(fingerprint) = fingerprint_of(self.request) {
+            let (instance, deadline) = (&self.upstream.instance, self.request.deadline);
+            self.context.crashes.note_abandoned(instance, fingerprint, deadline);
+        }
+    }
+}
+
 /// Watches an answer of the upstream until its end. One that breaks off as the upstream crashes counts as a crash,
-/// like a connection that breaks before an answer; the upstream has to outlive a whole one.
+/// like a connection that breaks before an answer; the upstream has to outlive a whole one. One that is dropped
+/// before its end is abandoned.
 pub(crate) struct AnswerWatch {
+    watched: Option<WatchedAnswer>,
+}
+
+struct WatchedAnswer {
     crashes: Rc<CrashReporter>,
     request: Box<str>,
     fingerprint: u128,
     instance: UpstreamInstance,
+    /// Until then the upstream may work on it.
+    deadline: Instant,
 }
 
 impl AnswerWatch {
@@ -61,27 +106,41 @@
         request: &RoutedRequest,
         upstream: &UpstreamView,
     ) -> Option<Self> {
-        Some(Self {
+        let watched = WatchedAnswer {
             crashes: context.crashes.clone(),
             request: request.id.clone(),
             fingerprint: fingerprint_of(request)?,
             instance: upstream.instance.clone(),
-        })
+            deadline: request.deadline,
+        };
+        Some(Self { watched: Some(watched) })
     }
 
     /// Notes that the answer is whole.
-    pub(crate) fn complete(self) {
-        self.crashes.note_answer(&self.instance, self.fingerprint);
+    pub(crate) fn complete(mut self) {
+        if let Some(answer) = self.watched.take() {
+            answer.crashes.note_answer(&answer.instance, answer.fingerprint);
+        }
     }
 
     /// Notes that the answer broke off.
-    pub(crate) fn broken(self) {
+    pub(crate) fn broken(mut self) {
+        let Some(answer) = self.watched.take() else { return };
         tokio::task::spawn_local(async move {
-            self.crashes.report_broken(&self.instance, &self.request, self.fingerprint).await;
+            let WatchedAnswer { crashes, request, fingerprint, instance, .. } = answer;
+            crashes.report_broken(&instance, &request, fingerprint).await;
         });
     }
 }
 
+impl Drop for AnswerWatch {
+    fn drop(&mut self) {
+        if let Some(answer) = self.watched.take() {
+            answer.crashes.note_abandoned(&answer.instance, answer.fingerprint, answer.deadline);
+        }
+    }
+}
+
 /// Reports the request to all nodes if the upstream crashed, and waits until they know.
 pub(super) async fn report_crash(
     context: &TrafficContext,
--- a/crates/mesh/src/request/send_step.rs
+++ b/crates/mesh/src/request/send_step.rs
@@ -9,7 +9,7 @@
 use hyper::body::Body;
 
 use super::cold_step::note_break;
-use super::crash_step::{AnswerWatch, report_crash};
+use super::crash_step::{AnswerWatch, SendWatch, report_crash};
 use super::notice_step::{AnswerHead, note_answer};
 use super::owner_step::HANDOVER_RETRY_AFTER;
 use super::response_step::strip_hop_by_hop_headers;
@@ -42,17 +42,20 @@
     let idle_limit = if repeatable { IDLE_LIMIT } else { NON_IDEMPOTENT_IDLE_LIMIT };
     context.shared.metrics.sends.inc();
     let sent_at = Instant::now();
+    let watch = SendWatch::new(context, request, upstream);
     let sending = context.upstream.send(context.settings.upstream, outgoing, idle_limit);
     let sent = tokio::time::timeout_at(request.deadline.into(), sending).await;
     let (response, connection, is_new) = match sent {
         Ok(Ok(sent)) => sent,
         Ok(Err(SendError::Refused)) => {
+            watch.settle();
             context.limiter.distrust(ColdCause::RefusedConnection);
             context.crashes.note_refused(&upstream.instance);
             let reason = NotRunReason::Unreachable;
             return AttemptOutcome::NotRun { reason, retry_after: Some(HANDOVER_RETRY_AFTER) };
         }
         Ok(Err(SendError::NotSent)) => {
+            watch.settle();
             note_break(context);
             let reason = NotRunReason::Unreachable;
             return AttemptOutcome::NotRun { reason, retry_after: Some(HANDOVER_RETRY_AFTER) };
@@ -61,6 +64,7 @@
             note_break(context);
             drop(permit);
             report_crash(context, request, upstream).await;
+            watch.settle();
             return AttemptOutcome::MayHaveRun { reason: "the link to the upstream broke" };
         }
         Err(_) => return AttemptOutcome::MayHaveRun { reason: "no answer in time" },
@@ -88,6 +92,7 @@
     };
     match check {
         ResponseCheck::Valid => {
+            watch.settle();
             permit.answered();
             if request.kind == RequestKind::Download {
                 context.link.count_length(response.body().size_hint().lower());
@@ -95,6 +100,7 @@
             AttemptOutcome::Answered(Box::new(stream_response(response)))
         }
         ResponseCheck::Refused => {
+            watch.settle();
             let retry_after = parse_retry_after(response.headers());
             AttemptOutcome::NotRun {
                 reason: NotRunReason::Refused,
--- a/crates/mesh/src/request/traffic_context.rs
+++ b/crates/mesh/src/request/traffic_context.rs
@@ -99,7 +99,13 @@
         let bounds = &settings.bounds;
         let link = LinkPacer::new(bounds.link_rate);
         let outcomes = shared.metrics.reservations.clone();
-        let crashes = CrashReporter::new(settings.upstream, shared.clone(), control_tx.clone());
+        let upstream = ConnectionPool::default();
+        let crashes = CrashReporter::new(
+            settings.upstream,
+            shared.clone(),
+            control_tx.clone(),
+            upstream.remote_end(),
+        );
         let room = InboundRoom::new(bounds.link_rate, bounds.memory, outcomes);
         Self {
             settings,
@@ -108,7 +114,7 @@
             clock,
             control_tx,
             peers: ConnectionPool::default(),
-            upstream: ConnectionPool::default(),
+            upstream,
             limiter: UpstreamLimiter::default(),
             link,
             break_notify: Notify::new(),
