refactor: one count of open connections for the servers of both nodes

Read once more: the servers of mesh nodes and of hash-divided nodes counted and awaited their connections in two copies, and only the first discarded unread bytes. OpenConnections and discard_unread of firspindle-edge serve both; the hash-divided server stops by the function that it had. is_sharded was left beside holds_keys, which answers the same for a service that the manifest has dropped; one remains. A connection is asked for readiness before its buffer is initialized, so an awaited head costs nothing while nothing arrives.

--- a/crates/firspindle/src/connection.rs
+++ b/crates/firspindle/src/connection.rs
@@ -10,6 +10,6 @@
     ConnectionPool, OutboundRequest, OutboundResponse, SendError, end_to_end_headers, header_value,
     is_hop_by_hop_header,
 };
-pub use http_server::{HttpServer, serve};
+pub use http_server::{StopServer, serve};
 pub use partition_gate::{GateGuard, PartitionGate};
 pub use upstream_handle::{UpstreamHandle, UpstreamPermit};
--- a/crates/firspindle/src/connection/http_server.rs
+++ b/crates/firspindle/src/connection/http_server.rs
@@ -5,11 +5,10 @@
 
 use std::convert::Infallible;
 use std::net::{IpAddr, TcpListener};
-use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
+use firspindle_edge::{OpenConnections, discard_unread};
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -34,43 +33,12 @@
 /// Pause after a failed accept.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 
-/// A server on threads of its own.
-pub struct HttpServer {
-    stop: watch::Sender<bool>,
-    connections: Arc<AtomicUsize>,
-}
-
-impl HttpServer {
-    /// Stops the server gracefully: it accepts no more connections, and each one ends once the answer
-    /// that was begun on it is written.
-    pub fn stop(&self) {
-        self.stop.send_replace(true);
-    }
-
-    /// Returns how many connections are open.
-    pub fn connections(&self) -> usize {
-        self.connections.load(Ordering::Relaxed)
-    }
-}
-
-/// Counts a connection as open until it is dropped.
-struct OpenConnection(Arc<AtomicUsize>);
-
-impl OpenConnection {
-    fn new(connections: &Arc<AtomicUsize>) -> Self {
-        connections.fetch_add(1, Ordering::Relaxed);
-        Self(connections.clone())
-    }
-}
-
-impl Drop for OpenConnection {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
-    }
-}
+/// Stops a server gracefully: it accepts no more connections, and each one ends after its request,
+/// once the answer is written.
+pub type StopServer = Box<dyn Fn() + Send>;
 
 /// Serves requests on `workers` threads. The handler gets each request with its sender's address,
-/// and its future is dropped if the sender closes the connection.
+/// and its future is dropped if the sender closes the connection. `connections` counts the open ones.
 ///
 /// # Errors
 ///
@@ -78,14 +46,14 @@
 pub fn serve<H, F>(
     listener: &TcpListener,
     workers: usize,
+    connections: &OpenConnections,
     handler: H,
-) -> Result<HttpServer, ProcessError>
+) -> Result<StopServer, ProcessError>
 where
     H: Fn(Request<Incoming>, IpAddr) -> F + Clone + Send + 'static,
     F: Future<Output = Response<Full<Bytes>>> + 'static,
 {
     let (stop, stopped) = watch::channel(false);
-    let connections = Arc::<AtomicUsize>::default();
     for _ in 0..workers {
         let listener = listener.try_clone().context(StartSnafu)?;
         let runtime = tokio::runtime::Builder::new_current_thread()
@@ -102,14 +70,16 @@
             }
         });
     }
-    Ok(HttpServer { stop, connections })
+    Ok(Box::new(move || {
+        stop.send_replace(true);
+    }))
 }
 
 async fn accept_connections<H, F>(
     listener: TcpListener,
     handler: H,
     stopped: watch::Receiver<bool>,
-    connections: Arc<AtomicUsize>,
+    connections: OpenConnections,
 ) -> std::io::Result<()>
 where
     H: Fn(Request<Incoming>, IpAddr) -> F + Clone + 'static,
@@ -124,11 +94,11 @@
         };
         match accepted {
             Ok((stream, remote)) => {
-                let open = OpenConnection::new(&connections);
+                let guard = connections.enter();
                 let serving = serve_stream(stream, remote.ip(), handler.clone(), stopped.clone());
                 spawn_local(async move {
                     serving.await;
-                    drop(open);
+                    drop(guard);
                 });
             }
             Err(error) => {
@@ -143,7 +113,7 @@
 }
 
 async fn serve_stream<H, F>(
-    stream: tokio::net::TcpStream,
+    mut stream: tokio::net::TcpStream,
     remote: IpAddr,
     handler: H,
     mut stopped: watch::Receiver<bool>,
@@ -163,7 +133,7 @@
         .header_read_timeout(KEEP_ALIVE_TIMEOUT)
         .max_headers(MAX_HEADERS)
         .max_buf_size(MAX_READ_BYTES)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(&mut stream), service);
     let mut connection = std::pin::pin!(connection);
     let result = tokio::select! {
         result = connection.as_mut() => result,
@@ -175,4 +145,5 @@
     if let Err(error) = result {
         log::debug!(error:%; "server connection ended with an error");
     }
+    discard_unread(&mut stream).await;
 }
--- a/crates/firspindle/src/process/admin_service.rs
+++ b/crates/firspindle/src/process/admin_service.rs
@@ -23,6 +23,7 @@
 use super::process_error::{ProcessError, StartSnafu};
 use super::status_page::StatusPage;
 use super::{AnnounceBody, ControlEvent, LogClient, LogError};
+use crate::connection::StopServer;
 use crate::request::TrafficContext;
 use firspindle_edge::boot_time;
 
@@ -38,9 +39,6 @@
 /// Time within which the body of a request arrives whole.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Stops the server gracefully.
-pub type StopServer = Box<dyn Fn() + Send>;
-
 /// State shared by the server's handlers.
 #[derive(Clone)]
 pub struct AdminState {
--- a/crates/firspindle/src/process/node_process.rs
+++ b/crates/firspindle/src/process/node_process.rs
@@ -8,6 +8,7 @@
 
 use arc_swap::ArcSwap;
 use bytes::Bytes;
+use firspindle_edge::OpenConnections;
 use http::{HeaderMap, Method, Uri};
 use signal_hook::consts::{SIGINT, SIGTERM};
 use snafu::ResultExt;
@@ -22,7 +23,7 @@
     ControlEvent, LogClient, MetricsSet, NodeSettings, PeerSocket, ProcessError, log_reader,
     peer_socket, record_writer,
 };
-use crate::connection::{ConnectionPool, HttpServer, OutboundRequest, UpstreamHandle};
+use crate::connection::{ConnectionPool, OutboundRequest, UpstreamHandle};
 use crate::request::{TrafficContext, serve_requests};
 
 /// Time after the release of all partitions for which requests of callers may still finish.
@@ -51,10 +52,11 @@
     let forward = bind(listen.forward, "forward")?;
     let admin = bind(listen.admin, "admin")?;
     let (tx, rx) = channel();
-    let peer_server = peer_socket::listen(&bind(listen.peer, "peer")?, tx.clone())?;
+    let connections = OpenConnections::default();
+    let stop_peer = peer_socket::listen(&bind(listen.peer, "peer")?, &connections, tx.clone())?;
     let metrics = Arc::new(MetricsSet::default());
     let peers = PeerSocket::start(metrics.clone())?;
-    let context = Arc::new(TrafficContext::new(metrics.clone(), tx.clone()));
+    let context = Arc::new(TrafficContext::new(metrics.clone(), tx.clone(), connections));
     let folded_end = Arc::new(AtomicU64::new(1));
     let status = Arc::new(ArcSwap::from_pointee(StatusPage::default()));
     let log = LogClient::new(&settings.log);
@@ -64,8 +66,8 @@
         AdminState { status: status.clone(), context: context.clone(), tx: tx.clone(), log };
     let stop_admin = serve_admin(admin, admin_state)?;
     let workers = settings.workers;
-    let forward_server = serve_requests(&forward, workers, &context, true)?;
-    let traffic_server = serve_requests(&traffic, workers, &context, false)?;
+    let stop_forward = serve_requests(&forward, workers, &context, true)?;
+    let stop_traffic = serve_requests(&traffic, workers, &context, false)?;
     watch_signals(tx.clone())?;
     log::info!(
         host = &*settings.host, traffic:% = listen.traffic, admin:% = listen.admin;
@@ -84,10 +86,12 @@
     let control = std::thread::spawn(move || ControlThread::new(parts).run());
     let control_result = control.join();
     wait_for_callers(&context);
-    let servers = [traffic_server, forward_server, peer_server];
-    servers.iter().for_each(HttpServer::stop);
+    stop_traffic();
+    stop_forward();
     stop_admin();
-    wait_until_written(&servers);
+    stop_peer();
+    std::thread::sleep(EXIT_IDLE_TIME);
+    context.connections.wait_until_closed(Instant::now() + ANSWER_WRITE_TIMEOUT);
     log::info!("node stopped");
     if control_result.is_err() {
         // Without its control thread, which has panicked, a node must not serve requests.
@@ -130,20 +134,6 @@
     }
 }
 
-/// Waits until every connection is closed, so that no answer is left in its write buffer, for
-/// [`ANSWER_WRITE_TIMEOUT`] at most.
-fn wait_until_written(servers: &[HttpServer]) {
-    std::thread::sleep(EXIT_IDLE_TIME);
-    let until = Instant::now() + ANSWER_WRITE_TIMEOUT;
-    let open = || servers.iter().map(HttpServer::connections).sum::<usize>();
-    while Instant::now() < until && open() > 0 {
-        std::thread::sleep(Duration::from_millis(10));
-    }
-    if open() > 0 {
-        log::warn!(connections = open(); "answers not written before the exit");
-    }
-}
-
 /// Starts the IO thread, which calls the log, extends the upstream's grant and checks the upstream.
 fn spawn_io(
     log: &LogClient,
--- a/crates/firspindle/src/process/peer_socket.rs
+++ b/crates/firspindle/src/process/peer_socket.rs
@@ -13,6 +13,7 @@
 
 use bytes::Bytes;
 use firspindle_core::connection::Envelope;
+use firspindle_edge::OpenConnections;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -20,7 +21,7 @@
 use tokio::sync::mpsc;
 
 use super::{ControlEvent, MetricsSet, ProcessError, StartSnafu};
-use crate::connection::{ConnectionPool, HttpServer, OutboundRequest, serve};
+use crate::connection::{ConnectionPool, OutboundRequest, StopServer, serve};
 
 /// Messages to one peer that wait to be sent; further ones are dropped.
 const SEND_BUFFER_MESSAGES: usize = 64;
@@ -146,9 +147,10 @@
 /// [`ProcessError::Start`] if the server cannot start.
 pub fn listen(
     listener: &TcpListener,
+    connections: &OpenConnections,
     tx: Sender<ControlEvent>,
-) -> Result<HttpServer, ProcessError> {
-    serve(listener, 1, move |request, _| receive_message(request, tx.clone()))
+) -> Result<StopServer, ProcessError> {
+    serve(listener, 1, connections, move |request, _| receive_message(request, tx.clone()))
 }
 
 async fn receive_message(
--- a/crates/firspindle/src/request/traffic_context.rs
+++ b/crates/firspindle/src/request/traffic_context.rs
@@ -7,6 +7,7 @@
 use arc_swap::ArcSwap;
 use firspindle_core::NodeId;
 use firspindle_core::request::RetryBudget;
+use firspindle_edge::OpenConnections;
 
 use crate::process::{ControlEvent, LeaseCell, LogLimiter, MetricsSet};
 use crate::version::TrafficView;
@@ -24,6 +25,8 @@
     pub log_limiter: LogLimiter,
     /// Sends events to the control thread.
     pub control_tx: Sender<ControlEvent>,
+    /// Open connections of all servers but the administration's.
+    pub connections: OpenConnections,
     budget: Mutex<RetryBudget>,
     in_flight: AtomicU64,
     /// Nodes that reported that they are shutting down, sorted.
@@ -32,13 +35,18 @@
 
 impl TrafficContext {
     /// Creates a context with an empty view.
-    pub fn new(metrics: Arc<MetricsSet>, control_tx: Sender<ControlEvent>) -> Self {
+    pub fn new(
+        metrics: Arc<MetricsSet>,
+        control_tx: Sender<ControlEvent>,
+        connections: OpenConnections,
+    ) -> Self {
         Self {
             view: ArcSwap::from_pointee(TrafficView::default()),
             lease: LeaseCell::default(),
             metrics,
             log_limiter: LogLimiter::default(),
             control_tx,
+            connections,
             budget: Mutex::default(),
             in_flight: AtomicU64::new(0),
             stopping_nodes: ArcSwap::default(),
--- a/crates/firspindle/src/request/traffic_service.rs
+++ b/crates/firspindle/src/request/traffic_service.rs
@@ -17,7 +17,7 @@
 use super::entry_step::route;
 use super::owner_step::run_locally;
 use super::{CallerRequest, CallerResponse, TrafficContext};
-use crate::connection::{HttpServer, serve};
+use crate::connection::{StopServer, serve};
 use crate::process::{ProcessError, unix_ms};
 
 /// Most bytes of a refused request's body that are read and discarded.
@@ -33,9 +33,10 @@
     workers: usize,
     context: &Arc<TrafficContext>,
     forwarded: bool,
-) -> Result<HttpServer, ProcessError> {
+) -> Result<StopServer, ProcessError> {
     let context = context.clone();
-    serve(listener, workers, move |request, remote| {
+    let connections = context.connections.clone();
+    serve(listener, workers, &connections, move |request, remote| {
         handle_request(context.clone(), request, remote, forwarded)
     })
 }
--- a/crates/firspindle/tests/peer_ends.rs
+++ b/crates/firspindle/tests/peer_ends.rs
@@ -12,6 +12,7 @@
 
 use firspindle::process::{ControlEvent, MetricsSet, PeerSocket, listen_for_peers};
 use firspindle_core::connection::{Envelope, PeerMessage};
+use firspindle_edge::OpenConnections;
 
 /// Peers whose connections end all the time.
 const ENDING_PEERS: usize = 400;
@@ -144,7 +145,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     listener.set_nonblocking(true).unwrap();
     let address = listener.local_addr().unwrap();
-    let _listening = listen_for_peers(&listener, tx).unwrap();
+    let _listening = listen_for_peers(&listener, &OpenConnections::default(), tx).unwrap();
     let link = SilentLink::start(address);
     let socket = PeerSocket::start(Arc::new(MetricsSet::default())).unwrap();
     socket.send(&link.address.to_string(), &heartbeat(1));
--- a/crates/mesh/src/connection/http_server.rs
+++ b/crates/mesh/src/connection/http_server.rs
@@ -6,20 +6,16 @@
 
 use std::convert::Infallible;
 use std::rc::Rc;
-use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use firspindle_edge::discard_unread;
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
 use super::connection_pool::set_server_options;
-use crate::request::{
-    ExitStage, SharedState, TrafficContext, handle_caller_request, handle_peer_request,
-};
+use crate::request::{ExitStage, TrafficContext, handle_caller_request, handle_peer_request};
 
 /// Time after which an idle connection is closed. Callers' own idle limits are seconds to tens of
 /// seconds and change with the manifest; the server never closes a connection before its caller
@@ -29,12 +25,6 @@
 /// Limit for the head of a request, in bytes, where the manifest sets no lower one.
 const MAX_HEADER_BYTES: usize = 64 * 1024;
 
-/// Most bytes that are read from a connection after its last answer.
-const MAX_DISCARDED_BYTES: usize = 256 * 1024;
-
-/// Time for which they are read.
-const DISCARD_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// Pause after a failed accept.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 
@@ -78,22 +68,6 @@
     }
 }
 
-/// Counts a connection as open until it is dropped.
-struct OpenConnection(Arc<SharedState>);
-
-impl OpenConnection {
-    fn new(shared: Arc<SharedState>) -> Self {
-        shared.connections.fetch_add(1, Ordering::Relaxed);
-        Self(shared)
-    }
-}
-
-impl Drop for OpenConnection {
-    fn drop(&mut self) {
-        self.0.connections.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 /// Serves a connection until its client closes it, or until the process exits and all that was begun on it is
 /// written.
 async fn serve_stream(
@@ -101,7 +75,7 @@
     kind: ServerKind,
     context: Rc<TrafficContext>,
 ) {
-    let _open = OpenConnection::new(context.shared.clone());
+    let _guard = context.shared.connections.enter();
     let mut exit = context.shared.exit_stage.subscribe();
     let service = service_fn(move |request| {
         let context = context.clone();
@@ -133,24 +107,3 @@
     }
     discard_unread(&mut stream).await;
 }
-
-/// Ends the node's side of a connection and reads what the client still sends, within limits: the system resets
-/// a connection that is closed with unread bytes, and drops what it has not sent of an answer.
-async fn discard_unread(stream: &mut tokio::net::TcpStream) {
-    let mut buffer = [0; 4_096];
-    if stream.try_read(&mut buffer).map_or(true, |length| length == 0) {
-        return;
-    }
-    let discard = async {
-        stream.shutdown().await?;
-        let mut left = MAX_DISCARDED_BYTES;
-        while left > 0 {
-            match stream.read(&mut buffer).await? {
-                0 => break,
-                length => left = left.saturating_sub(length),
-            }
-        }
-        std::io::Result::Ok(())
-    };
-    let _ = tokio::time::timeout(DISCARD_TIMEOUT, discard).await;
-}
--- a/crates/mesh/src/connection/outbound_stream.rs
+++ b/crates/mesh/src/connection/outbound_stream.rs
@@ -12,7 +12,7 @@
 use std::io::{Error, ErrorKind, IoSlice, Result};
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::{Duration, Instant};
 
 use socket2::SockRef;
@@ -57,6 +57,8 @@
         if left == 0 {
             return Poll::Ready(Err(Error::new(ErrorKind::InvalidData, "no head of an answer")));
         }
+        // Before the buffer is initialized for nothing.
+        ready!(stream.poll_read_ready(cx))?;
         let length = left.min(HEAD_READ_BYTES).min(buffer.remaining());
         let mut part = ReadBuf::new(buffer.initialize_unfilled_to(length));
         let read = stream.poll_read(cx, &mut part);
--- a/crates/mesh/src/process/control_state/relay_step.rs
+++ b/crates/mesh/src/process/control_state/relay_step.rs
@@ -283,7 +283,7 @@
     fn free_loads(&self, now: Instant) -> Vec<(RelayedRow, bool)> {
         let chosen_freely = |row: &&HostRecord| {
             let ready = row.upstream.as_ref().is_some_and(|row| row.state == UpstreamState::Ready);
-            ready && !self.is_sharded(&row.service)
+            ready && !self.holds_keys(&row.service)
         };
         let rows = self.hosts.iter().filter(chosen_freely).filter_map(|row| {
             let (load, reported_at) = if row.host == self.settings.host {
--- a/crates/mesh/src/process/control_state/upstream_step.rs
+++ b/crates/mesh/src/process/control_state/upstream_step.rs
@@ -134,20 +134,11 @@
         UpstreamLoad { cold_ms: self.load.cold_ms.max(left_ms), ..self.load }
     }
 
-    pub(super) fn is_sharded(&self, service: &str) -> bool {
-        let manifest = self.manifest.as_ref();
-        manifest.and_then(|manifest| manifest.service(service)).is_some_and(|row| row.sharded)
-    }
-
     /// Whether upstreams of a service hold keys. One that the manifest has dropped is known by the plan.
-    fn holds_keys(&self, service: &str) -> bool {
-        let manifest = self.manifest.as_ref();
-        let row = manifest.map(|manifest| manifest.service(service));
-        match row {
-            Some(None) => self.plan.service(service).is_some(),
-            Some(Some(row)) => row.sharded,
-            None => false,
-        }
+    pub(super) fn holds_keys(&self, service: &str) -> bool {
+        let Some(manifest) = &self.manifest else { return false };
+        let planned = || self.plan.service(service).is_some();
+        manifest.service(service).map_or_else(planned, |row| row.sharded)
     }
 
     /// Handles the announcement that the upstream with this id leaves.
--- a/crates/mesh/src/process/mesh_node.rs
+++ b/crates/mesh/src/process/mesh_node.rs
@@ -39,9 +39,6 @@
 /// Time between checks for requests in flight while the process drains.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Time between checks for open connections while they close.
-const CLOSE_POLL_INTERVAL: Duration = Duration::from_millis(5);
-
 /// Time between updates of the limiter's slots and of the published load.
 const LOAD_UPDATE_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -258,20 +255,8 @@
     shared.exit_stage.send_replace(ExitStage::ListenersClosed);
     std::thread::sleep(EXIT_CLOSE_TIME);
     shared.exit_stage.send_replace(ExitStage::ConnectionsClose);
-    wait_until_written(shared);
-}
-
-/// Waits until every connection is closed, so that no answer is left in its write buffer, until the time
-/// of the exit at most.
-fn wait_until_written(shared: &SharedState) {
     let deadline = shared.exit_deadline.get().copied();
-    let open = || shared.connections.load(Ordering::Relaxed);
-    while open() > 0 && deadline.is_some_and(|deadline| Instant::now() < deadline) {
-        std::thread::sleep(CLOSE_POLL_INTERVAL);
-    }
-    if open() > 0 {
-        log::warn!(connections = open(); "answers not written at the end of the grace time");
-    }
+    shared.connections.wait_until_closed(deadline.unwrap_or_else(Instant::now));
 }
 
 fn wait_until_idle(shared: &SharedState, grace: Duration) {
--- a/crates/mesh/src/request/shared_state.rs
+++ b/crates/mesh/src/request/shared_state.rs
@@ -6,7 +6,7 @@
 
 use arc_swap::ArcSwap;
 use firspindle_core::connection::{DemandReport, UpstreamLoad};
-use firspindle_edge::LogLimiter;
+use firspindle_edge::{LogLimiter, OpenConnections};
 use tokio::sync::watch;
 
 use crate::process::MeshMetrics;
@@ -40,7 +40,7 @@
     /// What the servers do while the process exits.
     pub exit_stage: watch::Sender<ExitStage>,
     /// Connections of callers and other nodes that are open.
-    pub connections: AtomicU64,
+    pub connections: OpenConnections,
     /// Requests of callers and other nodes whose responses are not yet complete.
     pub in_flight: AtomicU64,
     demand: Mutex<DemandReport>,
