fix(core): of requests that ended before the same crashes none is refused too early

A harmless request could be refused for a minute, as it had ended before the same three crashes as the one that caused them.

Cause: a request that is abandoned or answered shortly before a crash counts as suspected, and three crashes were enough for whoever stood beside all of them. With one upstream and few different requests that happens by chance.

Change: while another request is suspected of all crashes of a request, it is refused from the sixth on and not the third, which the rule's three further arrivals allow. A further crash, or an upstream that outlives one of them, tells them apart.

--- a/crates/core/src/request/suspect_tracker.rs
+++ b/crates/core/src/request/suspect_tracker.rs
@@ -2,8 +2,9 @@
 //!
 //! A request is identified by its fingerprint and a crash by the upstream's instance, so that a
 //! crash counts once however often it is reported. From the second crash on, or from the third on if the
-//! upstreams had answered the request before, the request is refused for a time that doubles with each
-//! further crash. A whole response that the upstream outlived clears the request of the crashes until then;
+//! requests had been answered or abandoned before, the request is refused for a time that doubles with each
+//! further crash. Of requests that ended before the same crashes none is refused while further crashes may tell
+//! them apart. A whole response that the upstream outlived clears the request of the crashes until then;
 //! later ones count anew.
 
 use std::time::{Duration, Instant};
@@ -13,10 +14,13 @@
 /// Number of crashes from which on a request is refused that was in flight.
 const RUNNING_LIMIT: usize = 2;
 
-/// Number of crashes from which on a request is refused that was answered shortly before. Others often are too,
-/// so one crash tells less.
+/// Number of crashes from which on a request is refused that was answered or abandoned shortly before. Others often
+/// are too, so one crash tells less.
 const ANSWERED_LIMIT: usize = 3;
 
+/// The same while another such request stands beside all of these crashes.
+const RIVALLED_LIMIT: usize = 6;
+
 /// Time for which a first crash counts, and for which a request is refused after the second.
 const BASE_SUSPICION: Duration = Duration::from_secs(60);
 
@@ -66,12 +70,14 @@
 pub struct SuspectTracker {
     /// Number of crashes from which on a request is refused.
     limit: usize,
+    /// The same while another request is suspected of all of them.
+    rivalled_limit: usize,
     rows: Vec<TrackedRow>,
 }
 
 impl Default for SuspectTracker {
     fn default() -> Self {
-        Self { limit: RUNNING_LIMIT, rows: Vec::new() }
+        Self { limit: RUNNING_LIMIT, rivalled_limit: RUNNING_LIMIT, rows: Vec::new() }
     }
 }
 
@@ -92,9 +98,9 @@
 }
 
 impl SuspectTracker {
-    /// Creates a tracker of requests that upstreams answered shortly before they crashed.
+    /// Creates a tracker of requests that had ended shortly before their upstreams crashed.
     pub const fn of_answered() -> Self {
-        Self { limit: ANSWERED_LIMIT, rows: Vec::new() }
+        Self { limit: ANSWERED_LIMIT, rivalled_limit: RIVALLED_LIMIT, rows: Vec::new() }
     }
 
     /// Whether no request is suspected, so that requests need not be hashed.
@@ -175,10 +181,22 @@
     /// Returns the time for which the request is still refused, or `None` if it is not refused.
     pub fn refusal(&self, fingerprint: u128, now: Instant) -> Option<Duration> {
         let row = self.row(fingerprint)?;
-        let refused = row.crashes.len() >= self.limit && now < row.until;
+        let crashes = row.crashes.len();
+        let refused = crashes >= self.limit
+            && now < row.until
+            && (crashes >= self.rivalled_limit || !self.has_rival(row));
         refused.then(|| row.until - now)
     }
 
+    /// Whether another request is suspected of all crashes that this one is suspected of.
+    fn has_rival(&self, row: &TrackedRow) -> bool {
+        let shares = |other: &TrackedRow| {
+            let is_shared = |crash| other.crashes.binary_search(crash).is_ok();
+            other.fingerprint != row.fingerprint && row.crashes.iter().all(is_shared)
+        };
+        self.rows.iter().any(shares)
+    }
+
     /// Returns the hints to send to another node: recent changes and refused requests, first those on
     /// the requests that are `named`, by fingerprint, then the newest.
     pub fn hints(&self, named: &[u128], now: Instant) -> Vec<SuspectHint> {
--- a/crates/core/tests/ranges/suspects.rs
+++ b/crates/core/tests/ranges/suspects.rs
@@ -110,3 +110,27 @@
         "a single crash is sent to other nodes only for a short time"
     );
 }
+
+/// Guards against a harmless request that is refused because it ended before the same crashes as the one that caused
+/// them, and against two that always come together and are never refused.
+#[test]
+fn requests_that_ended_before_the_same_crashes_wait_for_further_ones() {
+    let now = Instant::now();
+    let mut tracker = SuspectTracker::of_answered();
+    let refused = |tracker: &SuspectTracker| [7, 8].map(|it| tracker.refusal(it, now).is_some());
+    for crash in 0..3 {
+        tracker.note_crash(7, crash, now);
+        tracker.note_crash(8, crash, now);
+    }
+    assert_eq!(refused(&tracker), [false, false], "three crashes, both beside each");
+    let mut apart = tracker.clone();
+    apart.note_crash(7, 3, now);
+    assert_eq!(refused(&apart), [true, false], "a fourth tells them apart");
+    tracker.clear(8, now);
+    assert_eq!(refused(&tracker), [true, false], "an upstream outlived the other");
+    for crash in 0..6 {
+        tracker.note_crash(7, 10 + crash, now);
+        tracker.note_crash(9, 10 + crash, now);
+    }
+    assert!(tracker.refusal(9, now).is_some(), "six crashes, the other beside each");
+}
