--- a/review/standin-3/case_parts.rs
+++ b/review/standin-3/case_parts.rs
@@ -12,7 +12,7 @@
 use crate::target::Targets;
 
 const HOSTS: u8 = 6;
-const CLIENTS: u64 = 24;
+const CLIENTS: u64 = 32;
 
 /// Work of an order in ms: 290 on average, half as much or more for some, as the sheet of the plate makers says.
 fn work(random: &mut Random) -> u64 {
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -1,5 +1,6 @@
 //! Stand-ins of the third review: store, targets and clients, in one program. `standin CASE FOLDER` plays a case.
 
+mod case_crash;
 mod case_idle;
 mod case_left;
 mod case_parts;
@@ -18,11 +19,12 @@
         eprintln!("usage: standin CASE FOLDER");
         std::process::exit(2);
     };
-    let code = match case.as_str() {
+    let played = std::panic::catch_unwind(|| match case.as_str() {
+        "crash" => case_crash::play(folder, trouble),
         "idle" => case_idle::play(folder, trouble),
         "left" => case_left::play(folder, trouble),
         "parts" => case_parts::play(folder, trouble),
         _ => 2,
-    };
-    std::process::exit(code);
+    });
+    std::process::exit(played.unwrap_or(2));
 }
