--- a/review/standin-3/case_crash.rs
+++ b/review/standin-3/case_crash.rs
@@ -11,16 +11,16 @@
 use crate::fleet::{CONTROL, Host, Site, TARGET, TRAFFIC, is_ready};
 use crate::http;
 use crate::random::Random;
-use crate::record::Record;
+use crate::record::{Record, RequestRow};
 
 const HOSTS: u8 = 4;
 
 /// Requests a second at one target, and how many in 100 of them are orders.
-const PER_SECOND: u64 = 80;
-const ORDERS: u64 = 23;
+const PER_SECOND: u64 = 44;
+const ORDERS: u64 = 41;
 
 /// Time from the whole answer to the crash.
-const MOMENT: Duration = Duration::from_millis(200);
+const MOMENT: Duration = Duration::from_millis(240);
 
 const DOWN: Duration = Duration::from_secs(3);
 const CONTACT: f64 = 3.0;
@@ -31,6 +31,8 @@
 struct Seen {
     arrivals: Mutex<Vec<f64>>,
     crashes: Mutex<Vec<f64>>,
+    rows: Mutex<Vec<RequestRow>>,
+    runs: Mutex<Vec<(String, f64, String)>>,
     answers: AtomicU64,
     orders: AtomicU64,
     /// Orders that ended without an answer or with one that promises nothing.
@@ -71,6 +73,8 @@
         if poison {
             seen.arrivals.lock().expect("a lock").push(record.at());
         }
+        let run = (life.id.clone(), record.at(), id.clone());
+        seen.runs.lock().expect("a lock").push(run);
         let is_order = request.word(0) == "POST";
         std::thread::sleep(Duration::from_millis(if is_order { 160 } else { 30 }));
         if life.gone.load(Ordering::SeqCst) {
@@ -151,11 +155,20 @@
     }
 }
 
-fn ask(node: SocketAddr, method: &str, path: &str, id: &str) -> u16 {
-    let first = format!("{method} {path} HTTP/1.1");
-    let headers = [("Host", "ficu95.example"), ("X-Request-Id", id), ("X-Deadline-Ms", "2000")];
-    let answer = http::call(node, &first, &headers, b"", Duration::from_secs(2));
-    answer.map_or(0, |answer| answer.status())
+impl Seen {
+    /// Sends a request and notes how it went; returns the status, 0 without an answer.
+    fn ask(&self, record: &Record, node: SocketAddr, method: &str, path: &str, id: String) -> u16 {
+        let sent_at = record.at();
+        let first = format!("{method} {path} HTTP/1.1");
+        let headers =
+            [("Host", "ficu95.example"), ("X-Request-Id", &*id), ("X-Deadline-Ms", "2000")];
+        let answer = http::call(node, &first, &headers, b"", Duration::from_secs(2));
+        let status = answer.map_or(0, |answer| answer.status());
+        let what = format!("{method} {} to {node}", if path == PATH { PATH } else { "another" });
+        let row = RequestRow { sent_at, id, what, status, ended_at: record.at() };
+        self.rows.lock().expect("a lock").push(row);
+        status
+    }
 }
 
 pub fn play(folder: &str, trouble: bool) -> i32 {
@@ -185,20 +198,25 @@
     }
     let nodes: Vec<_> = hosts.iter().map(|host| host.at(TRAFFIC)).collect();
     let stop = Arc::new(AtomicBool::new(false));
-    let number = PER_SECOND * u64::from(HOSTS) / 10;
+    let number = PER_SECOND * u64::from(HOSTS) / 10 + 2;
     for client in 0..number {
-        let (nodes, stop, seen) = (nodes.clone(), stop.clone(), seen.clone());
+        let (nodes, stop, seen, record) =
+            (nodes.clone(), stop.clone(), seen.clone(), record.clone());
         std::thread::spawn(move || {
             let mut random = Random::new(client + 1);
             while !stop.load(Ordering::SeqCst) {
                 let began = Instant::now();
                 let (node, id) =
                     (nodes[random.below(4) as usize], format!("{:016x}", random.next()));
-                if random.below(100) < ORDERS {
-                    let status = ask(node, "POST", &format!("/pufi791/{id}"), &id);
+                let (method, path) = match random.below(100) < ORDERS {
+                    true => ("POST", format!("/pufi791/{id}")),
+                    false => ("GET", format!("/lohu930/{id}")),
+                };
+                let status = seen.ask(&record, node, method, &path, id);
+                if method == "POST" {
                     seen.orders.fetch_add(1, Ordering::SeqCst);
                     seen.lost.fetch_add(u64::from(!matches!(status, 200 | 503)), Ordering::SeqCst);
-                } else if ask(node, "GET", &format!("/lohu930/{id}"), &id) == 200 {
+                } else if status == 200 {
                     seen.answers.fetch_add(1, Ordering::SeqCst);
                 }
                 std::thread::sleep(Duration::from_millis(100).saturating_sub(began.elapsed()));
@@ -210,12 +228,8 @@
     let mut attempt = 0;
     while began.elapsed() < LENGTH {
         attempt += 1;
-        let status = ask(
-            nodes[attempt % nodes.len()],
-            "GET",
-            PATH,
-            &format!("{:016x}", 0xabc_0000 + attempt),
-        );
+        let id = format!("{:016x}", 0xabc_0000 + attempt);
+        let status = seen.ask(&record, nodes[attempt % nodes.len()], "GET", PATH, id);
         record.row(&format!("attempt {attempt} of the request: {status}"));
         std::thread::sleep(Duration::from_secs(3));
     }
@@ -237,5 +251,7 @@
     record.note(&format!(
         "arrivals later than {CONTACT} s after the third crash: {late}, 3 are allowed"
     ));
+    let rows = std::mem::take(&mut *seen.rows.lock().expect("a lock"));
+    record.requests(rows, &seen.runs.lock().expect("a lock"));
     i32::from(late > 3)
 }
--- a/review/standin-3/case_left.rs
+++ b/review/standin-3/case_left.rs
@@ -22,7 +22,7 @@
 const CONTACT: f64 = 3.0;
 
 /// Length of the store's outage, in ms.
-const OUTAGE: u64 = 8000;
+const OUTAGE: u64 = 7900;
 
 /// Time from the beginning of the outage to the DELETE, and from its confirmation to the kill, in ms.
 const STEP: u64 = 1000;
@@ -31,7 +31,7 @@
 const DOWN: u64 = 1600;
 
 /// Time from the confirmation for which the target serves, in ms.
-const SERVES: u64 = 18000;
+const SERVES: u64 = 14900;
 
 fn work(random: &mut Random) -> u64 {
     200 + random.below(180)
@@ -124,9 +124,10 @@
         started[index] = targets.start(&format!("i-{index}{}", round + 1), &hosts[index]);
         pause(6000);
     }
-    let counts = clients.stop();
+    let (counts, rows) = clients.stop();
     record.note(&format!("{counts}; targets ran {}", targets.runs.load(Ordering::SeqCst)));
     record.note(&format!("{rounds} rounds; requests that reached a target too late: {late}"));
+    record.requests(rows, &targets.arrivals.lock().expect("a lock"));
     if targets.runs.load(Ordering::SeqCst) < 200 {
         record.note("too few requests ran: the case could not run");
         return 2;
--- a/review/standin-3/case_parts.rs
+++ b/review/standin-3/case_parts.rs
@@ -56,14 +56,14 @@
             record.note(&format!("{names} turns slow: its work takes 5 times as long"));
             slow.iter().for_each(|target| target.slow.store(5, Ordering::SeqCst));
         }
-        std::thread::sleep(Duration::from_millis(6500));
+        std::thread::sleep(Duration::from_millis(6400));
         if trouble {
             record.note("it is as fast as before");
             slow.iter().for_each(|target| target.slow.store(1, Ordering::SeqCst));
         }
         std::thread::sleep(Duration::from_millis(4500));
     }
-    let counts = clients.stop();
+    let (counts, rows) = clients.stop();
     let broken = targets.broken.load(Ordering::SeqCst);
     record.note(&format!(
         "{counts}; targets ran {} and refused {}; {} replies gave keys",
@@ -74,6 +74,7 @@
     record.note(&format!(
         "keys given away while another target was at work on them under its hold: {broken}"
     ));
+    record.requests(rows, &targets.arrivals.lock().expect("a lock"));
     if targets.runs.load(Ordering::SeqCst) < 200 {
         record.note("too few requests ran: the case could not run");
         return 2;
--- a/review/standin-3/client.rs
+++ b/review/standin-3/client.rs
@@ -1,15 +1,15 @@
 //! Clients that send orders to the nodes of all hosts.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
 use std::time::Duration;
 
 use crate::fleet::{Host, TRAFFIC};
 use crate::http;
 use crate::random::Random;
-use crate::record::Record;
+use crate::record::{Record, RequestRow};
 use crate::target::KEYS;
 
 /// A desired state with one route to one service that is divided by key.
@@ -25,6 +25,7 @@
     answered: AtomicU64,
     refused: AtomicU64,
     failed: AtomicU64,
+    rows: Mutex<Vec<RequestRow>>,
 }
 
 pub struct Clients {
@@ -48,14 +49,15 @@
     }
 
     /// Ends the clients; returns what they sent and how it was answered.
-    pub fn stop(self) -> String {
+    pub fn stop(self) -> (String, Vec<RequestRow>) {
         self.stop.store(true, Ordering::SeqCst);
         self.threads.into_iter().for_each(|thread| drop(thread.join()));
         let of = |counter: &AtomicU64| counter.load(Ordering::SeqCst);
-        let Counts { answered, refused, failed } = &*self.counts;
+        let Counts { answered, refused, failed, rows } = &*self.counts;
         let (answered, refused, failed) = (of(answered), of(refused), of(failed));
         let sent = answered + refused + failed;
-        format!("sent {sent}, answered {answered}, refused {refused}, failed {failed}")
+        let rows = std::mem::take(&mut *rows.lock().expect("a lock"));
+        (format!("sent {sent}, answered {answered}, refused {refused}, failed {failed}"), rows)
     }
 }
 
@@ -79,9 +81,13 @@
         let limit = Duration::from_secs(5);
         let answer =
             http::call(node, "POST /pufi791/2f HTTP/1.1", &headers, b"blank plates", limit);
-        let counter = match answer.map(|answer| answer.status()) {
-            Ok(200) => &counts.answered,
-            Ok(503 | 429) => &counts.refused,
+        let status = answer.map_or(0, |answer| answer.status());
+        let what = format!("key {key} to {node}");
+        let row = RequestRow { sent_at: sent_at(&id), id, what, status, ended_at: record.at() };
+        counts.rows.lock().expect("a lock").push(row);
+        let counter = match status {
+            200 => &counts.answered,
+            503 | 429 => &counts.refused,
             _ => &counts.failed,
         };
         counter.fetch_add(1, Ordering::SeqCst);
--- a/review/standin-3/fleet.rs
+++ b/review/standin-3/fleet.rs
@@ -19,12 +19,9 @@
 
 const PR_SET_PDEATHSIG: i32 = 1;
 const SIGKILL: usize = 9;
-const RLIMIT_NOFILE: i32 = 7;
 
 unsafe extern "C" {
     fn prctl(option: i32, ...) -> i32;
-    fn getrlimit(resource: i32, limits: *mut [u64; 2]) -> i32;
-    fn setrlimit(resource: i32, limits: *const [u64; 2]) -> i32;
 }
 
 /// A host: its name, its address, its service, and its node.
@@ -66,8 +63,6 @@
     folder: PathBuf,
     pub store: Arc<Store>,
     store_at: SocketAddr,
-    /// `maxFds` of a node's process, if it is limited.
-    pub node_files: Option<u64>,
 }
 
 impl Drop for Site {
@@ -98,7 +93,7 @@
         let store = Arc::new(Store::default());
         let store_at: SocketAddr = (Ipv4Addr::new(127, net[0], net[1], 200), 8142).into();
         store.serve(store_at);
-        Self { net, folder, store, store_at, node_files: None }
+        Self { net, folder, store, store_at }
     }
 
     pub fn host(&self, number: u8, zone: &'static str, service: &'static str) -> Host {
@@ -132,15 +127,11 @@
         command.args(["mesh", "--settings"]).arg(&path).env("FIRSPINDLE_SETTINGS", &path);
         command.stdin(Stdio::null()).stdout(log.try_clone().expect("a log")).stderr(log);
         // The node ends with the program that started it.
-        let files = self.node_files;
-        let prepare = move || {
-            let mut done = unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL) };
-            if let Some(files) = files {
-                done |= unsafe { setrlimit(RLIMIT_NOFILE, &[files, files]) };
-            }
-            if done < 0 { Err(Error::last_os_error()) } else { Ok(()) }
+        let prepare = || match unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL) } {
+            0 => Ok(()),
+            _ => Err(Error::last_os_error()),
         };
-        // SAFETY: the calls take numbers only and allocate nothing.
+        // SAFETY: the call takes numbers only and allocates nothing.
         unsafe { command.pre_exec(prepare) };
         host.node = Some(command.spawn().expect("the node starts"));
     }
@@ -153,18 +144,6 @@
     }
 }
 
-/// Raises this program's own limit on open files as far as it may; returns the limit.
-pub fn raise_files() -> u64 {
-    let mut limits = [0; 2];
-    // SAFETY: the calls read and write the two numbers only.
-    unsafe {
-        getrlimit(RLIMIT_NOFILE, &raw mut limits);
-        limits[0] = limits[1];
-        setrlimit(RLIMIT_NOFILE, &raw const limits);
-    }
-    limits[0]
-}
-
 /// Whether a node says that it is ready.
 pub fn is_ready(host: &Host) -> bool {
     let first = "GET /readyz HTTP/1.1";
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -1,7 +1,6 @@
 //! Stand-ins of the third review: store, targets and clients, in one program. `standin CASE FOLDER` plays a case.
 
 mod case_crash;
-mod case_idle;
 mod case_left;
 mod case_parts;
 mod client;
@@ -21,7 +20,6 @@
     };
     let played = std::panic::catch_unwind(|| match case.as_str() {
         "crash" => case_crash::play(folder, trouble),
-        "idle" => case_idle::play(folder, trouble),
         "left" => case_left::play(folder, trouble),
         "parts" => case_parts::play(folder, trouble),
         _ => 2,
--- a/review/standin-3/target.rs
+++ b/review/standin-3/target.rs
@@ -68,8 +68,6 @@
     pub runs: AtomicU64,
     pub refused: AtomicU64,
     pub grants: AtomicU64,
-    /// Reports that got no answer in time.
-    pub unanswered: AtomicU64,
     pub record: Arc<Record>,
     work: fn(&mut Random) -> u64,
 }
@@ -96,7 +94,6 @@
             runs: AtomicU64::new(0),
             refused: AtomicU64::new(0),
             grants: AtomicU64::new(0),
-            unanswered: AtomicU64::new(0),
             record,
             work,
         })
@@ -161,7 +158,6 @@
             let answer =
                 answer.filter(|answer| answer.status() / 100 == 2 && answer.body.len() <= 4096);
             let mut releasing = false;
-            self.unanswered.fetch_add(u64::from(answer.is_none()), Ordering::SeqCst);
             if let Some(answer) = answer {
                 target.state.lock().expect("a lock").freed.drain(..reported);
                 releasing = self.take(target, &String::from_utf8_lossy(&answer.body), sent_at);
