fix(core): a cell is passed on with the last of its keys, not with the first

Callers of a key could be answered by two upstreams: an upstream was given keys while another was at work on them.

Cause: a node keeps cells of 8 keys. An upstream that releases key by key reports the busy key of a cell as held beside its freed neighbours, and `apply_freed` ended the fence of the whole cell. Rows of held keys spoke for whole cells in the same way.

Why it works: `holds` of a report is the whole truth about what is held or worked on. A freed row ends a fence only if the same report lists no key of the cell and cannot have crossed the last grant, which a row that is told again, its reply lost, may have. The rule needs no memory, so a node that starts meanwhile decides the same. A cell passes on with the report that frees its last key. Handover tokens are kept by key, in datagrams (after all that earlier versions read) and in replies; a reply that is too long leaves out the tokens, where it left out the last ranges before.

--- a/crates/core/src/connection.rs
+++ b/crates/core/src/connection.rs
@@ -38,4 +38,4 @@
 pub use sender_meter::SenderMeter;
 pub use state_mark::StateMark;
 pub use upstream_limit::{LimitError, UpstreamLimit};
-pub use upstream_report::{FreedRow, GrantReply, GrantRow, HeldRow, UpstreamReport};
+pub use upstream_report::{FreedRow, GrantReply, GrantRow, HeldRow, UpstreamReport, add_granted};
--- a/crates/core/src/connection/gossip_message.rs
+++ b/crates/core/src/connection/gossip_message.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{DemandReport, HostHash, RelayReport, StateMark, UpstreamLimit};
-use crate::process::EndedFence;
+use crate::process::{EndedFence, KeyHandover};
 use crate::request::SuspectHint;
 use crate::version::{HostRecord, LogPosition, MAX_INCARNATION};
 
@@ -129,6 +129,9 @@
     relayed: Vec<(HostHash, ToldLoad)>,
 }
 
+/// Tokens of ended fences that have several, by the fence's index; a part of a datagram.
+type HandoverTrailer = Vec<(u16, Vec<KeyHandover>)>;
+
 /// Echo of the timestamp in an earlier datagram of the receiver, with the state of the sender's
 /// plans.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -234,6 +237,7 @@
         bytes.extend(postcard::to_allocvec(&told).unwrap_or_default());
         bytes.extend(postcard::to_allocvec(&self.mark.evacuations).unwrap_or_default());
         bytes.extend(postcard::to_allocvec(&self.answered_suspects).unwrap_or_default());
+        bytes.extend(postcard::to_allocvec(&self.handover_parts()).unwrap_or_default());
         bytes
     }
 
@@ -276,7 +280,21 @@
         }
         let Ok((evacuations, rest)) = postcard::take_from_bytes(rest) else { return Some(message) };
         message.mark.evacuations = evacuations;
-        message.answered_suspects = postcard::from_bytes(rest).unwrap_or_default();
+        let Ok((suspects, rest)) = postcard::take_from_bytes(rest) else { return Some(message) };
+        message.answered_suspects = suspects;
+        let parts: HandoverTrailer = postcard::from_bytes(rest).unwrap_or_default();
+        for (index, parts) in parts {
+            if let Some(row) = message.ended.get_mut(usize::from(index)) {
+                row.parts = parts;
+            }
+        }
         Some(message)
     }
+
+    /// Returns the tokens of ended fences that have several.
+    fn handover_parts(&self) -> HandoverTrailer {
+        let rows = self.ended.iter().enumerate().filter(|(_, row)| !row.parts.is_empty());
+        rows.filter_map(|(index, row)| Some((u16::try_from(index).ok()?, row.parts.clone())))
+            .collect()
+    }
 }
--- a/crates/core/src/connection/upstream_report.rs
+++ b/crates/core/src/connection/upstream_report.rs
@@ -72,3 +72,29 @@
     /// Time for which the upstream holds them, counted from when it sent the heartbeat.
     pub hold: Duration,
 }
+
+impl GrantReply {
+    /// Returns the reply without handover tokens, in the fewest rows.
+    #[must_use]
+    pub fn without_handovers(&self) -> Self {
+        let mut rows = Vec::with_capacity(self.rows.len());
+        for row in &self.rows {
+            add_granted(&mut rows, GrantRow { handover: "".into(), ..row.clone() });
+        }
+        Self { rows, hold: self.hold }
+    }
+}
+
+/// Adds a row that follows the others, joined with the last one where it can be.
+pub fn add_granted(rows: &mut Vec<GrantRow>, added: GrantRow) {
+    match rows.last_mut() {
+        Some(row)
+            if u32::from(row.last) + 1 == u32::from(added.first)
+                && row.fence == added.fence
+                && row.handover == added.handover =>
+        {
+            row.last = added.last;
+        }
+        _ => rows.push(added),
+    }
+}
--- a/crates/core/src/process.rs
+++ b/crates/core/src/process.rs
@@ -38,7 +38,7 @@
 pub use fence_token::FenceToken;
 pub use grant_guards::GrantGuards;
 pub use grant_permit::GrantPermit;
-pub use grant_table::{EndedFence, GrantTable};
+pub use grant_table::{EndedFence, GrantTable, KeyHandover};
 pub use grant_timing::GrantTiming;
 pub use lease_table::LeaseTable;
 pub use lease_timing::LeaseTiming;
--- a/crates/core/src/process/grant_guards.rs
+++ b/crates/core/src/process/grant_guards.rs
@@ -22,6 +22,8 @@
     pub heartbeat_proof: bool,
     /// A revoked fence ends only when its last hold does, not as soon as a plan reassigns the cell.
     pub hold_end: bool,
+    /// A revoked fence ends with the last key of its cell that the upstream releases, not with the first.
+    pub whole_cells: bool,
     /// A cell that the upstream does not hold is granted only under a plan that the store confirmed
     /// recently; attestations of the other holders only extend what is held.
     pub acquire_confirm: bool,
@@ -47,6 +49,7 @@
             new_member_wait: true,
             heartbeat_proof: true,
             hold_end: true,
+            whole_cells: true,
             acquire_confirm: true,
             epoch_plan: true,
             epoch_wait: true,
--- a/crates/core/src/process/grant_table.rs
+++ b/crates/core/src/process/grant_table.rs
@@ -10,25 +10,30 @@
 //!    of the cell has ended: the earlier holder's node reported the end, or
 //!    [`GrantTiming::replaced_end`] has passed since this node applied the plan that replaced the
 //!    fence.
-//! 3. A node reports that a fence has ended only after its upstream freed the cell, reported twice
-//!    in a row that it does not hold the cell, let the last hold expire, or is known to be dead.
+//! 3. A node reports that a fence has ended only after its upstream freed the last key of the cell,
+//!    reported twice in a row that it holds no key of it, let the last hold expire, or is known to be
+//!    dead. An upstream frees key by key: it goes on working on one after it has freed its neighbours.
 
 mod cell_state;
 mod ended_fence;
 mod instance_step;
+mod key_handover;
 mod life_claim;
+mod reported_cell;
 
 use std::time::Instant;
 
-use cell_state::{CellState, HandoverRow};
+use cell_state::{CellState, HandoverRow, ReleaseProof};
 use ended_fence::add_ended;
 use instance_step::is_superseded;
 use life_claim::LifeClaim;
+use reported_cell::ReportedCell;
 
 pub use ended_fence::EndedFence;
+pub use key_handover::KeyHandover;
 
 use super::{GrantGuards, GrantPermit, GrantTiming};
-use crate::connection::{GrantReply, GrantRow, OwnReport};
+use crate::connection::{GrantReply, GrantRow, OwnReport, add_granted};
 use crate::version::{
     CELL_KEYS, CELLS, CellIndex, HolderRow, LogEpoch, PlanVersion, ServiceRanges, UpstreamInstance,
     epoch_of_version, keys_of_cells,
@@ -201,8 +206,10 @@
         for index in row.first..=row.last.min(CELLS - 1) {
             let cell = &mut self.cells[index];
             cell.mark_ended(row.fence);
-            if !row.handover.is_empty() {
-                cell.handover = Some(HandoverRow { fence: row.fence, token: row.handover.clone() });
+            let tokens = row.handovers_of(index);
+            let is_newest = cell.handover.as_ref().is_none_or(|known| known.fence <= row.fence);
+            if is_newest && !tokens.is_empty() {
+                cell.handover = Some(HandoverRow { fence: row.fence, tokens });
             }
         }
     }
@@ -244,21 +251,36 @@
     }
 
     fn apply_held(&mut self, report: &OwnReport) {
-        let mut held = vec![0; CELLS];
+        let mut reported = vec![ReportedCell::default(); CELLS];
         for row in &report.holds {
-            for cell in &mut held[cells_of_keys(row.first, row.last)] {
-                *cell = row.fence;
+            for index in cells_of_keys(row.first, row.last) {
+                reported[index].add(index, row);
             }
         }
-        for (cell, held) in self.cells.iter_mut().zip(held) {
-            cell.apply_held(held, report.sequence);
+        for (cell, reported) in self.cells.iter_mut().zip(&reported) {
+            cell.apply_held(*reported, report.sequence);
         }
         self.no_later_holds |= report.holds.iter().all(|row| row.fence <= self.version);
+        let release = match self.guards.whole_cells {
+            true => ReleaseProof::AllKeys { sequence: report.sequence },
+            false => ReleaseProof::AnyKey,
+        };
+        let mut in_part = 0;
         for row in &report.freed {
             for index in cells_of_keys(row.first, row.last) {
-                self.cells[index].apply_freed(&row.handover);
+                let (first, last) = keys_of_cells(index, index);
+                let (first, last) = (row.first.max(first), row.last.min(last));
+                let handover = KeyHandover { first, last, token: row.handover.clone() };
+                self.cells[index].apply_freed(&handover, release);
+                in_part += usize::from(!reported[index].is_absent());
             }
         }
+        if in_part > 0 {
+            log::info!(
+                sequence = report.sequence, rows = in_part;
+                "keys released in cells on which the upstream is still at work"
+            );
+        }
     }
 
     /// Ends the revoked fences whose last hold has expired or is known to have been given up.
@@ -364,19 +386,11 @@
             cell.granted_fence = cell.fence;
             cell.granted_sequence = sequence;
             let handover = if cell.held == cell.fence { None } else { cell.handover.as_ref() };
-            let token = handover.map_or("", |row| &*row.token);
+            let tokens = handover.map_or(&[][..], |row| &row.tokens);
             let (first, last) = keys_of_cells(index, index);
-            match rows.last_mut() {
-                Some(row)
-                    if u32::from(row.last) + 1 == u32::from(first)
-                        && row.fence == cell.fence
-                        && *row.handover == *token =>
-                {
-                    row.last = last;
-                }
-                _ => {
-                    rows.push(GrantRow { first, last, fence: cell.fence, handover: token.into() });
-                }
+            for (first, last, token) in split_by_token(first, last, tokens) {
+                let fence = cell.fence;
+                add_granted(&mut rows, GrantRow { first, last, fence, handover: token.into() });
             }
         }
         GrantReply { rows, hold: self.timing.hold }
@@ -389,3 +403,21 @@
     }
     usize::from(first) / CELL_KEYS..usize::from(last) / CELL_KEYS + 1
 }
+
+/// Divides a range of keys by their tokens. Keys without one have an empty token.
+fn split_by_token(first: u16, last: u16, tokens: &[KeyHandover]) -> Vec<(u16, u16, &str)> {
+    let mut ranges: Vec<(u16, u16, &str)> = Vec::new();
+    if tokens.is_empty() {
+        ranges.push((first, last, ""));
+        return ranges;
+    }
+    for key in first..=last {
+        let row = tokens.iter().find(|row| (row.first..=row.last).contains(&key));
+        let token = row.map_or("", |row| &*row.token);
+        match ranges.last_mut() {
+            Some(range) if range.2 == token => range.1 = key,
+            _ => ranges.push((key, key, token)),
+        }
+    }
+    ranges
+}
--- a/crates/core/src/process/grant_table/cell_state.rs
+++ b/crates/core/src/process/grant_table/cell_state.rs
@@ -3,6 +3,8 @@
 
 use std::time::Instant;
 
+use super::key_handover::{KeyHandover, insert_handover};
+use super::reported_cell::ReportedCell;
 use crate::version::PlanVersion;
 
 /// Grant of an earlier holder that may not have ended yet.
@@ -20,17 +22,32 @@
     pub(super) fence: PlanVersion,
     /// Consecutive heartbeats since the last grant that did not report the cell as held.
     pub(super) absent_reports: u32,
-    pub(super) handover: Box<str>,
+    /// Tokens of the keys that were released so far, sorted by key.
+    pub(super) handovers: Vec<KeyHandover>,
     pub(super) ended: bool,
     /// Whether the instance that held it is the current one, so that heartbeats report on it.
     pub(super) current_instance: bool,
 }
 
-/// Handover token of an earlier holder, and the fence under which it held the cell.
+/// Handover tokens of an earlier holder, and the fence under which it held the cell.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) struct HandoverRow {
     pub(super) fence: PlanVersion,
-    pub(super) token: Box<str>,
+    /// Sorted by key; keys without a token are left out.
+    pub(super) tokens: Vec<KeyHandover>,
+}
+
+/// What a released key proves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum ReleaseProof {
+    /// The end of a fence, if the report with this sequence number lists no key of the cell as held and
+    /// cannot have crossed the last grant.
+    AllKeys {
+        /// The report's sequence number.
+        sequence: u64,
+    },
+    /// The end of a fence, whatever becomes of the other keys; only for tests.
+    AnyKey,
 }
 
 /// Most ended fences that a cell remembers. The end of one that was forgotten is waited for.
@@ -53,8 +70,8 @@
     pub(super) granted_fence: PlanVersion,
     /// Sequence number of the heartbeat that the last grant answered.
     pub(super) granted_sequence: u64,
-    /// Fence under which the last heartbeat reported the cell as held; 0 if it did not.
-    pub(super) held: u64,
+    /// Fence under which the last heartbeat reported all keys of the cell as held; 0 if it did not.
+    pub(super) held: PlanVersion,
 }
 
 impl CellState {
@@ -95,12 +112,10 @@
     }
 
     pub(super) fn revoke(&mut self) {
-        let handover = "".into();
-        let fence = self.fence;
         self.revoked.push(RevokedGrant {
-            fence,
+            fence: self.fence,
             absent_reports: 0,
-            handover,
+            handovers: Vec::new(),
             ended: false,
             current_instance: true,
         });
@@ -127,25 +142,35 @@
         self.earlier_grants.iter().all(|row| now >= row.ends_at)
     }
 
-    pub(super) fn apply_held(&mut self, held: u64, sequence: u64) {
-        self.held = held;
-        if held == 0 {
+    /// Applies which keys of the cell a heartbeat reports as held.
+    pub(super) fn apply_held(&mut self, reported: ReportedCell, sequence: u64) {
+        self.held = reported.whole_fence();
+        if reported.is_absent() {
             if sequence > self.granted_sequence {
                 self.revoked.iter_mut().for_each(|row| row.absent_reports += 1);
             }
             return;
         }
         self.revoked.iter_mut().for_each(|row| row.absent_reports = 0);
-        if held == self.fence {
+        if reported.highest_fence() == self.fence {
             // This fence was granted only after all earlier ones had ended.
             self.earlier_grants.clear();
         }
     }
 
-    pub(super) fn apply_freed(&mut self, handover: &str) {
+    /// Applies that the upstream released keys of the cell, after [`Self::apply_held`] of the same
+    /// report. A revoked fence has ended once no key is left that the upstream holds or is working on.
+    pub(super) fn apply_freed(&mut self, handover: &KeyHandover, release: ReleaseProof) {
         for row in self.revoked.iter_mut().filter(|row| row.current_instance) {
-            row.ended = true;
-            row.handover = handover.into();
+            if !handover.token.is_empty() {
+                insert_handover(&mut row.handovers, handover.clone());
+            }
+            row.ended |= match release {
+                ReleaseProof::AllKeys { sequence } => {
+                    row.absent_reports > 0 && sequence > self.granted_sequence + 1
+                }
+                ReleaseProof::AnyKey => true,
+            };
         }
     }
 }
--- a/crates/core/tests/datagrams.rs
+++ b/crates/core/tests/datagrams.rs
@@ -3,6 +3,7 @@
 use firspindle_core::connection::{
     GossipMessage, RelayReport, RelayedLoad, StateMark, UpstreamLoad,
 };
+use firspindle_core::process::{EndedFence, KeyHandover};
 use firspindle_core::request::SuspectHint;
 use firspindle_core::version::{HostRecord, LogPosition};
 
@@ -70,6 +71,16 @@
     sent.manifest_age_ms = Some(900);
     sent.load = UpstreamLoad { told_running: 7, told_waiting: 2, pace_percent: 310, ..sent.load };
     sent.report.loads = vec![row(1, 0), row(2, 4_600), row(3, 0)];
+    let ended = |first, handover: &str, parts| EndedFence {
+        first,
+        last: first,
+        fence: 9,
+        handover: handover.into(),
+        parts,
+    };
+    let part = |first, last, token: &str| KeyHandover { first, last, token: token.into() };
+    sent.ended =
+        vec![ended(1, "a", Vec::new()), ended(2, "", vec![part(16, 18, "b"), part(20, 23, "c")])];
     assert_eq!(GossipMessage::decode(&sent.encode()), Some(sent));
 }
 
--- a/crates/mesh/tests/fleet/model.rs
+++ b/crates/mesh/tests/fleet/model.rs
@@ -236,12 +236,10 @@
             Event::Heartbeat => {
                 let node = &mut self.nodes[host];
                 node.upstream.expire(now);
-                let report = node.upstream.report(SERVICE);
+                let report = node.upstream.report(SERVICE, now);
                 node.state.handle_report(report, now).expect("it is of the host's upstream");
                 let reply = node.codec.reply.lock().expect("the lock is not poisoned").take();
-                if let Some(reply) = reply {
-                    node.upstream.apply_reply(&reply, now, now);
-                }
+                node.upstream.apply_reply(reply.as_ref(), now, now);
                 self.enqueue(host, HEARTBEAT_MS, Event::Heartbeat);
             }
             Event::Round => {
--- a/crates/mesh/tests/foreign_reports.rs
+++ b/crates/mesh/tests/foreign_reports.rs
@@ -104,12 +104,10 @@
         let batch = ReadBatch { records: Vec::new(), end };
         self.state.handle_records(StateTopic::Plans, end, &batch, now, now);
         self.upstream.expire(now);
-        let report = self.upstream.report(SERVICE);
+        let report = self.upstream.report(SERVICE, now);
         self.state.handle_report(report, now).expect("it is of the host's upstream");
         let reply = self.codec.reply.lock().expect("the lock is not poisoned").take();
-        if let Some(reply) = reply {
-            self.upstream.apply_reply(&reply, now, now);
-        }
+        self.upstream.apply_reply(reply.as_ref(), now, now);
     }
 
     fn held(&self) -> usize {
--- a/crates/mesh/tests/grants_over_restores.rs
+++ b/crates/mesh/tests/grants_over_restores.rs
@@ -102,12 +102,10 @@
     /// Lets the upstream send a heartbeat, whose answer it gets at once.
     fn beat(&mut self, now: Instant) {
         self.upstream.expire(now);
-        let report = self.upstream.report(SERVICE);
+        let report = self.upstream.report(SERVICE, now);
         self.state.handle_report(report, now).expect("it is of the host's upstream");
         let reply = self.codec.reply.lock().expect("the lock is not poisoned").take();
-        if let Some(reply) = reply {
-            self.upstream.apply_reply(&reply, now, now);
-        }
+        self.upstream.apply_reply(reply.as_ref(), now, now);
     }
 
     /// Returns the number of cells that the upstream holds.
--- a/crates/mesh/tests/ownership/main.rs
+++ b/crates/mesh/tests/ownership/main.rs
@@ -176,6 +176,13 @@
     assert_violation_found(GrantGuards { hold_end: false, ..GrantGuards::all() });
 }
 
+/// Guards against a cell that is given away while its holder is at work on one of its keys, because it has
+/// released the others.
+#[test]
+fn without_the_wait_for_the_last_key_two_upstreams_hold_one_key() {
+    assert_violation_found(GrantGuards { whole_cells: false, ..GrantGuards::all() });
+}
+
 fn is_unsafe(row: &Violation) -> bool {
     matches!(row, Violation::TwoHolders(_) | Violation::FenceNotAbove(_))
 }
--- a/crates/mesh/tests/ownership/world.rs
+++ b/crates/mesh/tests/ownership/world.rs
@@ -225,7 +225,8 @@
                 | Event::StartUpstream
                 | Event::Script(_)
                 | Event::Restart { .. }
-                | Event::SendHeartbeat
+                | Event::SendHeartbeat(_)
+                | Event::SendEarlyHeartbeat
                 | Event::Reply { .. }
                 | Event::Append { .. }
                 | Event::StoreRead(_)
@@ -297,13 +298,15 @@
                 let state = self.hosts[host].state.as_mut().expect("the node is running");
                 state.plan_appended(end, now);
             }
-            Event::SendHeartbeat => self.send_heartbeat(host),
+            Event::SendHeartbeat(instance) if instance == self.hosts[host].instance_number => {
+                self.send_heartbeat(host);
+                self.enqueue(host, 0, 870, Event::SendHeartbeat(instance));
+            }
+            Event::SendHeartbeat(_) => {}
+            Event::SendEarlyHeartbeat => self.send_early_heartbeat(host),
             Event::Report { report, sent_at } => self.deliver_report(host, &report, sent_at),
             Event::Reply { instance, reply, sent_at } => {
-                let upstream = self.hosts[host].upstream.as_mut();
-                if let Some(upstream) = upstream.filter(|row| row.instance == instance && row.up) {
-                    upstream.apply_reply(&reply, sent_at, now);
-                }
+                self.deliver_reply(host, &instance, reply.as_ref(), sent_at);
             }
             Event::Probe => {
                 let id = self.hosts[host].upstream.as_ref().filter(|row| row.up);
@@ -380,7 +383,7 @@
         let slow = self.rng.random_bool(0.5);
         self.hosts[host].upstream = Some(Upstream::new(instance, slow));
         self.hosts[host].instance_number = self.started_instances;
-        self.enqueue(host, 0, 10, Event::SendHeartbeat);
+        self.enqueue(host, 0, 10, Event::SendHeartbeat(self.started_instances));
     }
 
     fn step(&mut self, host: usize) {
--- a/crates/mesh/tests/ownership/world/checks.rs
+++ b/crates/mesh/tests/ownership/world/checks.rs
@@ -1,6 +1,6 @@
 //! What no history may show.
 
-use firspindle_core::version::CELLS;
+use firspindle_core::version::{CELLS, cell_of_key};
 
 use super::World;
 use super::restores::Violation;
@@ -75,7 +75,8 @@
         None
     }
 
-    /// Fails if two upstreams hold the same cell.
+    /// Fails if two upstreams hold the same cell, or one holds a cell of which another is still at work on
+    /// a key before the hold of that key has ended.
     pub(super) fn check_single_holder(&mut self) -> Result<(), String> {
         let now = self.now();
         let mut holder = vec![usize::MAX; CELLS];
@@ -93,6 +94,18 @@
                 holder[cell] = host;
             }
         }
+        for (host, row) in self.hosts.iter().enumerate() {
+            let Some(upstream) = row.upstream.as_ref().filter(|row| row.up) else { continue };
+            for cell in upstream.busy.iter().map(|row| cell_of_key(row.key)) {
+                let other = holder[cell];
+                if other != usize::MAX && other != host {
+                    return Err(format!(
+                        "{} ms: cell {cell} is held by {other} while {host} is at work on a key of it",
+                        self.now_ms
+                    ));
+                }
+            }
+        }
         Ok(())
     }
 }
--- a/crates/mesh/tests/ownership/world/event.rs
+++ b/crates/mesh/tests/ownership/world/event.rs
@@ -87,14 +87,18 @@
         answers: bool,
     },
     PlanAppended(Option<LogPosition>),
-    SendHeartbeat,
+    /// A heartbeat of the instance with this number, and the next one some time later.
+    SendHeartbeat(u64),
+    /// A heartbeat soon after a reply that left out keys.
+    SendEarlyHeartbeat,
     Report {
         report: Box<UpstreamReport>,
         sent_at: Instant,
     },
     Reply {
         instance: UpstreamInstance,
-        reply: GrantReply,
+        /// `None` if it grants nothing.
+        reply: Option<GrantReply>,
         sent_at: Instant,
     },
     Probe,
