fix(mesh): a leave of the upstream is acknowledged once the store has it

Callers' requests reached an upstream for as long as it served, though its node had acknowledged that it leaves: a process that was killed right after the answer had forgotten it.

Cause: DELETE, and a report that says `draining`, were answered when memory knew of them, before the append of the host's record, from which alone the next process learns of a leave. That record could also be lost: the next process wrote `ready` before it had read it; an upstream that fell silent was recorded as gone, which a late report undoes; a leave of an instance that was not known yet was acknowledged and dropped while an earlier one was known; a late append could come after it.

Requests stop at once as before. The next process reads the record before it writes one, and closes the upstream.

--- a/crates/mesh/src/process/admin_server.rs
+++ b/crates/mesh/src/process/admin_server.rs
@@ -129,13 +129,15 @@
     id: &str,
     body: &[u8],
 ) -> WebResponse {
-    let stopping = || reply(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "stopping\n");
+    // A process that stops, or whose store does not answer, acknowledges no leave.
+    let unacknowledged =
+        || reply(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "not acknowledged\n");
     if method == Method::DELETE {
         let (tx, rx) = oneshot::channel();
         let _ = state.tx.send(ControlEvent::Leave(id.into(), tx));
         return match rx.await {
             Ok(()) => reply(StatusCode::OK, "application/json", "{}"),
-            Err(_) => stopping(),
+            Err(_) => unacknowledged(),
         };
     }
     let refused = |error: &dyn std::fmt::Display| {
@@ -151,6 +153,6 @@
     match rx.await {
         Ok(Ok(body)) => reply(StatusCode::OK, "application/json", body),
         Ok(Err(refusal)) => refused(&refusal),
-        Err(_) => stopping(),
+        Err(_) => unacknowledged(),
     }
 }
--- a/crates/mesh/src/process/control_event.rs
+++ b/crates/mesh/src/process/control_event.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use firspindle_core::connection::{ReportRefusal, UpstreamReport};
-use firspindle_core::version::{LogEpoch, LogPosition, RangePlan, UpstreamInstance};
+use firspindle_core::version::{HostRecord, LogEpoch, LogPosition, RangePlan, UpstreamInstance};
 use firspindle_edge::{ReadBatch, StateTopic, TopicSnapshot};
 use tokio::sync::oneshot;
 
@@ -16,10 +16,10 @@
 #[derive(Debug)]
 pub enum ControlEvent {
     /// Report that a heartbeat carried; answered with the body of the HTTP response, or why it is not of
-    /// the host's upstream.
+    /// the host's upstream. One that says that the upstream drains is answered like [`Self::Leave`].
     Report(Box<UpstreamReport>, oneshot::Sender<Result<Bytes, ReportRefusal>>),
-    /// The upstream with this id announces that it leaves; answered once the published view shows
-    /// it as draining.
+    /// The upstream with this id announces that it leaves; answered once the published view shows it as
+    /// draining and the store has that. Without the store's word the sender is dropped.
     Leave(Box<str>, oneshot::Sender<()>),
     /// An answer of this instance of the upstream said so long ago that it leaves.
     UpstreamLeaving(UpstreamInstance, Duration),
@@ -40,6 +40,8 @@
     PeerState(PeerState),
     /// The state of the node at this address could not be fetched.
     FetchFailed(SocketAddr),
+    /// A write of this node's host record finished: the end of the log, if the store acknowledged it.
+    HostWritten(Box<HostRecord>, Option<LogPosition>),
     /// An append of this node's plan finished: the end of the plans, if the store answered with it,
     /// and the plan and the time at which the call began, if it was appended.
     PlanAppended(Option<LogPosition>, Option<(Box<RangePlan>, Instant)>),
--- a/crates/mesh/src/process/control_state.rs
+++ b/crates/mesh/src/process/control_state.rs
@@ -144,6 +144,8 @@
     own: HostRecord,
     /// This node's record as last written to the store; `None` if that is not known.
     own_written: Option<HostRecord>,
+    /// End of the hosts' log after that write.
+    own_written_end: LogPosition,
     /// Arrival of the upstream's last heartbeat.
     last_heartbeat_at: Option<Instant>,
     /// Cold time in the upstream's newest heartbeat.
@@ -255,6 +257,7 @@
             hosts_known: false,
             own,
             own_written: None,
+            own_written_end: LogPosition::default(),
             last_heartbeat_at: None,
             cold_report: None,
             closes_at: None,
@@ -318,10 +321,11 @@
         self.log_evacuations("hosts", now);
         self.check_homes();
         self.refresh_duties(now);
-        // A record without the upstream that the previous process recorded would move its cells.
-        // Other nodes are to find this one soon, unless an earlier process has written its record.
+        // The previous process may have recorded that the upstream leaves, so its record is read first.
+        // A record without the upstream that it recorded would move its cells. Other nodes are to find
+        // this one soon, unless an earlier process has written its record.
         let waited = self.own_written.is_none() || now >= self.started_at + FIRST_HEARTBEAT_WAIT;
-        let complete = self.own.upstream.is_some() || (self.hosts_known && waited);
+        let complete = self.hosts_known && (self.own.upstream.is_some() || waited);
         let written = self.own_written.as_ref().is_some_and(|row| row.says_the_same(&self.own));
         if complete && !written && now >= self.write_own_after {
             actions.push(ControlAction::PutHost(self.own.clone()));
@@ -349,7 +353,9 @@
     /// is written again.
     pub fn host_written(&mut self, record: HostRecord, end: Option<LogPosition>, now: Instant) {
         self.enter_epoch(end.map_or(0, |end| end.epoch), now);
-        self.own_written = end.filter(|end| end.epoch == self.epoch()).map(|_| record);
+        let end = end.filter(|end| end.epoch == self.epoch());
+        self.own_written_end = end.unwrap_or_default();
+        self.own_written = end.map(|_| record);
     }
 
     fn host(&self, host: &str) -> Option<&HostRecord> {
--- a/crates/mesh/src/process/control_state/record_step.rs
+++ b/crates/mesh/src/process/control_state/record_step.rs
@@ -164,6 +164,7 @@
                 self.hosts_known = true;
                 for row in values {
                     self.apply_host(&row.value, now);
+                    self.note_own_record(row, end.epoch);
                 }
                 self.hosts_end = self.hosts_end.max(end);
             }
@@ -231,6 +232,17 @@
         self.keep_host(record);
     }
 
+    /// Notes a record of this host that took effect after the last one that this process wrote: an append
+    /// without an answer may be late. It is written over then.
+    fn note_own_record(&mut self, row: &TopicRecord, epoch: LogEpoch) {
+        let is_later = LogPosition::new(epoch, row.offset) >= self.own_written_end;
+        if !is_later || self.own_written.is_none() || *row.key != *self.settings.host {
+            return;
+        }
+        self.own_written = HostRecord::decode(&row.value);
+        self.own_written_end = LogPosition::new(epoch, row.offset + 1);
+    }
+
     /// Keeps a host record if it is newer than the known one.
     pub(super) fn keep_host(&mut self, record: HostRecord) {
         match self.hosts.binary_search_by(|row| row.host.cmp(&record.host)) {
--- a/crates/mesh/src/process/control_state/upstream_step.rs
+++ b/crates/mesh/src/process/control_state/upstream_step.rs
@@ -147,8 +147,8 @@
         let known = self.own.upstream.as_ref().map(|upstream| &upstream.instance);
         match known {
             Some(known) if &*known.id == id => self.close_upstream(known.clone(), Some(now)),
-            Some(_) => {}
-            None => {
+            // Its first report may still come, also while an earlier instance is known.
+            _ => {
                 self.early_leaves.push((id.into(), now));
                 let surplus = self.early_leaves.len().saturating_sub(MAX_LEAVING);
                 self.early_leaves.drain(..surplus);
@@ -156,6 +156,18 @@
         }
     }
 
+    /// Whether the store has the record of this host in which the upstream with this id leaves.
+    pub fn is_leave_recorded(&self, id: &str) -> bool {
+        let Some(upstream) = self.own.upstream.as_ref().filter(|row| *row.instance.id == *id)
+        else {
+            return false;
+        };
+        let written = self.own_written.as_ref().and_then(|record| record.upstream.as_ref());
+        written.is_some_and(|row| {
+            row.instance == upstream.instance && row.state == UpstreamState::Draining
+        })
+    }
+
     /// Closes the upstream if it announced that it leaves before this node knew it.
     pub(super) fn apply_early_leave(&mut self, now: Instant) {
         let Some(upstream) = &self.own.upstream else { return };
@@ -230,7 +242,9 @@
     pub(super) fn expire_upstream(&mut self, now: Instant) {
         let timed_out = self.last_heartbeat_at.is_some_and(|at| now > at + HEARTBEAT_TIMEOUT);
         let Some(upstream) = &mut self.own.upstream else { return };
-        if timed_out && upstream.state != UpstreamState::Gone {
+        // That it leaves has been acknowledged, and is to be known to the next process.
+        let leaves = upstream.state == UpstreamState::Draining;
+        if timed_out && !leaves && upstream.state != UpstreamState::Gone {
             log::info!(life = &*upstream.instance.id; "upstream heartbeats timed out");
             upstream.state = UpstreamState::Gone;
         }
--- a/crates/mesh/src/process/control_thread.rs
+++ b/crates/mesh/src/process/control_thread.rs
@@ -2,6 +2,7 @@
 
 mod call_step;
 mod crash_step;
+mod leave_step;
 
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -10,13 +11,14 @@
 
 use firspindle_core::connection::StateMark;
 use firspindle_core::process::GrantGuards;
-use firspindle_core::version::{HostRecord, LogPosition};
+use firspindle_core::version::UpstreamState;
 use firspindle_edge::{BootClock, PlatformCodec, StateStore, StateTopic};
 use http::HeaderName;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 
 use self::crash_step::{CrashNotice, sleep_until};
+use self::leave_step::{LeaveAnswer, PendingLeave};
 use super::control_state::{ControlAction, ControlState, GOSSIP_TICKS, PeerPlace, TICK_INTERVAL};
 use super::datagram_inbox::{DatagramInbox, WaitingDatagram};
 use super::store_watch::{ReadSchedule, UnansweredAt, watch_topic};
@@ -62,9 +64,6 @@
 /// All topics.
 const TOPICS: [StateTopic; 3] = [StateTopic::Manifests, StateTopic::Hosts, StateTopic::Plans];
 
-/// A finished write of this node's host record, and the end of the log if the store acknowledged it.
-type HostWrite = (HostRecord, Option<LogPosition>);
-
 struct ControlThread<C, S> {
     state: ControlState<C>,
     store: S,
@@ -75,8 +74,8 @@
     shared: Arc<SharedState>,
     /// Whether a write of this node's host record is in flight; one at a time.
     write_pending: Rc<Cell<bool>>,
-    /// The last finished write.
-    write_result: Rc<Cell<Option<HostWrite>>>,
+    /// Leaves of the upstream that are acknowledged once the store has them.
+    pending_leaves: Vec<PendingLeave>,
     /// Fetches of the state of peers that have not ended.
     fetches_in_flight: Rc<Cell<usize>>,
     notices: Vec<CrashNotice>,
@@ -123,7 +122,7 @@
         schedules,
         shared: parts.shared,
         write_pending: Rc::default(),
-        write_result: Rc::default(),
+        pending_leaves: Vec::new(),
         fetches_in_flight: Rc::default(),
         notices: Vec::new(),
         crashes_due_at: None,
@@ -166,16 +165,28 @@
         let now = self.clock.now();
         match event {
             ControlEvent::Report(report, reply) => {
+                let drains = report.state == UpstreamState::Draining;
+                let id = report.instance.id.clone();
                 let answer = self.state.handle_report(*report, now);
                 self.publish();
-                let _ = reply.send(answer);
+                match answer {
+                    Ok(body) if drains => {
+                        self.await_record(id, LeaveAnswer::Report(body, reply));
+                    }
+                    answer => drop(reply.send(answer)),
+                }
                 self.send_ended_fences();
                 self.step();
             }
             ControlEvent::Leave(id, reply) => {
                 self.state.handle_leave(&id, now);
                 self.publish();
-                let _ = reply.send(());
+                self.await_record(id, LeaveAnswer::Leave(reply));
+                self.step();
+            }
+            ControlEvent::HostWritten(record, end) => {
+                self.write_pending.set(false);
+                self.state.host_written(*record, end, now);
                 self.step();
             }
             ControlEvent::UpstreamLeaving(instance, time) => {
@@ -251,6 +262,7 @@
                 self.publish();
             }
         }
+        self.answer_leaves();
         self.update_schedules();
     }
 
@@ -328,6 +340,7 @@
         self.update_schedules();
         self.state.set_load(self.shared.load(), self.shared.demand());
         self.finish_notices();
+        self.answer_leaves();
         self.shared.metrics.control.malformed.set(self.state.malformed_datagrams());
         self.shared.metrics.restores.set(self.state.restores().cast_signed());
         self.shared.metrics.unknown_kinds.set(self.state.unknown_kinds());
@@ -354,10 +367,6 @@
     }
 
     fn step(&mut self) {
-        // First, so that a record that was just written is not written again.
-        if let Some((record, end)) = self.write_result.take() {
-            self.state.host_written(record, end, self.clock.now());
-        }
         let actions = self.state.tick(self.clock.now());
         self.execute(actions);
     }
--- a/crates/mesh/src/process/control_thread/call_step.rs
+++ b/crates/mesh/src/process/control_thread/call_step.rs
@@ -55,8 +55,7 @@
             return;
         }
         let shared = self.shared.clone();
-        let (store, write_pending, write_result) =
-            (self.store.clone(), self.write_pending.clone(), self.write_result.clone());
+        let (store, tx) = (self.store.clone(), self.tx.clone());
         tokio::task::spawn_local(async move {
             shared.metrics.count_store_call(StateTopic::Hosts, "append");
             let put = store.append(StateTopic::Hosts, &record.host, record.encode(), None).await;
@@ -64,8 +63,7 @@
                 log::info!(error:%; "writing the host record failed");
                 tokio::time::sleep(TICK_INTERVAL).await;
             }
-            write_result.set(Some((record, put.ok())));
-            write_pending.set(false);
+            let _ = tx.send(ControlEvent::HostWritten(Box::new(record), put.ok()));
         });
     }
 
--- a/crates/mesh/tests/own_record.rs
+++ b/crates/mesh/tests/own_record.rs
@@ -13,8 +13,8 @@
 use firspindle_core::version::{
     HostRecord, LogPosition, UpstreamInstance, UpstreamRecord, UpstreamState,
 };
-use firspindle_edge::{StateTopic, TopicRecord, TopicSnapshot};
-use firspindle_mesh::process::{ControlState, MeshSettings};
+use firspindle_edge::{ReadBatch, StateTopic, TopicRecord, TopicSnapshot};
+use firspindle_mesh::process::{ControlAction, ControlState, MeshSettings};
 use node_settings::node_settings;
 use proptest::prelude::*;
 
@@ -146,6 +146,87 @@
     assert_eq!(known(&state), (next, UpstreamState::Gone));
 }
 
+/// Returns the records of the host that a step writes.
+fn written(state: &mut ControlState<TestCodec>, now: Instant) -> Vec<HostRecord> {
+    let actions = state.tick(now).into_iter();
+    let record = |action| match action {
+        ControlAction::PutHost(record) => Some(record),
+        _ => None,
+    };
+    actions.filter_map(record).collect()
+}
+
+fn upstream_state(record: &HostRecord) -> Option<UpstreamState> {
+    record.upstream.as_ref().map(|upstream| upstream.state)
+}
+
+/// Guards against a record that an upstream leaves which the next process overwrites before it has read it.
+#[test]
+fn a_record_is_written_only_after_that_of_the_process_before_was_read() {
+    let now = Instant::now();
+    let mut state = restarted(now);
+    send(&mut state, report(), now);
+    assert_eq!(written(&mut state, now), []);
+    state.handle_snapshot(StateTopic::Hosts, &hosts(UpstreamState::Draining), now, now);
+    assert!(state.is_leave_recorded("u0"));
+    assert_eq!(written(&mut state, now), [], "the record says already that the upstream leaves");
+}
+
+/// Guards against a leave that is acknowledged before the store has it, or when it has it no more.
+#[test]
+fn a_leave_is_recorded_from_the_stores_answer_on() {
+    let now = Instant::now();
+    let mut state = restarted(now);
+    state.handle_snapshot(StateTopic::Hosts, &hosts(UpstreamState::Ready), now, now);
+    send(&mut state, report(), now);
+    state.handle_leave("u0", now);
+    assert!(!state.is_leave_recorded("u0"));
+    let record = written(&mut state, now).pop().expect("the upstream has changed");
+    assert_eq!(upstream_state(&record), Some(UpstreamState::Draining));
+    state.host_written(record.clone(), None, now);
+    assert!(!state.is_leave_recorded("u0"), "the write failed");
+    state.host_written(record, Some(LogPosition::new(0, 2)), now);
+    assert!(state.is_leave_recorded("u0"));
+    // An append of before, without an answer, takes effect after it.
+    let late = TopicRecord { offset: 2, ..hosts(UpstreamState::Ready).values.remove(0) };
+    let batch = ReadBatch { records: vec![late], end: LogPosition::new(0, 3) };
+    state.handle_records(StateTopic::Hosts, LogPosition::new(0, 2), &batch, now, now);
+    assert!(!state.is_leave_recorded("u0"));
+    let record = written(&mut state, now).pop().expect("it is written again");
+    assert_eq!(upstream_state(&record), Some(UpstreamState::Draining));
+    // The restored store does not have it.
+    state.host_written(record, Some(LogPosition::new(0, 4)), now);
+    assert!(state.is_leave_recorded("u0"));
+    state.enter_epoch(1, now);
+    assert!(!state.is_leave_recorded("u0"));
+}
+
+/// Guards against a leave that is forgotten because the upstream's reports end before it does.
+#[test]
+fn a_silent_upstream_that_left_is_recorded_as_leaving() {
+    let now = Instant::now();
+    let mut state = restarted(now);
+    state.handle_snapshot(StateTopic::Hosts, &hosts(UpstreamState::Ready), now, now);
+    send(&mut state, report(), now);
+    state.handle_leave("u0", now);
+    let later = now + Duration::from_secs(9);
+    let record = written(&mut state, later).pop().expect("the upstream has changed");
+    assert_eq!(upstream_state(&record), Some(UpstreamState::Draining));
+}
+
+/// Guards against a leave that is acknowledged and dropped while an earlier instance is known.
+#[test]
+fn an_upstream_that_left_before_its_first_report_is_closed() {
+    let start = Instant::now();
+    let mut state = restarted(start);
+    send(&mut state, report(), start);
+    state.handle_leave("u1", start);
+    assert!(!state.is_leave_recorded("u1"));
+    let next = UpstreamInstance { id: "u1".into(), born_ms: 9 };
+    send(&mut state, UpstreamReport { instance: next, ..report() }, start);
+    assert_closed(&state, start + settings().bounds.drain);
+}
+
 proptest! {
     /// Guards against a late report of which a part is believed.
     #[test]
