fix(core): a request that crashes upstreams some time after its answer is refused

Callers' orders were lost in crash after crash: a request that ended its upstream 0.24 s after its answer, beside 44 others a second, or 0.3 s and more after it, was refused late or never.

The model of `crash_sets` plays all moments from 0 to 2 s at 0, 15 and 44 requests a second, 20 times each: none late, no other refused.

Why it works: nodes tell each other what had ended in the 2.25 s before each crash, four bytes a request. Only a request that stands before three crashes, that no upstream has outlived by 2.25 s since, and beside which no other stands before all three, is refused. `no_other_request_is_refused` varies number, load and companions: none of the others is refused in any play. The quicker rule for the last requests before a crash is as it was.

--- a/crates/core/src/connection/gossip_message.rs
+++ b/crates/core/src/connection/gossip_message.rs
@@ -8,7 +8,7 @@
 
 use super::{DemandReport, HostHash, RelayReport, StateMark, UpstreamLimit};
 use crate::process::{EndedFence, KeyHandover};
-use crate::request::SuspectHint;
+use crate::request::{ClearedRequest, CrashSet, SuspectHint};
 use crate::version::{HostRecord, LogPosition, MAX_INCARNATION};
 
 /// Fences that have ended.
@@ -176,6 +176,12 @@
     /// The same for requests that upstreams answered shortly before they crashed.
     #[serde(skip)]
     pub answered_suspects: Vec<SuspectHint>,
+    /// Crashes, and the requests that had ended within the last seconds before.
+    #[serde(skip)]
+    pub crash_sets: Vec<CrashSet>,
+    /// Requests that upstreams have outlived by seconds.
+    #[serde(skip)]
+    pub cleared_requests: Vec<ClearedRequest>,
     /// What relays pass on.
     #[serde(skip)]
     pub report: RelayReport,
@@ -208,6 +214,8 @@
             acknowledged: Vec::new(),
             suspects: Vec::new(),
             answered_suspects: Vec::new(),
+            crash_sets: Vec::new(),
+            cleared_requests: Vec::new(),
             report: RelayReport::default(),
             mark: StateMark::default(),
             heard_incarnation: 0,
@@ -238,6 +246,8 @@
         bytes.extend(postcard::to_allocvec(&self.mark.evacuations).unwrap_or_default());
         bytes.extend(postcard::to_allocvec(&self.answered_suspects).unwrap_or_default());
         bytes.extend(postcard::to_allocvec(&self.handover_parts()).unwrap_or_default());
+        let ended = (&self.crash_sets, &self.cleared_requests);
+        bytes.extend(postcard::to_allocvec(&ended).unwrap_or_default());
         bytes
     }
 
@@ -282,12 +292,16 @@
         message.mark.evacuations = evacuations;
         let Ok((suspects, rest)) = postcard::take_from_bytes(rest) else { return Some(message) };
         message.answered_suspects = suspects;
-        let parts: HandoverTrailer = postcard::from_bytes(rest).unwrap_or_default();
+        let Ok((parts, rest)) = postcard::take_from_bytes::<HandoverTrailer>(rest) else {
+            return Some(message);
+        };
         for (index, parts) in parts {
             if let Some(row) = message.ended.get_mut(usize::from(index)) {
                 row.parts = parts;
             }
         }
+        (message.crash_sets, message.cleared_requests) =
+            postcard::from_bytes(rest).unwrap_or_default();
         Some(message)
     }
 
--- a/crates/core/src/request/finished_runs.rs
+++ b/crates/core/src/request/finished_runs.rs
@@ -1,8 +1,8 @@
 //! Requests that an upstream answered so recently that its crash may be their doing.
 //!
 //! A request may crash an upstream shortly after its whole answer, so an answer shows that a request is harmless
-//! only once the upstream has outlived it. That is shown by an answer to a request that was sent later, or by a
-//! connection that the upstream ended later: heartbeats may arrive seconds after their sender has crashed.
+//! only once the upstream has outlived it. That is shown by an answer to a request that was sent later: heartbeats
+//! may arrive seconds after their sender has crashed, and a crash itself ends connections.
 //!
 //! A run that its node abandoned, as its caller left or its deadline passed, may go on at the upstream until the
 //! deadline that the upstream was told. It counts like one that was answered then.
@@ -112,12 +112,26 @@
         self.instance.as_ref()
     }
 
+    /// Whether the instance leaves, so that its end is no crash.
+    pub const fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
     /// Notes that an instance lived at a time, as it answered a request that was sent then; returns the requests
     /// that it had outlived by then.
     pub fn note_alive(&mut self, instance: &UpstreamInstance, lived_at: Instant) -> Vec<u128> {
-        if !self.is_about(instance) {
-            return Vec::new();
+        if self.is_about(instance) { self.take_outlived(lived_at) } else { Vec::new() }
+    }
+
+    /// Notes that a connection of an instance ended, maybe as it crashed: what ended long before is suspected no
+    /// more. It is not cleared, since the instance may have crashed of it later than others do.
+    pub fn note_remote_end(&mut self, instance: &UpstreamInstance, ended_at: Instant) {
+        if self.is_about(instance) {
+            self.take_outlived(ended_at);
         }
+    }
+
+    fn take_outlived(&mut self, lived_at: Instant) -> Vec<u128> {
         let outlived = |row: &FinishedRun| row.outlived_at <= lived_at;
         let count = self.answered.iter().take_while(|row| outlived(row)).count();
         let mut runs: Vec<_> = self.answered.drain(..count).collect();
--- a/crates/core/tests/datagrams.rs
+++ b/crates/core/tests/datagrams.rs
@@ -4,7 +4,7 @@
     GossipMessage, RelayReport, RelayedLoad, StateMark, UpstreamLoad,
 };
 use firspindle_core::process::{EndedFence, KeyHandover};
-use firspindle_core::request::SuspectHint;
+use firspindle_core::request::{ClearedRequest, CrashSet, SuspectHint};
 use firspindle_core::version::{HostRecord, LogPosition};
 
 fn message(link_ms: u32, limit_milli: u32) -> GossipMessage {
@@ -39,6 +39,8 @@
         acknowledged: Vec::new(),
         suspects: Vec::new(),
         answered_suspects: Vec::new(),
+        crash_sets: Vec::new(),
+        cleared_requests: Vec::new(),
         report: RelayReport { wants_reply: true, sequence: 3, ..RelayReport::default() },
         mark: StateMark {
             plan_position: LogPosition::new(0, 1),
@@ -68,6 +70,8 @@
     sent.heard_incarnation = 7;
     sent.answered_suspects =
         vec![SuspectHint { fingerprint: 3, crashes: vec![1, 2], left_ms: 60_000, cleared: false }];
+    sent.crash_sets = vec![CrashSet { instance: 1 << 60, requests: vec![5, 1 << 30] }];
+    sent.cleared_requests = vec![ClearedRequest { request: 5, crashes: vec![1 << 60] }];
     sent.manifest_age_ms = Some(900);
     sent.load = UpstreamLoad { told_running: 7, told_waiting: 2, pace_percent: 310, ..sent.load };
     sent.report.loads = vec![row(1, 0), row(2, 4_600), row(3, 0)];
--- a/crates/core/tests/ranges/main.rs
+++ b/crates/core/tests/ranges/main.rs
@@ -5,6 +5,7 @@
 #![allow(clippy::cast_precision_loss, clippy::cast_possible_truncation, clippy::cast_sign_loss)]
 
 mod changes;
+mod crash_sets;
 mod demand;
 mod finished_runs;
 mod plans;
--- a/crates/mesh/src/process/control_state.rs
+++ b/crates/mesh/src/process/control_state.rs
@@ -24,7 +24,7 @@
 use firspindle_core::process::{
     EvacuationTable, GrantGuards, GrantTable, GrantTiming, PlanConfirmation, StoreBackoff,
 };
-use firspindle_core::request::SuspectTracker;
+use firspindle_core::request::{CrashSets, SuspectTracker};
 use firspindle_core::version::{
     HostRecord, LogEpoch, LogPosition, RangePlan, RouteManifest, UpstreamInstance, UpstreamState,
 };
@@ -197,6 +197,8 @@
     suspects: Arc<SuspectTracker>,
     /// Requests that upstreams answered shortly before they crashed.
     answered_suspects: Arc<SuspectTracker>,
+    /// Requests that had ended within the last seconds before crashes.
+    crash_sets: Arc<CrashSets>,
     /// Crashes that the other nodes are to acknowledge.
     announced: Vec<AnnouncedCrash>,
     /// Time before which the upstream is not probed again.
@@ -289,6 +291,7 @@
             demand: DemandReport::default(),
             suspects: Arc::default(),
             answered_suspects: Arc::new(SuspectTracker::of_answered()),
+            crash_sets: Arc::default(),
             announced: Vec::new(),
             next_probe_at: now,
         }
--- a/crates/mesh/src/process/control_state/gossip_step.rs
+++ b/crates/mesh/src/process/control_state/gossip_step.rs
@@ -226,6 +226,8 @@
             acknowledged,
             suspects: self.suspects.hints(&self.named_suspects(host, suspects), now),
             answered_suspects: self.answered_suspects.hints(&[], now),
+            crash_sets: self.crash_sets.told_crashes(now),
+            cleared_requests: self.crash_sets.told_cleared(now),
             mark: self.mark(),
             manifest_age_ms: self.manifests_known_at.map(|at| relay_step::age_ms(at, now)),
             heard_incarnation: self.peers.get(host).map_or(0, |peer| peer.incarnation),
--- a/crates/mesh/src/process/control_state/suspect_step.rs
+++ b/crates/mesh/src/process/control_state/suspect_step.rs
@@ -94,6 +94,27 @@
         }
     }
 
+    /// Notes which requests had ended within the last seconds before an upstream crashed.
+    pub fn note_crash_soon_after(&mut self, fingerprints: &[u128], instance: u64, now: Instant) {
+        Arc::make_mut(&mut self.crash_sets).note_crash(instance, fingerprints, now);
+    }
+
+    /// Clears a request that an upstream outlived by seconds of the crashes before which it had ended.
+    pub fn clear_ended(&mut self, fingerprint: u128, now: Instant) {
+        Arc::make_mut(&mut self.crash_sets).clear(fingerprint, now);
+    }
+
+    /// Merges the crashes that another node told; returns whether anything was new.
+    fn merge_crash_sets(&mut self, message: &GossipMessage, now: Instant) -> bool {
+        if message.crash_sets.is_empty() && message.cleared_requests.is_empty() {
+            return false;
+        }
+        let sets = Arc::make_mut(&mut self.crash_sets);
+        let crashes = message.crash_sets.iter().filter(|set| sets.merge_crash(set, now)).count();
+        let cleared = message.cleared_requests.iter();
+        crashes + cleared.filter(|row| sets.merge_cleared(row, now)).count() > 0
+    }
+
     /// Clears the suspicion of a request whose answer an upstream outlived.
     pub fn clear_suspect(&mut self, fingerprint: u128, now: Instant) {
         let of_running = Arc::make_mut(&mut self.suspects).clear(fingerprint, now);
@@ -106,7 +127,8 @@
     /// Merges the suspects that another node reported; returns whether any of them were new.
     pub(super) fn merge_suspects(&mut self, message: &GossipMessage, now: Instant) -> bool {
         let answered = merge_hints(&mut self.answered_suspects, &message.answered_suspects, now);
-        merge_hints(&mut self.suspects, &message.suspects, now) || answered
+        let ended = self.merge_crash_sets(message, now);
+        merge_hints(&mut self.suspects, &message.suspects, now) || answered || ended
     }
 
     pub(super) fn expire_suspects(&mut self, now: Instant) {
@@ -115,6 +137,9 @@
                 Arc::make_mut(tracker).expire(now);
             }
         }
+        if !self.crash_sets.is_empty() {
+            Arc::make_mut(&mut self.crash_sets).expire(now);
+        }
     }
 
     /// Whether every other node that is not silent has shown that it knows of an announced crash.
--- a/crates/mesh/src/process/control_state/view_step.rs
+++ b/crates/mesh/src/process/control_state/view_step.rs
@@ -35,6 +35,7 @@
             ready: known && !self.stopping,
             suspects: self.suspects.clone(),
             answered_suspects: self.answered_suspects.clone(),
+            crash_sets: self.crash_sets.clone(),
             snapshot: self.snapshot.clone(),
         }
     }
--- a/crates/mesh/src/process/control_thread.rs
+++ b/crates/mesh/src/process/control_thread.rs
@@ -223,16 +223,11 @@
             }
             ControlEvent::EpochSeen(epoch) => self.state.enter_epoch(epoch, now),
             ControlEvent::StoreFailed(_) => self.state.note_store_answer(false, now),
-            ControlEvent::Crash { fingerprint, instance, ack } => {
-                self.note_crash(fingerprint, instance, ack);
-            }
-            ControlEvent::CrashAfter(instance, fingerprints) => {
-                self.note_crash_after(&fingerprints, &instance);
-            }
-            ControlEvent::SuspectOutlived(fingerprint) => {
-                self.state.clear_suspect(fingerprint, now);
-                self.publish();
-            }
+            event @ (ControlEvent::Crash { .. }
+            | ControlEvent::CrashAfter(..)
+            | ControlEvent::CrashSoonAfter(..)
+            | ControlEvent::EndedOutlived(_)
+            | ControlEvent::SuspectOutlived(_)) => self.handle_crash_event(event),
             ControlEvent::PeerState(state) => {
                 match state {
                     PeerState::Whole(snapshot) => self.state.handle_peer_state(&snapshot, now),
--- a/crates/mesh/src/process/control_thread/crash_step.rs
+++ b/crates/mesh/src/process/control_thread/crash_step.rs
@@ -8,6 +8,7 @@
 use tokio::sync::oneshot;
 
 use super::ControlThread;
+use crate::process::ControlEvent;
 
 /// Time within which the other nodes are to acknowledge a crash. Acknowledgements take one round
 /// trip.
@@ -34,14 +35,33 @@
 }
 
 impl<C: PlatformCodec, S: StateStore> ControlThread<C, S> {
+    /// Handles an event that tells of a crash, or of what an upstream outlived.
+    pub(super) fn handle_crash_event(&mut self, event: ControlEvent) {
+        match event {
+            ControlEvent::Crash { fingerprint, instance, ack } => {
+                self.note_crash(fingerprint, instance, ack);
+            }
+            ControlEvent::CrashAfter(instance, fingerprints) => {
+                self.note_crash_after(&fingerprints, &instance);
+            }
+            ControlEvent::CrashSoonAfter(instance, fingerprints) => {
+                self.note_crash_soon_after(&fingerprints, &instance);
+            }
+            ControlEvent::EndedOutlived(fingerprint) => {
+                self.state.clear_ended(fingerprint, self.clock.now());
+                self.publish();
+            }
+            ControlEvent::SuspectOutlived(fingerprint) => {
+                self.state.clear_suspect(fingerprint, self.clock.now());
+                self.publish();
+            }
+            _ => unreachable!("an event of another kind"),
+        }
+    }
+
     /// Notes a request that was in flight when an upstream crashed. The other nodes are notified a little
     /// later, as an upstream mostly runs several.
-    pub(super) fn note_crash(
-        &mut self,
-        fingerprint: u128,
-        instance: u64,
-        ack: oneshot::Sender<()>,
-    ) {
+    fn note_crash(&mut self, fingerprint: u128, instance: u64, ack: oneshot::Sender<()>) {
         let now = self.clock.now();
         let hint = self.state.note_crash(fingerprint, instance, now);
         self.publish();
@@ -50,7 +70,7 @@
     }
 
     /// Notes requests that an upstream had answered shortly before it crashed, or that were abandoned there.
-    pub(super) fn note_crash_after(&mut self, fingerprints: &[u128], instance: &UpstreamInstance) {
+    fn note_crash_after(&mut self, fingerprints: &[u128], instance: &UpstreamInstance) {
         let (life, born_ms, requests) = (&*instance.id, instance.born_ms, fingerprints.len());
         log::warn!(life, born_ms, requests; "upstream crashed after requests had ended");
         let now = self.clock.now();
@@ -60,6 +80,17 @@
         self.execute(actions);
     }
 
+    /// Notes requests that had ended within the last seconds before an instance of the upstream crashed.
+    fn note_crash_soon_after(&mut self, fingerprints: &[u128], instance: &UpstreamInstance) {
+        let (life, born_ms, requests) = (&*instance.id, instance.born_ms, fingerprints.len());
+        log::info!(life, born_ms, requests; "requests had ended in the seconds before a crash");
+        let now = self.clock.now();
+        self.state.note_crash_soon_after(fingerprints, hash_instance(instance), now);
+        self.publish();
+        let actions = self.state.gossip_round(now);
+        self.execute(actions);
+    }
+
     /// Notifies all other nodes of the crashes that were noted.
     pub(super) fn send_crashes(&mut self) {
         self.crashes_due_at = None;
--- a/crates/mesh/src/request/crash_reporter.rs
+++ b/crates/mesh/src/request/crash_reporter.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use firspindle_core::request::{FinishedRuns, hash_instance};
+use firspindle_core::request::{EndedRuns, FinishedRuns, hash_instance};
 use firspindle_core::version::UpstreamInstance;
 use firspindle_edge::upstream_died;
 use tokio::sync::mpsc::UnboundedSender;
@@ -30,6 +30,7 @@
     /// When the upstream last ended a connection.
     remote_end: RemoteEnd,
     finished: RefCell<FinishedRuns>,
+    ended: RefCell<EndedRuns>,
 }
 
 impl CrashReporter {
@@ -39,7 +40,14 @@
         control_tx: UnboundedSender<ControlEvent>,
         remote_end: RemoteEnd,
     ) -> Self {
-        Self { upstream, shared, control_tx, remote_end, finished: RefCell::default() }
+        Self {
+            upstream,
+            shared,
+            control_tx,
+            remote_end,
+            finished: RefCell::default(),
+            ended: RefCell::default(),
+        }
     }
 
     fn send(&self, event: ControlEvent) -> bool {
@@ -51,6 +59,10 @@
         let earlier = self.finished.borrow().instance().filter(|it| *it != instance).cloned();
         if let Some(earlier) = earlier {
             self.note_remote_end(&earlier);
+            self.report_ended(&earlier);
+        }
+        if leaving {
+            self.ended.borrow_mut().clear();
         }
         let crashed = self.finished.borrow_mut().set_instance(instance, leaving, Instant::now());
         if let Some((earlier, suspects)) = crashed {
@@ -60,7 +72,16 @@
 
     /// Notes that an instance answered a request whole.
     pub(super) fn note_answer(&self, instance: &UpstreamInstance, fingerprint: u128) {
-        self.finished.borrow_mut().note_answer(instance, fingerprint, Instant::now());
+        let now = Instant::now();
+        self.finished.borrow_mut().note_answer(instance, fingerprint, now);
+        self.note_ended(instance, fingerprint, now);
+    }
+
+    fn note_ended(&self, instance: &UpstreamInstance, fingerprint: u128, ended_at: Instant) {
+        let finished = self.finished.borrow();
+        if finished.instance() == Some(instance) && !finished.is_leaving() {
+            self.ended.borrow_mut().note_ended(fingerprint, ended_at);
+        }
     }
 
     /// Notes that a run was abandoned now, on which an instance may work until its deadline. The run's connection
@@ -75,31 +96,53 @@
         self.note_alive(instance, now);
         let works_until = deadline.max(now);
         self.finished.borrow_mut().note_abandoned(instance, fingerprint, works_until);
+        self.note_ended(instance, fingerprint, works_until);
     }
 
     /// Notes that an instance lived at a time, as it answered a request that was sent then, which clears those that
     /// it had outlived by then.
     pub(super) fn note_alive(&self, instance: &UpstreamInstance, lived_at: Instant) {
         let outlived = self.finished.borrow_mut().note_alive(instance, lived_at);
-        if outlived.is_empty() {
+        let is_present = self.finished.borrow().instance() == Some(instance);
+        let ended = match is_present {
+            true => self.ended.borrow_mut().note_alive(lived_at),
+            false => Vec::new(),
+        };
+        if outlived.is_empty() && ended.is_empty() {
             return;
         }
         let view = self.shared.view.load();
         for fingerprint in outlived.into_iter().filter(|it| view.suspects_request(*it)) {
             self.send(ControlEvent::SuspectOutlived(fingerprint));
         }
+        for fingerprint in ended.into_iter().filter(|it| view.crash_sets.suspects(*it)) {
+            self.send(ControlEvent::EndedOutlived(fingerprint));
+        }
     }
 
-    /// Clears what a crashed instance outlived: it lived until its last connection ended.
+    /// Drops what ended too long before the last connection of a crashed instance did.
     fn note_remote_end(&self, instance: &UpstreamInstance) {
         if let Some(seen_at) = self.remote_end.seen_at() {
-            self.note_alive(instance, seen_at);
+            self.finished.borrow_mut().note_remote_end(instance, seen_at);
+        }
+    }
+
+    /// Tells which requests ended within the last seconds before an instance crashed.
+    fn report_ended(&self, instance: &UpstreamInstance) {
+        if self.finished.borrow().instance() != Some(instance) {
+            return;
+        }
+        let seen_at = self.remote_end.seen_at();
+        let suspects = self.ended.borrow_mut().take_suspects(seen_at, Instant::now());
+        if !suspects.is_empty() {
+            self.send(ControlEvent::CrashSoonAfter(instance.clone(), suspects));
         }
     }
 
     /// Notes that an instance has ended: nothing listens at its address.
     pub(super) fn note_refused(&self, instance: &UpstreamInstance) {
         self.note_remote_end(instance);
+        self.report_ended(instance);
         self.send(ControlEvent::UpstreamRefused(instance.clone()));
         let suspects = self.finished.borrow_mut().take_suspects(instance, Instant::now());
         if !suspects.is_empty() {
--- a/crates/mesh/src/version/mesh_view.rs
+++ b/crates/mesh/src/version/mesh_view.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use firspindle_core::connection::UpstreamLoad;
-use firspindle_core::request::SuspectTracker;
+use firspindle_core::request::{CrashSets, SuspectTracker};
 use firspindle_core::version::{
     CellIndex, RouteManifest, ServiceRanges, UpstreamInstance, UpstreamState,
 };
@@ -111,6 +111,8 @@
     pub suspects: Arc<SuspectTracker>,
     /// Requests that upstreams answered shortly before they crashed.
     pub answered_suspects: Arc<SuspectTracker>,
+    /// Requests that had ended within the last seconds before crashes.
+    pub crash_sets: Arc<CrashSets>,
     /// State for peers that cannot read the store.
     pub snapshot: Arc<StateSnapshot>,
 }
@@ -118,7 +120,7 @@
 impl MeshView {
     /// Whether no request is suspected of crashing upstreams, so that requests need not be hashed.
     pub fn suspects_none(&self) -> bool {
-        self.suspects.is_empty() && self.answered_suspects.is_empty()
+        self.suspects.is_empty() && self.answered_suspects.is_empty() && self.crash_sets.is_empty()
     }
 
     /// Whether a request is suspected of crashing upstreams, even if it is not refused yet.
@@ -129,7 +131,8 @@
     /// Returns the time for which a request is still refused because it crashes upstreams.
     pub fn refusal_of(&self, fingerprint: u128, now: Instant) -> Option<Duration> {
         let running = self.suspects.refusal(fingerprint, now);
-        running.max(self.answered_suspects.refusal(fingerprint, now))
+        let answered = self.answered_suspects.refusal(fingerprint, now);
+        running.max(answered).max(self.crash_sets.refusal(fingerprint, now))
     }
 
     /// Whether a route that is not in the manifest may be in a newer one that should be in force.
