fix(mesh): idle connections of callers are closed after the time of the manifest

Callers that leave connections open could use up a node's descriptors: `idleTimeoutS` was decoded and nothing used it, and an idle connection was kept for 120 s.

Change: a connection is closed after the idle time of the manifest that is in force when it is accepted; without a manifest, or with a time of 0, after 120 s as before. Callers use connections again for four fifths of that time at most, so none is closed under a request that keeps to it; one that crosses the close has not been read.

--- a/crates/mesh/src/connection/http_server.rs
+++ b/crates/mesh/src/connection/http_server.rs
@@ -17,9 +17,8 @@
 use super::connection_pool::set_server_options;
 use crate::request::{ExitStage, TrafficContext, handle_caller_request, handle_peer_request};
 
-/// Time after which an idle connection is closed. Callers' own idle limits are seconds to tens of
-/// seconds and change with the manifest; the server never closes a connection before its caller
-/// would.
+/// Time after which an idle connection of another node is closed, and of a caller where no manifest sets
+/// a limit.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(120);
 
 /// Limit for the head of a request, in bytes, where the manifest sets no lower one.
@@ -68,6 +67,14 @@
     }
 }
 
+/// Returns the time after which a connection that is accepted now is closed if it is idle.
+fn idle_timeout(kind: ServerKind, context: &TrafficContext) -> Duration {
+    let view = context.shared.view.load();
+    let limit = view.manifest.as_ref().map(|manifest| manifest.limits.idle_timeout);
+    let limit = limit.filter(|limit| kind == ServerKind::Callers && !limit.is_zero());
+    limit.unwrap_or(IDLE_TIMEOUT)
+}
+
 /// Serves a connection until its client closes it, or until the process exits and all that was begun on it is
 /// written.
 async fn serve_stream(
@@ -77,6 +84,7 @@
 ) {
     let _guard = context.shared.connections.enter();
     let mut exit = context.shared.exit_stage.subscribe();
+    let idle_timeout = idle_timeout(kind, &context);
     let service = service_fn(move |request| {
         let context = context.clone();
         async move {
@@ -91,7 +99,7 @@
     });
     let connection = Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(IDLE_TIMEOUT)
+        .header_read_timeout(idle_timeout)
         .max_buf_size(MAX_HEADER_BYTES)
         .serve_connection(TokioIo::new(&mut stream), service);
     let mut connection = std::pin::pin!(connection);
