--- a/crates/core/src/process/grant_table.rs
+++ b/crates/core/src/process/grant_table.rs
@@ -26,8 +26,9 @@
 use cell_state::{CellState, HandoverRow, ReleaseProof};
 use ended_fence::add_ended;
 use instance_step::is_superseded;
+use key_handover::split_by_token;
 use life_claim::LifeClaim;
-use reported_cell::ReportedCell;
+use reported_cell::{ReportedCell, cells_of_keys};
 
 pub use ended_fence::EndedFence;
 pub use key_handover::KeyHandover;
@@ -35,7 +36,7 @@
 use super::{GrantGuards, GrantPermit, GrantTiming};
 use crate::connection::{GrantReply, GrantRow, OwnReport, add_granted};
 use crate::version::{
-    CELL_KEYS, CELLS, CellIndex, HolderRow, LogEpoch, PlanVersion, ServiceRanges, UpstreamInstance,
+    CELLS, CellIndex, HolderRow, LogEpoch, PlanVersion, ServiceRanges, UpstreamInstance,
     epoch_of_version, keys_of_cells,
 };
 
@@ -396,28 +397,3 @@
         GrantReply { rows, hold: self.timing.hold }
     }
 }
-
-fn cells_of_keys(first: u16, last: u16) -> std::ops::Range<CellIndex> {
-    if last < first {
-        return 0..0;
-    }
-    usize::from(first) / CELL_KEYS..usize::from(last) / CELL_KEYS + 1
-}
-
-/// Divides a range of keys by their tokens. Keys without one have an empty token.
-fn split_by_token(first: u16, last: u16, tokens: &[KeyHandover]) -> Vec<(u16, u16, &str)> {
-    let mut ranges: Vec<(u16, u16, &str)> = Vec::new();
-    if tokens.is_empty() {
-        ranges.push((first, last, ""));
-        return ranges;
-    }
-    for key in first..=last {
-        let row = tokens.iter().find(|row| (row.first..=row.last).contains(&key));
-        let token = row.map_or("", |row| &*row.token);
-        match ranges.last_mut() {
-            Some(range) if range.2 == token => range.1 = key,
-            _ => ranges.push((key, key, token)),
-        }
-    }
-    ranges
-}
--- a/crates/core/src/process/grant_table/key_handover.rs
+++ b/crates/core/src/process/grant_table/key_handover.rs
@@ -40,3 +40,25 @@
     });
     *rows = kept;
 }
+
+/// Divides a range of keys by their tokens. Keys without one have an empty token.
+pub(super) fn split_by_token(
+    first: u16,
+    last: u16,
+    tokens: &[KeyHandover],
+) -> Vec<(u16, u16, &str)> {
+    let mut ranges: Vec<(u16, u16, &str)> = Vec::new();
+    if tokens.is_empty() {
+        ranges.push((first, last, ""));
+        return ranges;
+    }
+    for key in first..=last {
+        let row = tokens.iter().find(|row| (row.first..=row.last).contains(&key));
+        let token = row.map_or("", |row| &*row.token);
+        match ranges.last_mut() {
+            Some(range) if range.2 == token => range.1 = key,
+            _ => ranges.push((key, key, token)),
+        }
+    }
+    ranges
+}
--- a/crates/core/src/process/grant_table/reported_cell.rs
+++ b/crates/core/src/process/grant_table/reported_cell.rs
@@ -55,3 +55,11 @@
 const fn mask(first: u16, last: u16) -> KeyMask {
     (ALL_KEYS << first) & (ALL_KEYS >> (CELL_KEYS - 1 - last as usize))
 }
+
+/// Returns the cells of which a range of keys has at least one key.
+pub(super) fn cells_of_keys(first: u16, last: u16) -> std::ops::Range<CellIndex> {
+    if last < first {
+        return 0..0;
+    }
+    usize::from(first) / CELL_KEYS..usize::from(last) / CELL_KEYS + 1
+}
--- a/crates/core/tests/partial_release.rs
+++ b/crates/core/tests/partial_release.rs
@@ -30,6 +30,34 @@
     ServiceRanges::new("orders".into(), holders.collect(), &cells)
 }
 
+/// Keys that a report lists as held: first key, last key and fence.
+type KeyRow = (u16, u16, u64);
+
+/// Keys that a report lists as freed: first key, last key and handover token.
+type FreedKeys<'a> = (u16, u16, &'a str);
+
+fn own_report(host: usize, sequence: u64, holds: &[KeyRow], freed: &[FreedKeys]) -> OwnReport {
+    let held =
+        |(first, last, fence): &KeyRow| HeldRow { first: *first, last: *last, fence: *fence };
+    let released = |(first, last, token): &FreedKeys| FreedRow {
+        first: *first,
+        last: *last,
+        handover: (*token).into(),
+    };
+    let report = UpstreamReport {
+        instance: instance(host),
+        service: "orders".into(),
+        slots: 9,
+        state: UpstreamState::Ready,
+        cold_remaining: Duration::ZERO,
+        sequence,
+        lists_keys: true,
+        holds: holds.iter().map(held).collect(),
+        freed: freed.iter().map(released).collect(),
+    };
+    OwnReport::check(report, "orders", true).expect("it is of the host's upstream")
+}
+
 /// The node of a host, in whose service one cell changes hands.
 struct TestNode {
     host: usize,
@@ -50,34 +78,12 @@
     }
 
     /// Applies a report and returns what is granted, and what has ended of the moved cell.
-    fn report(&mut self, holds: &[(u16, u16, u64)], freed: &[(u16, u16, &str)]) -> String {
+    fn report(&mut self, holds: &[KeyRow], freed: &[FreedKeys]) -> String {
         self.sequence += 1;
         self.now += Duration::from_millis(90);
-        let held = |(first, last, fence): &(u16, u16, u64)| HeldRow {
-            first: *first,
-            last: *last,
-            fence: *fence,
-        };
-        let released = |(first, last, token): &(u16, u16, &str)| FreedRow {
-            first: *first,
-            last: *last,
-            handover: (*token).into(),
-        };
-        let report = UpstreamReport {
-            instance: instance(self.host),
-            service: "orders".into(),
-            slots: 9,
-            state: UpstreamState::Ready,
-            cold_remaining: Duration::ZERO,
-            sequence: self.sequence,
-            lists_keys: true,
-            holds: holds.iter().map(held).collect(),
-            freed: freed.iter().map(released).collect(),
-        };
-        let report =
-            OwnReport::check(report, "orders", true).expect("it is of the host's upstream");
         let until = Some(self.now + Duration::from_secs(2));
         let permit = GrantPermit { acquire_until: until, renew_until: until, trusts_reports: true };
+        let report = own_report(self.host, self.sequence, holds, freed);
         let reply = self.table.apply_report(&report, permit, self.now).expect("it may be granted");
         let mut text = String::new();
         for row in &reply.rows {
@@ -93,8 +99,8 @@
     }
 }
 
-const BEFORE: (u16, u16, u64) = (0, 79, 1);
-const AFTER: (u16, u16, u64) = (88, 65_535, 1);
+const BEFORE: KeyRow = (0, 79, 1);
+const AFTER: KeyRow = (88, 65_535, 1);
 
 /// Returns a node whose upstream was told to release a cell that it held.
 fn releasing_node(guards: GrantGuards) -> TestNode {
@@ -113,7 +119,7 @@
 fn a_cell_is_passed_on_with_its_last_key() {
     let mut node = releasing_node(GrantGuards::all());
     let mut text = String::new();
-    let mut play = |holds: &[(u16, u16, u64)], freed: &[(u16, u16, &str)]| {
+    let mut play = |holds: &[KeyRow], freed: &[FreedKeys]| {
         writeln!(text, "{holds:?} {freed:?}: {}", node.report(holds, freed))
             .expect("writing to a string succeeds");
     };
@@ -190,24 +196,9 @@
 fn a_part_of_a_cell_is_not_renewed_by_a_report_alone() {
     let mut node = TestNode::start(0, GrantGuards::all());
     node.plan(1, 0, 1);
-    let report = |holds: Vec<HeldRow>, sequence| {
-        let report = UpstreamReport {
-            instance: instance(0),
-            service: "orders".into(),
-            slots: 9,
-            state: UpstreamState::Ready,
-            cold_remaining: Duration::ZERO,
-            sequence,
-            lists_keys: true,
-            holds,
-            freed: Vec::new(),
-        };
-        OwnReport::check(report, "orders", true).expect("it is of the host's upstream")
-    };
     let until = Some(node.now + Duration::from_secs(2));
     let permit = GrantPermit { acquire_until: None, renew_until: until, trusts_reports: true };
-    let rows = vec![HeldRow { first: 0, last: 82, fence: 1 }];
-    let reply = node.table.apply_report(&report(rows, 1), permit, node.now);
+    let reply = node.table.apply_report(&own_report(0, 1, &[(0, 82, 1)], &[]), permit, node.now);
     let rows = reply.expect("it may be renewed").rows;
     assert_eq!(rows.iter().map(|row| (row.first, row.last)).collect::<Vec<_>>(), [(0, 79)]);
 }
--- a/crates/mesh/src/process/control_state.rs
+++ b/crates/mesh/src/process/control_state.rs
@@ -6,6 +6,7 @@
 mod evacuation_step;
 mod gossip_step;
 mod home_step;
+mod own_record_step;
 mod plan_step;
 mod read_step;
 mod record_origin;
--- a/crates/mesh/src/process/control_state/record_step.rs
+++ b/crates/mesh/src/process/control_state/record_step.rs
@@ -5,9 +5,7 @@
 
 use bytes::Bytes;
 use firspindle_core::connection::{StateMark, hash_host};
-use firspindle_core::version::{
-    HostRecord, LogEpoch, LogPosition, RangePlan, UpstreamState, plan_version_at,
-};
+use firspindle_core::version::{HostRecord, LogEpoch, LogPosition, RangePlan, plan_version_at};
 use firspindle_edge::{PlatformCodec, ReadBatch, StateTopic, TopicRecord, TopicSnapshot};
 
 use super::ControlState;
@@ -232,17 +230,6 @@
         self.keep_host(record);
     }
 
-    /// Notes a record of this host that took effect after the last one that this process wrote: an append
-    /// without an answer may be late. It is written over then.
-    fn note_own_record(&mut self, row: &TopicRecord, epoch: LogEpoch) {
-        let is_later = LogPosition::new(epoch, row.offset) >= self.own_written_end;
-        if !is_later || self.own_written.is_none() || *row.key != *self.settings.host {
-            return;
-        }
-        self.own_written = HostRecord::decode(&row.value);
-        self.own_written_end = LogPosition::new(epoch, row.offset + 1);
-    }
-
     /// Keeps a host record if it is newer than the known one.
     pub(super) fn keep_host(&mut self, record: HostRecord) {
         match self.hosts.binary_search_by(|row| row.host.cmp(&record.host)) {
@@ -260,36 +247,6 @@
         }
     }
 
-    /// Takes a higher incarnation than one that others know of this host: the clock may have been set back
-    /// before this process started, and what it says would seem older.
-    pub(super) fn outnumber_incarnation(&mut self, known: u64) {
-        if known > self.incarnation {
-            log::warn!(from = self.incarnation, known; "an earlier process has a higher incarnation");
-            self.incarnation = known + 1;
-            self.own.incarnation = self.incarnation;
-        }
-    }
-
-    /// After a restart, adopts the upstream that the previous process recorded and counts its last
-    /// heartbeat as received at the start, so that no cell moves before the next one is due. One that
-    /// drains was acknowledged before the start, nobody knows when, so it gets no more requests.
-    pub(super) fn adopt_own_record(&mut self, record: &HostRecord, now: Instant) {
-        self.outnumber_incarnation(record.incarnation);
-        let is_earlier =
-            record.incarnation < self.incarnation && record.service == self.settings.service;
-        let recorded = record.upstream.as_ref().filter(|_| is_earlier);
-        let Some(recorded) = recorded else { return };
-        if self.own.upstream.is_none() {
-            self.own.upstream = Some(recorded.clone());
-            self.last_heartbeat_at = Some(self.started_at);
-            self.apply_early_leave(now);
-        }
-        let current = self.own.upstream.as_ref().map(|row| &row.instance);
-        if recorded.state == UpstreamState::Draining && current == Some(&recorded.instance) {
-            self.close_upstream(recorded.instance.clone(), None);
-        }
-    }
-
     pub(super) fn apply_plan(&mut self, plan: RangePlan, origin: RecordOrigin, now: Instant) {
         if plan.version <= self.plan.version {
             return;
--- a/crates/mesh/src/request/crash_reporter.rs
+++ b/crates/mesh/src/request/crash_reporter.rs
@@ -93,7 +93,7 @@
         deadline: Instant,
     ) {
         let now = Instant::now();
-        self.note_alive(instance, now);
+        self.note_connected(instance, now);
         let works_until = deadline.max(now);
         self.finished.borrow_mut().note_abandoned(instance, fingerprint, works_until);
         self.note_ended(instance, fingerprint, works_until);
@@ -102,22 +102,31 @@
     /// Notes that an instance lived at a time, as it answered a request that was sent then, which clears those that
     /// it had outlived by then.
     pub(super) fn note_alive(&self, instance: &UpstreamInstance, lived_at: Instant) {
+        self.note_connected(instance, lived_at);
+        if self.finished.borrow().instance() != Some(instance) {
+            return;
+        }
+        let outlived = self.ended.borrow_mut().note_alive(lived_at);
+        if outlived.is_empty() {
+            return;
+        }
+        let view = self.shared.view.load();
+        for fingerprint in outlived.into_iter().filter(|it| view.crash_sets.suspects(*it)) {
+            self.send(ControlEvent::EndedOutlived(fingerprint));
+        }
+    }
+
+    /// Notes that a connection to an instance was open at a time, which clears the last requests of those that it
+    /// had outlived by then.
+    fn note_connected(&self, instance: &UpstreamInstance, lived_at: Instant) {
         let outlived = self.finished.borrow_mut().note_alive(instance, lived_at);
-        let is_present = self.finished.borrow().instance() == Some(instance);
-        let ended = match is_present {
-            true => self.ended.borrow_mut().note_alive(lived_at),
-            false => Vec::new(),
-        };
-        if outlived.is_empty() && ended.is_empty() {
+        if outlived.is_empty() {
             return;
         }
         let view = self.shared.view.load();
         for fingerprint in outlived.into_iter().filter(|it| view.suspects_request(*it)) {
             self.send(ControlEvent::SuspectOutlived(fingerprint));
         }
-        for fingerprint in ended.into_iter().filter(|it| view.crash_sets.suspects(*it)) {
-            self.send(ControlEvent::EndedOutlived(fingerprint));
-        }
     }
 
     /// Drops what ended too long before the last connection of a crashed instance did.
