fix(core): a request is cleared of crashes however many were cleared before

A harmless request could be refused for a minute although an upstream had outlived it. Found in a second reading, seen by no caller.

Cause: what was cleared stood in one table of 1,024 requests, and when that was full, further ones stayed suspected.

Change: each crash keeps which of its requests do not count any more; the words that nodes tell each other are a bounded queue beside it, kept 10 s for crashes that are told later than what was cleared of them. Requests outlived at once are cleared in one event, so the view is published once and not for each. `CrashSoonAfter` is `EndedBeforeCrash`.

--- a/crates/core/src/request/crash_sets.rs
+++ b/crates/core/src/request/crash_sets.rs
@@ -5,6 +5,7 @@
 //! outlives it. Nodes tell each other the requests of each crash, four bytes a request, and what upstreams have
 //! outlived of those that stand before several crashes. A request that stands alone before three is refused.
 
+use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
@@ -30,8 +31,11 @@
 /// Most requests of one crash: the last ones that ended.
 const MAX_REQUESTS: usize = 256;
 
-/// Most cleared requests that are kept.
-const MAX_CLEARED: usize = 1_024;
+/// Most words of cleared requests that are kept; the oldest give way.
+const MAX_CLEARED: usize = 256;
+
+/// Time for which the word that a request was cleared is kept for crashes that are told later.
+const CLEARED_TIME: Duration = Duration::from_secs(10);
 
 /// Time after a crash for which its own node tells it, and for which others pass it on.
 const TELL_TIME: Duration = Duration::from_secs(5);
@@ -62,14 +66,18 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct CrashRow {
     set: CrashSet,
+    /// Those of its requests that it does not count against any more, sorted.
+    cleared: Vec<ShortFingerprint>,
     noted_at: Instant,
     told_until: Instant,
 }
 
+/// The word that a request was cleared.
 #[derive(Debug, Clone, PartialEq, Eq)]
-struct ClearedRow {
+struct ClearedWord {
     cleared: ClearedRequest,
     told_until: Instant,
+    kept_until: Instant,
 }
 
 /// Crashes and the requests before them, as one node knows them.
@@ -77,8 +85,8 @@
 pub struct CrashSets {
     /// In the order in which this node learned of them.
     crashes: Vec<CrashRow>,
-    /// Sorted by request.
-    cleared: Vec<ClearedRow>,
+    /// In the order in which this node learned of them.
+    cleared: VecDeque<ClearedWord>,
 }
 
 /// Returns the part of a fingerprint by which crashes are compared.
@@ -93,6 +101,23 @@
     }
 }
 
+impl CrashRow {
+    /// Whether the crash counts against a request.
+    fn counts(&self, request: ShortFingerprint) -> bool {
+        self.set.contains(request) && self.cleared.binary_search(&request).is_err()
+    }
+
+    /// Clears a request of the crash; returns whether it counted before.
+    fn clear(&mut self, request: ShortFingerprint) -> bool {
+        let index =
+            self.cleared.binary_search(&request).err().filter(|_| self.set.contains(request));
+        if let Some(index) = index {
+            self.cleared.insert(index, request);
+        }
+        index.is_some()
+    }
+}
+
 impl CrashSets {
     /// Whether no crash is known, so that requests need not be hashed.
     pub fn is_empty(&self) -> bool {
@@ -122,13 +147,20 @@
         if self.crashes.len() == MAX_CRASHES {
             self.crashes.remove(0);
         }
-        self.crashes.push(CrashRow { set, noted_at: now, told_until });
+        let mut row = CrashRow { set, cleared: Vec::new(), noted_at: now, told_until };
+        for word in self.cleared.iter().filter(|word| now < word.kept_until) {
+            if word.cleared.crashes.contains(&row.set.instance) {
+                row.clear(word.cleared.request);
+            }
+        }
+        self.crashes.push(row);
         true
     }
 
     /// Whether a request stands before a crash of which it is not cleared.
     pub fn suspects(&self, fingerprint: u128) -> bool {
-        self.counted(shorten(fingerprint)).next().is_some()
+        let request = shorten(fingerprint);
+        self.crashes.iter().any(|row| row.counts(request))
     }
 
     /// Clears a request that an upstream outlived of the crashes until now.
@@ -138,48 +170,31 @@
         let crashes: Vec<_> = before.map(|row| row.set.instance).collect();
         // What stands before one crash alone is refused nowhere, so the others need not know.
         let told_until = if crashes.len() > 1 { now + TELL_TIME } else { now };
-        self.add_cleared(request, &crashes, told_until);
+        self.add_cleared(ClearedRequest { request, crashes }, told_until, now);
     }
 
     /// Merges what another node cleared; returns whether it was new.
     pub fn merge_cleared(&mut self, cleared: &ClearedRequest, now: Instant) -> bool {
-        self.add_cleared(cleared.request, &cleared.crashes, now + PASS_TIME)
+        let is_known = self.cleared.iter().any(|word| word.cleared == *cleared);
+        let is_bounded = cleared.crashes.len() <= MAX_CRASHES;
+        if is_known || !is_bounded {
+            return false;
+        }
+        self.add_cleared(cleared.clone(), now + PASS_TIME, now);
+        true
     }
 
-    fn add_cleared(
-        &mut self,
-        request: ShortFingerprint,
-        crashes: &[u64],
-        told_until: Instant,
-    ) -> bool {
-        let index = match self.cleared.binary_search_by_key(&request, |row| row.cleared.request) {
-            Ok(index) => index,
-            Err(_) if crashes.is_empty() || self.cleared.len() == MAX_CLEARED => return false,
-            Err(index) => {
-                let cleared = ClearedRequest { request, crashes: Vec::new() };
-                self.cleared.insert(index, ClearedRow { cleared, told_until });
-                index
+    fn add_cleared(&mut self, cleared: ClearedRequest, told_until: Instant, now: Instant) {
+        for row in &mut self.crashes {
+            if cleared.crashes.contains(&row.set.instance) {
+                row.clear(cleared.request);
             }
-        };
-        let row = &mut self.cleared[index];
-        let before = row.cleared.crashes.len();
-        row.cleared.crashes.extend(crashes);
-        row.cleared.crashes.sort_unstable();
-        row.cleared.crashes.dedup();
-        row.cleared.crashes.truncate(MAX_CRASHES);
-        let changed = row.cleared.crashes.len() > before;
-        if changed {
-            row.told_until = row.told_until.max(told_until);
         }
-        changed
-    }
-
-    /// Returns the crashes that count against a request.
-    fn counted(&self, request: ShortFingerprint) -> impl Iterator<Item = &CrashRow> {
-        let cleared = self.cleared.binary_search_by_key(&request, |row| row.cleared.request);
-        let cleared = cleared.map_or(&[][..], |index| &self.cleared[index].cleared.crashes);
-        let counts = move |row: &&CrashRow| cleared.binary_search(&row.set.instance).is_err();
-        self.crashes.iter().filter(move |row| row.set.contains(request)).filter(counts)
+        if self.cleared.len() == MAX_CLEARED {
+            self.cleared.pop_front();
+        }
+        let kept_until = now + CLEARED_TIME;
+        self.cleared.push_back(ClearedWord { cleared, told_until, kept_until });
     }
 
     /// Returns the time for which a request is still refused, or `None` if it is not refused: of several that
@@ -187,24 +202,12 @@
     /// them apart.
     pub fn refusal(&self, fingerprint: u128, now: Instant) -> Option<Duration> {
         let request = shorten(fingerprint);
-        let crashes: Vec<_> = self.counted(request).collect();
+        let crashes: Vec<_> = self.crashes.iter().filter(|row| row.counts(request)).collect();
         let further = crashes.len().checked_sub(CRASH_LIMIT)?;
         let doublings = u32::try_from(further).unwrap_or(MAX_DOUBLINGS).min(MAX_DOUBLINGS);
         let last_at = crashes.iter().map(|row| row.noted_at).max()?;
         let left = (last_at + BASE_REFUSAL * 2_u32.pow(doublings)).checked_duration_since(now)?;
-        (!self.has_rival(request, &crashes)).then_some(left)
-    }
-
-    /// Whether another request stands before all of these crashes, too.
-    fn has_rival(&self, request: ShortFingerprint, crashes: &[&CrashRow]) -> bool {
-        let Some((first, others)) = crashes.split_first() else { return false };
-        let stands = |other: ShortFingerprint, row: &CrashRow| {
-            let instance = row.set.instance;
-            row.set.contains(other) && self.counted(other).any(|row| row.set.instance == instance)
-        };
-        let rivals = first.set.requests.iter().filter(|other| **other != request);
-        let mut rivals = rivals.filter(|other| others.iter().all(|row| row.set.contains(**other)));
-        rivals.any(|other| crashes.iter().all(|row| stands(*other, row)))
+        (!has_rival(request, &crashes)).then_some(left)
     }
 
     /// Returns the crashes to tell another node, the newest first.
@@ -215,20 +218,20 @@
 
     /// Returns the cleared requests to tell another node, the newest first.
     pub fn told_cleared(&self, now: Instant) -> Vec<ClearedRequest> {
-        let mut due: Vec<_> = self.cleared.iter().filter(|row| now < row.told_until).collect();
-        due.sort_by_key(|row| std::cmp::Reverse(row.told_until));
-        due.into_iter().take(MAX_TOLD_CLEARED).map(|row| row.cleared.clone()).collect()
+        let due = self.cleared.iter().rev().filter(|word| now < word.told_until);
+        due.take(MAX_TOLD_CLEARED).map(|word| word.cleared.clone()).collect()
     }
 
-    /// Removes crashes that count no more.
+    /// Removes what counts no more.
     pub fn expire(&mut self, now: Instant) {
         self.crashes.retain(|row| now < row.noted_at + RETENTION);
-        if self.crashes.is_empty() {
-            self.cleared.clear();
-        }
-        let known = |crash: &u64| self.crashes.iter().any(|row| row.set.instance == *crash);
-        if self.cleared.len() == MAX_CLEARED {
-            self.cleared.retain(|row| row.cleared.crashes.iter().any(known));
-        }
+        self.cleared.retain(|word| now < word.kept_until);
     }
 }
+
+/// Whether another request stands before all of these crashes, too.
+fn has_rival(request: ShortFingerprint, crashes: &[&CrashRow]) -> bool {
+    let Some((first, others)) = crashes.split_first() else { return false };
+    let mut rivals = first.set.requests.iter().filter(|other| **other != request);
+    rivals.any(|other| first.counts(*other) && others.iter().all(|row| row.counts(*other)))
+}
--- a/crates/core/tests/ranges/crash_sets.rs
+++ b/crates/core/tests/ranges/crash_sets.rs
@@ -3,7 +3,7 @@
 use std::fmt::Write;
 use std::time::{Duration, Instant};
 
-use firspindle_core::request::{CRASH_DELAY, CrashSets, EndedRuns};
+use firspindle_core::request::{CRASH_DELAY, ClearedRequest, CrashSet, CrashSets, EndedRuns};
 use proptest::prelude::*;
 
 const MS: Duration = Duration::from_millis(1);
@@ -234,6 +234,38 @@
     assert!(sets.refusal(CRASHING, now).is_some());
 }
 
+/// Guards against harmless requests that are refused because so many were cleared before.
+#[test]
+fn a_request_is_cleared_however_many_were_cleared_before() {
+    let now = Instant::now();
+    let mut sets = CrashSets::default();
+    for crash in 0..6 {
+        let requests: Vec<_> = (0..250).map(|number| 1_000 * (crash + 1) + number).collect();
+        sets.note_crash(u64::try_from(crash).expect("a number"), &requests, now);
+        for request in &requests {
+            sets.clear(*request, now);
+        }
+    }
+    (10..13).for_each(|crash| sets.note_crash(crash, &[7], now));
+    assert!(sets.refusal(7, now).is_some());
+    sets.clear(7, now);
+    assert_eq!(sets.refusal(7, now), None);
+}
+
+/// Guards against a request that counts as suspected because the word that it was cleared came before the crash.
+#[test]
+fn what_was_cleared_stays_cleared_if_the_crash_is_told_later() {
+    let now = Instant::now();
+    let mut node = CrashSets::default();
+    node.merge_cleared(&ClearedRequest { request: 7, crashes: vec![1, 2, 3] }, now);
+    for instance in 1..=3 {
+        node.merge_crash(&CrashSet { instance, requests: vec![7] }, now);
+    }
+    assert_eq!(node.refusal(7, now), None);
+    node.note_crash(4, &[7], now);
+    assert!(node.suspects(7), "a later crash counts");
+}
+
 /// Lets each node tell the others what it knows.
 fn exchange(nodes: &mut [CrashSets], now: Instant) {
     let told: Vec<_> =
--- a/crates/mesh/src/process/control_event.rs
+++ b/crates/mesh/src/process/control_event.rs
@@ -57,11 +57,12 @@
     },
     /// An instance of the upstream crashed shortly after it had answered the requests with these fingerprints.
     CrashAfter(UpstreamInstance, Vec<u128>),
-    /// An instance of the upstream crashed, and the requests with these fingerprints had ended within the last
-    /// seconds before, the last one first.
-    CrashSoonAfter(UpstreamInstance, Vec<u128>),
-    /// An upstream lived on for seconds after the request with this fingerprint, which had ended before a crash.
-    EndedOutlived(u128),
+    /// The requests with these fingerprints had ended within the last seconds before an instance of the upstream
+    /// crashed, the last one first.
+    EndedBeforeCrash(UpstreamInstance, Vec<u128>),
+    /// An upstream lived on for seconds after the requests with these fingerprints, which had ended before a
+    /// crash.
+    EndedOutlived(Vec<u128>),
     /// An upstream outlived its answer to the suspected request with this fingerprint.
     SuspectOutlived(u128),
     /// The process shuts down.
--- a/crates/mesh/src/process/control_state/suspect_step.rs
+++ b/crates/mesh/src/process/control_state/suspect_step.rs
@@ -95,13 +95,16 @@
     }
 
     /// Notes which requests had ended within the last seconds before an upstream crashed.
-    pub fn note_crash_soon_after(&mut self, fingerprints: &[u128], instance: u64, now: Instant) {
+    pub fn note_ended_before_crash(&mut self, fingerprints: &[u128], instance: u64, now: Instant) {
         Arc::make_mut(&mut self.crash_sets).note_crash(instance, fingerprints, now);
     }
 
-    /// Clears a request that an upstream outlived by seconds of the crashes before which it had ended.
-    pub fn clear_ended(&mut self, fingerprint: u128, now: Instant) {
-        Arc::make_mut(&mut self.crash_sets).clear(fingerprint, now);
+    /// Clears requests that an upstream outlived by seconds of the crashes before which they had ended.
+    pub fn clear_ended(&mut self, fingerprints: &[u128], now: Instant) {
+        let sets = Arc::make_mut(&mut self.crash_sets);
+        for fingerprint in fingerprints {
+            sets.clear(*fingerprint, now);
+        }
     }
 
     /// Merges the crashes that another node told; returns whether anything was new.
--- a/crates/mesh/src/process/control_thread.rs
+++ b/crates/mesh/src/process/control_thread.rs
@@ -225,7 +225,7 @@
             ControlEvent::StoreFailed(_) => self.state.note_store_answer(false, now),
             event @ (ControlEvent::Crash { .. }
             | ControlEvent::CrashAfter(..)
-            | ControlEvent::CrashSoonAfter(..)
+            | ControlEvent::EndedBeforeCrash(..)
             | ControlEvent::EndedOutlived(_)
             | ControlEvent::SuspectOutlived(_)) => self.handle_crash_event(event),
             ControlEvent::PeerState(state) => {
--- a/crates/mesh/src/process/control_thread/crash_step.rs
+++ b/crates/mesh/src/process/control_thread/crash_step.rs
@@ -44,11 +44,11 @@
             ControlEvent::CrashAfter(instance, fingerprints) => {
                 self.note_crash_after(&fingerprints, &instance);
             }
-            ControlEvent::CrashSoonAfter(instance, fingerprints) => {
-                self.note_crash_soon_after(&fingerprints, &instance);
+            ControlEvent::EndedBeforeCrash(instance, fingerprints) => {
+                self.note_ended_before_crash(&fingerprints, &instance);
             }
-            ControlEvent::EndedOutlived(fingerprint) => {
-                self.state.clear_ended(fingerprint, self.clock.now());
+            ControlEvent::EndedOutlived(fingerprints) => {
+                self.state.clear_ended(&fingerprints, self.clock.now());
                 self.publish();
             }
             ControlEvent::SuspectOutlived(fingerprint) => {
@@ -81,11 +81,11 @@
     }
 
     /// Notes requests that had ended within the last seconds before an instance of the upstream crashed.
-    fn note_crash_soon_after(&mut self, fingerprints: &[u128], instance: &UpstreamInstance) {
+    fn note_ended_before_crash(&mut self, fingerprints: &[u128], instance: &UpstreamInstance) {
         let (life, born_ms, requests) = (&*instance.id, instance.born_ms, fingerprints.len());
         log::info!(life, born_ms, requests; "requests had ended in the seconds before a crash");
         let now = self.clock.now();
-        self.state.note_crash_soon_after(fingerprints, hash_instance(instance), now);
+        self.state.note_ended_before_crash(fingerprints, hash_instance(instance), now);
         self.publish();
         let actions = self.state.gossip_round(now);
         self.execute(actions);
--- a/crates/mesh/src/request/crash_reporter.rs
+++ b/crates/mesh/src/request/crash_reporter.rs
@@ -106,13 +106,14 @@
         if self.finished.borrow().instance() != Some(instance) {
             return;
         }
-        let outlived = self.ended.borrow_mut().note_alive(lived_at);
+        let mut outlived = self.ended.borrow_mut().note_alive(lived_at);
         if outlived.is_empty() {
             return;
         }
         let view = self.shared.view.load();
-        for fingerprint in outlived.into_iter().filter(|it| view.crash_sets.suspects(*it)) {
-            self.send(ControlEvent::EndedOutlived(fingerprint));
+        outlived.retain(|fingerprint| view.crash_sets.suspects(*fingerprint));
+        if !outlived.is_empty() {
+            self.send(ControlEvent::EndedOutlived(outlived));
         }
     }
 
@@ -144,7 +145,7 @@
         let seen_at = self.remote_end.seen_at();
         let suspects = self.ended.borrow_mut().take_suspects(seen_at, Instant::now());
         if !suspects.is_empty() {
-            self.send(ControlEvent::CrashSoonAfter(instance.clone(), suspects));
+            self.send(ControlEvent::EndedBeforeCrash(instance.clone(), suspects));
         }
     }
 
